--- /dev/null
+++ b/cmd/baobabd/main.go
@@ -0,0 +1,4 @@
+// Command baobabd runs one entry node.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/count/count.go
@@ -0,0 +1,98 @@
+// Package count holds the named counters of the decision core: a total for each
+// group and detail. The driver reads the totals and passes them to the metrics
+// library.
+package count
+
+import (
+	"sort"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// Name identifies a counter in metrics and reports.
+type Name string
+
+// Kind groups the counters that carry a reason.
+type Kind string
+
+// Groups of counters with a reason.
+const (
+	// Refused counts requests answered with NotRun.
+	Refused Kind = "refused"
+	// Retried counts attempts sent again after a failed one.
+	Retried Kind = "retried"
+	// RetryDenied counts retries that were not made.
+	RetryDenied Kind = "retry_denied"
+	// Hedged counts attempts sent beside an unanswered one.
+	Hedged Kind = "hedged"
+	// Missing counts shards missing from answers.
+	Missing Kind = "missing"
+	// Discarded counts answers of targets that were not used.
+	Discarded Kind = "discarded"
+	// WorkEnded counts work orders by how they ended.
+	WorkEnded Kind = "work_ended"
+	// SearchEnded counts searches by how they ended.
+	SearchEnded Kind = "search_ended"
+	// Connection counts what happened to connections.
+	Connection Kind = "connection"
+	// Config counts what happened to configuration changes and documents.
+	Config Kind = "config"
+	// Store counts store calls.
+	Store Kind = "store"
+	// Peer counts messages between entries.
+	Peer Kind = "peer"
+	// Quarantine counts suspicions, clearings and convictions.
+	Quarantine Kind = "quarantine"
+	// Sent counts requests sent to targets.
+	Sent Kind = "sent"
+)
+
+// Key is a counter: a group and a reason or detail within it.
+type Key struct {
+	Kind   Kind
+	Detail api.Reason
+}
+
+// Set holds totals since the start of the node. The zero value is not usable;
+// use NewSet.
+type Set struct {
+	totals map[Key]uint64
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{totals: make(map[Key]uint64)} }
+
+// Inc adds one to a counter.
+func (s *Set) Inc(kind Kind, detail api.Reason) { s.Add(kind, detail, 1) }
+
+// Add adds n to a counter.
+func (s *Set) Add(kind Kind, detail api.Reason, n uint64) {
+	s.totals[Key{Kind: kind, Detail: detail}] += n
+}
+
+// Get returns the total of a counter.
+func (s *Set) Get(kind Kind, detail api.Reason) uint64 {
+	return s.totals[Key{Kind: kind, Detail: detail}]
+}
+
+// Total is a counter with its value.
+type Total struct {
+	Key   Key
+	Value uint64
+}
+
+// Totals returns all counters that are not zero, ordered by kind and detail.
+func (s *Set) Totals() []Total {
+	out := make([]Total, 0, len(s.totals))
+	for k, v := range s.totals {
+		out = append(out, Total{Key: k, Value: v})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i].Key, out[j].Key
+		if a.Kind != b.Kind {
+			return a.Kind < b.Kind
+		}
+		return a.Detail < b.Detail
+	})
+	return out
+}
--- /dev/null
+++ b/core/event/action.go
@@ -0,0 +1,170 @@
+package event
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/gossip"
+)
+
+// Action is something that the node asks its driver to do.
+type Action interface{ isAction() }
+
+type action struct{}
+
+func (action) isAction() {}
+
+// SendSearch sends a search to a target. The driver answers with SearchReplied
+// or AttemptFailed.
+type SendSearch struct {
+	action
+	Conn    api.ConnID
+	Request api.SearchRequest
+}
+
+// SendWork sends a work order to a target. The driver answers with WorkReplied
+// or AttemptFailed and never sends it twice.
+type SendWork struct {
+	action
+	Conn    api.ConnID
+	Request api.WorkRequest
+}
+
+// CancelAttempt tells the target that nobody waits for the attempt any more.
+// The driver need not report anything.
+type CancelAttempt struct {
+	action
+	Attempt api.AttemptID
+}
+
+// SendPart asks a peer to run a part of a query. The driver answers with
+// PartReplied.
+type SendPart struct {
+	action
+	Op       api.OpID
+	Peer     api.EntryName
+	Address  string
+	Caller   api.CallerID
+	Search   api.Search
+	Deadline time.Time
+}
+
+// AnswerSearch answers a SearchArrived.
+type AnswerSearch struct {
+	action
+	Request api.RequestID
+	Answer  api.SearchAnswer
+}
+
+// AnswerWork answers a WorkArrived.
+type AnswerWork struct {
+	action
+	Request api.RequestID
+	Answer  api.WorkAnswer
+}
+
+// ChangeOutcome says what became of an operator's change.
+type ChangeOutcome uint8
+
+const (
+	// ChangeAccepted means that the change is known to be in the store.
+	ChangeAccepted ChangeOutcome = iota + 1
+	// ChangeInvalid means that the change breaks a rule of the configuration.
+	ChangeInvalid
+	// ChangeConflict means that another change came first.
+	ChangeConflict
+	// ChangeRefused means that the change was not written.
+	ChangeRefused
+	// ChangeUnknown means that the change may or may not be in the store.
+	ChangeUnknown
+)
+
+// AnswerChange answers a ChangeArrived.
+type AnswerChange struct {
+	action
+	Request api.RequestID
+	Outcome ChangeOutcome
+	Reason  api.Reason
+	// Message explains ChangeInvalid for the operator.
+	Message string
+	ID      config.ChangeID
+	// Revision is that of the accepted change, or of the newest known document.
+	Revision uint64
+	// Winner is the change that came first, for ChangeConflict; nil if unknown.
+	Winner     *config.Change
+	RetryAfter time.Duration
+}
+
+// OpenConn opens a connection to a target. The driver answers with ConnOpened
+// or ConnEnded.
+type OpenConn struct {
+	action
+	Conn    api.ConnID
+	Replica api.ReplicaName
+	Address string
+}
+
+// CloseConn closes a connection. The driver reports AttemptFailed for each
+// attempt on it, and ConnEnded.
+type CloseConn struct {
+	action
+	Conn api.ConnID
+}
+
+// Probe asks the target for its load on a given connection. The driver answers
+// with ProbeReplied if the target does.
+type Probe struct {
+	action
+	Conn api.ConnID
+}
+
+// SendPeer sends a message to another entry. The driver reports PeerFailed if
+// it could not be delivered.
+type SendPeer struct {
+	action
+	Peer    api.EntryName
+	Address string
+	Message gossip.Message
+}
+
+// ReadStore reads a key.
+type ReadStore struct {
+	action
+	Op  api.OpID
+	Key string
+}
+
+// WriteStore writes a key if it is still at a revision; revision 0 means that
+// the key must not exist. The driver never repeats a write.
+type WriteStore struct {
+	action
+	Op         api.OpID
+	Key        string
+	Value      []byte
+	IfRevision int64
+}
+
+// WatchStore watches a key from the given store revision on.
+type WatchStore struct {
+	action
+	Op    api.OpID
+	Key   string
+	After int64
+}
+
+// CancelWatch ends a watch.
+type CancelWatch struct {
+	action
+	Op api.OpID
+}
+
+// Log writes one line of key=value pairs.
+type Log struct {
+	action
+	Event  string
+	Fields []api.Field
+}
+
+// Stopped says that a shutdown is complete: nothing is in flight any more.
+type Stopped struct{ action }
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is a placeholder of the workspace module.
+package entry
--- /dev/null
+++ b/lang/doc.go
@@ -0,0 +1,2 @@
+// Package lang is a placeholder of the workspace module.
+package lang
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is a placeholder of the workspace module.
+package standin
