--- /dev/null
+++ b/wire/convert/convert_test.go
@@ -0,0 +1,167 @@
+package convert
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/wire/peerpb"
+	"github.com/baobabsail/baobabsail/wire/targetpb"
+	"google.golang.org/protobuf/proto"
+)
+
+var (
+	now      = time.Unix(1_800_000_000, 0)
+	deadline = now.Add(250 * time.Millisecond)
+	query    = api.Query{
+		Service:    "alarms",
+		Conditions: []api.Condition{{Field: "level", Operator: api.GreaterOrEqual, Value: "3"}},
+		OrderBy:    "level", Descending: true, Limit: 7,
+	}
+	load = api.TargetLoad{
+		Incarnation: 9, Slots: 2, Running: 1, Queued: 3, Draining: true,
+		Held: []api.ShardVersions{{Epoch: 1, Shard: "s1", Versions: []uint64{4, 5}}},
+	}
+	rows    = []api.Row{{Key: "k", Fields: []api.Field{{Name: "level", Value: "3"}}}}
+	attempt = api.AttemptID{Life: 77, Seq: 3}
+)
+
+// same fails if encoding and decoding changed a value: a lost field would be
+// silently missing from every request.
+func same[T any](t *testing.T, want T, got T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("decode: %v", err)
+	}
+	if !reflect.DeepEqual(want, got) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestRoundTripKeepsEveryField(t *testing.T) {
+	search := api.SearchRequest{Attempt: attempt, Shard: "s1", Snapshot: api.Snapshot{Epoch: 1, Version: 5}, Query: query, Deadline: deadline}
+	gotSearch, err := SearchRequestFromProto(SearchRequestToProto(search, now), now)
+	same(t, search, gotSearch, err)
+
+	reply := api.SearchReply{Attempt: attempt, Shard: "s1", Snapshot: search.Snapshot, Outcome: api.TargetOK, RowCount: 2, Rows: rows, LimitReached: true, Load: load, RetryAfter: time.Second}
+	gotReply, err := SearchReplyFromProto(SearchReplyToProto(reply))
+	same(t, reply, gotReply, err)
+
+	work := api.WorkRequest{Attempt: attempt, Service: "orders", Key: api.IdempotencyKey{1, 2, 15: 9}, Payload: []byte{0, 255}, Deadline: deadline}
+	gotWork, err := WorkRequestFromProto(WorkRequestToProto(work, now), now)
+	same(t, work, gotWork, err)
+
+	done := api.WorkReply{Attempt: attempt, Outcome: api.TargetError, Result: []byte("no"), Load: load, RetryAfter: time.Second}
+	gotDone, err := WorkReplyFromProto(WorkReplyToProto(done))
+	same(t, done, gotDone, err)
+
+	member := gossip.Member{Name: "n1", Life: 5, Address: "127.0.0.1:1", DataCentre: "dc1", Heartbeat: 8, Leaving: true}
+	message := gossip.Message{
+		From: member, Members: []gossip.Member{member},
+		Notices:    []gossip.Notice{{Kind: gossip.NoticeConvicted, Replica: "r1", Incarnation: 4, Fingerprint: 6, Crashes: 2, Version: 3, TimeToLive: time.Minute}},
+		Generation: 1, Revision: 2, Changes: [][]byte{{1}}, Document: []byte{2},
+		WantAfter: &gossip.Position{Generation: 1, Revision: 1},
+	}
+	gotMessage, err := MessageFromProto(MessageToProto(message))
+	same(t, message, gotMessage, err)
+
+	part := Part{Caller: "c", Search: api.Search{Query: query, Pin: &api.Pin{Snapshot: search.Snapshot, Shards: []api.ShardName{"s1"}}}, Deadline: deadline}
+	encoded, err := PartRequestToProto(part, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gotPart, err := PartRequestFromProto(encoded, now)
+	same(t, part, gotPart, err)
+
+	answer := api.SearchAnswer{
+		Outcome: api.Answered, Rows: rows, LimitReached: true, RetryAfter: time.Second,
+		Coverage: api.Coverage{
+			Snapshot: search.Snapshot, Covered: []api.ShardName{"s1"},
+			Missing: []api.MissingShard{{Shard: "s2", Reason: api.ReasonDeadline}},
+		},
+	}
+	gotAnswer, err := PartReplyFromProto(PartReplyToProto(answer))
+	same(t, answer, gotAnswer, err)
+}
+
+// A deadline that has passed must reach the target as 0, not wrap around to a
+// very long one.
+func TestRemainingMillis(t *testing.T) {
+	for _, c := range []struct {
+		left time.Duration
+		want uint32
+	}{{-time.Hour, 0}, {0, 0}, {999 * time.Microsecond, 0}, {1500 * time.Microsecond, 1}, {10000 * time.Hour, 4294967295}} {
+		if got := RemainingMillis(now.Add(c.left), now); got != c.want {
+			t.Errorf("%v left: got %d ms, want %d", c.left, got, c.want)
+		}
+	}
+}
+
+// A malformed message that is accepted would reach the core with values it
+// does not expect.
+func TestMalformedIsRejected(t *testing.T) {
+	good := func() *targetpb.SearchReply {
+		return SearchReplyToProto(api.SearchReply{Attempt: attempt, Shard: "s", Outcome: api.TargetOK, Load: load})
+	}
+	breakage := map[string]func(*targetpb.SearchReply){
+		"no attempt":        func(m *targetpb.SearchReply) { m.Attempt = nil },
+		"no snapshot":       func(m *targetpb.SearchReply) { m.Snapshot = nil },
+		"no outcome":        func(m *targetpb.SearchReply) { m.Outcome = 0 },
+		"unknown outcome":   func(m *targetpb.SearchReply) { m.Outcome = 99 },
+		"negative outcome":  func(m *targetpb.SearchReply) { m.Outcome = -1 },
+		"no load":           func(m *targetpb.SearchReply) { m.Load = nil },
+		"unordered version": func(m *targetpb.SearchReply) { m.Load.Held[0].Versions = []uint64{5, 4} },
+		"nil held":          func(m *targetpb.SearchReply) { m.Load.Held[0] = nil },
+	}
+	for name, f := range breakage {
+		m := good()
+		f(m)
+		if _, err := SearchReplyFromProto(m); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: got error %v, want ErrMalformed", name, err)
+		}
+	}
+	if _, err := PartReplyFromProto(&peerpb.PartReply{Outcome: 257, Snapshot: &targetpb.Snapshot{}}); !errors.Is(err, ErrMalformed) {
+		t.Errorf("outcome 257 must not wrap around to a known one: %v", err)
+	}
+	if _, err := WorkRequestFromProto(&targetpb.ExecuteRequest{Attempt: &targetpb.AttemptID{}, Service: "s", Key: []byte{1}}, now); !errors.Is(err, ErrMalformed) {
+		t.Errorf("short key: %v", err)
+	}
+}
+
+// A notice kind of a newer version must not make the whole message unreadable.
+func TestUnknownNoticeKindIsSkipped(t *testing.T) {
+	m := MessageToProto(gossip.Message{From: gossip.Member{Name: "n", Address: "a:1"}})
+	m.Notices = []*peerpb.Notice{{Kind: 200}}
+	got, err := MessageFromProto(m)
+	if err != nil || len(got.Notices) != 0 {
+		t.Errorf("got %v, %v", got.Notices, err)
+	}
+}
+
+// FuzzDecode guards against a panic on any bytes that parse as a message.
+func FuzzDecode(f *testing.F) {
+	seed, _ := proto.Marshal(SearchReplyToProto(api.SearchReply{Attempt: attempt, Rows: rows, Load: load}))
+	f.Add(seed)
+	seed, _ = proto.Marshal(MessageToProto(gossip.Message{From: gossip.Member{Name: "n", Address: "a:1"}, Notices: []gossip.Notice{{Kind: 1}}}))
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decode := func(m proto.Message, f func()) {
+			if proto.Unmarshal(data, m) == nil {
+				f()
+			}
+		}
+		sr, sp := new(targetpb.SearchRequest), new(targetpb.SearchReply)
+		er, ep := new(targetpb.ExecuteRequest), new(targetpb.ExecuteReply)
+		pm, pr, pp := new(peerpb.Message), new(peerpb.PartRequest), new(peerpb.PartReply)
+		decode(sr, func() { _, _ = SearchRequestFromProto(sr, now) })
+		decode(sp, func() { _, _ = SearchReplyFromProto(sp) })
+		decode(er, func() { _, _ = WorkRequestFromProto(er, now) })
+		decode(ep, func() { _, _ = WorkReplyFromProto(ep) })
+		decode(pm, func() { _, _ = MessageFromProto(pm) })
+		decode(pr, func() { _, _ = PartRequestFromProto(pr, now) })
+		decode(pp, func() { _, _ = PartReplyFromProto(pp) })
+	})
+}
