--- /dev/null
+++ b/entry/driver/driver_test.go
@@ -0,0 +1,212 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/node"
+	"github.com/baobabsail/baobabsail/entry/telemetry"
+)
+
+// fakeNode hands every event to a function and has no timer of its own.
+type fakeNode struct {
+	step func(event.Event) []event.Action
+	wake time.Time
+}
+
+func (f *fakeNode) Step(_ time.Time, ev event.Event) []event.Action {
+	f.wake = time.Time{}
+	return f.step(ev)
+}
+func (f *fakeNode) Wake() time.Time                             { return f.wake }
+func (f *fakeNode) Counts() *count.Set                          { return count.NewSet() }
+func (f *fakeNode) Document() *config.Document                  { return &config.Document{Revision: 7} }
+func (f *fakeNode) Status(time.Time) node.Status                { return node.Status{} }
+func (f *fakeNode) Explain(time.Time, api.Search) (p node.Plan) { return p }
+
+// fakeStore blocks until its context ends.
+type fakeStore struct{ changed chan func([]byte, int64) }
+
+func (fakeStore) Get(ctx context.Context, _ string) event.StoreRead {
+	<-ctx.Done()
+	return event.StoreRead{Result: event.ReadFailed}
+}
+func (fakeStore) CompareAndSwap(ctx context.Context, _ string, _ []byte, _ int64) event.StoreWritten {
+	<-ctx.Done()
+	return event.StoreWritten{Result: event.WriteUnknown}
+}
+func (s fakeStore) Watch(ctx context.Context, _ string, _ int64, changed func([]byte, int64)) {
+	s.changed <- changed
+	<-ctx.Done()
+}
+
+func start(t *testing.T, c Config) *Driver {
+	t.Helper()
+	d := New(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { d.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return d
+}
+
+func TestAnswersReachTheirOwnCaller(t *testing.T) {
+	n := &fakeNode{}
+	var waiting []event.SearchArrived
+	n.step = func(ev event.Event) []event.Action {
+		arrived, ok := ev.(event.SearchArrived)
+		if !ok {
+			return nil
+		}
+		waiting = append(waiting, arrived)
+		if len(waiting) < 2 {
+			return nil
+		}
+		var out []event.Action
+		for _, w := range []event.SearchArrived{waiting[1], waiting[0]} {
+			out = append(out, event.AnswerSearch{Request: w.Request, Answer: api.SearchAnswer{Reason: api.Reason(w.Caller)}})
+		}
+		return append(out, out[0]) // A second answer must not disturb anyone.
+	}
+	d := start(t, Config{Node: n})
+	var both sync.WaitGroup
+	for _, caller := range []api.CallerID{"a", "b"} {
+		both.Go(func() {
+			got := d.Search(context.Background(), caller, api.Search{}, time.Time{})
+			if got.Reason != api.Reason(caller) {
+				t.Errorf("caller %s got the answer of %s", caller, got.Reason)
+			}
+		})
+	}
+	both.Wait()
+	if !d.Configured() {
+		t.Error("the document is not seen")
+	}
+}
+
+// A full inbox must refuse requests as not run and still take every report.
+func TestFullInboxRefusesRequestsAndKeepsReports(t *testing.T) {
+	release, busy := make(chan struct{}), make(chan struct{})
+	probes := make(chan api.ConnID, 10)
+	n := &fakeNode{step: func(ev event.Event) []event.Action {
+		switch ev := ev.(type) {
+		case event.CallerGone:
+			close(busy)
+			<-release
+		case event.ProbeReplied:
+			probes <- ev.Conn
+		}
+		return nil
+	}}
+	counts := telemetry.NewCounts()
+	d := start(t, Config{Node: n, InboxSize: 1, Counts: counts})
+	d.Report(event.CallerGone{})
+	<-busy
+	var reports sync.WaitGroup
+	for i := range 5 {
+		reports.Go(func() { d.Report(event.ProbeReplied{Conn: api.ConnID(i)}) })
+	}
+	for d.TryReport(event.Timer{}) {
+		// The reports or this event fill the only place.
+	}
+	got := d.Work(context.Background(), "c", api.Work{}, time.Time{})
+	if got.Outcome != api.NotRun || got.Reason != api.ReasonOverloaded || got.RetryAfter <= 0 {
+		t.Errorf("got %+v, want not_run with a retry-after time", got)
+	}
+	if counts.Get(count.Refused, api.ReasonOverloaded) != 1 {
+		t.Error("the refusal is not counted")
+	}
+	close(release)
+	reports.Wait()
+	for range 5 {
+		<-probes
+	}
+}
+
+func TestCallerGoneIsReported(t *testing.T) {
+	gone := make(chan api.RequestID, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var arrived api.RequestID
+	n := &fakeNode{step: func(ev event.Event) []event.Action {
+		switch ev := ev.(type) {
+		case event.WorkArrived:
+			arrived = ev.Request
+			cancel()
+		case event.CallerGone:
+			gone <- ev.Request
+		}
+		return nil
+	}}
+	d := start(t, Config{Node: n})
+	got := d.Work(ctx, "c", api.Work{}, time.Time{})
+	if id := <-gone; id != arrived || got.Outcome != api.Unknown {
+		t.Errorf("request %d gone, want %d; answer %+v", id, arrived, got)
+	}
+}
+
+// A store that never answers must neither block the loop nor leave an
+// operation without a result.
+func TestSilentStoreEndsAsFailedOrUnknown(t *testing.T) {
+	results := make(chan event.Event, 4)
+	n := &fakeNode{step: func(ev event.Event) []event.Action {
+		switch ev.(type) {
+		case event.Timer:
+			return []event.Action{
+				event.ReadStore{Op: 1, Key: "k"},
+				event.WriteStore{Op: 2, Key: "k"},
+				event.WatchStore{Op: 3, Key: "k"},
+			}
+		case event.CallerGone:
+			return []event.Action{event.CancelWatch{Op: 3}, event.Stopped{}, event.Stopped{}}
+		default:
+			results <- ev
+		}
+		return nil
+	}}
+	store := fakeStore{changed: make(chan func([]byte, int64), 1)}
+	d := start(t, Config{Node: n, Store: store, StoreTimeout: 20 * time.Millisecond})
+	for range 2 {
+		switch r := (<-results).(type) {
+		case event.StoreRead:
+			if r.Op != 1 || r.Result != event.ReadFailed {
+				t.Errorf("got %+v", r)
+			}
+		case event.StoreWritten:
+			if r.Op != 2 || r.Result != event.WriteUnknown {
+				t.Errorf("got %+v", r)
+			}
+		}
+	}
+	(<-store.changed)([]byte("v"), 9)
+	if c, ok := (<-results).(event.StoreChanged); !ok || c.Op != 3 || c.Revision != 9 {
+		t.Errorf("got %+v", c)
+	}
+	d.Report(event.CallerGone{})
+	<-d.Stopped()
+}
+
+func TestWakeFiresATimerEvent(t *testing.T) {
+	n := &fakeNode{}
+	fired := make(chan struct{})
+	timers := 0
+	n.step = func(ev event.Event) []event.Action {
+		if timers++; timers == 2 {
+			close(fired)
+		} else {
+			n.wake = time.Now().Add(time.Millisecond)
+		}
+		return nil
+	}
+	d := start(t, Config{Node: n})
+	<-fired
+	var revision uint64
+	if err := d.Inspect(context.Background(), func(n Node, _ time.Time) { revision = n.Document().Revision }); err != nil || revision != 7 {
+		t.Errorf("revision %d, error %v", revision, err)
+	}
+}
