--- /dev/null
+++ b/entry/callerhttp/body.go
@@ -0,0 +1,191 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/google/uuid"
+)
+
+const (
+	// maxDeadline bounds deadline_ms; the rules of services are far shorter.
+	maxDeadline = 24 * time.Hour
+	// maxRows bounds limit, so that it fits every integer type on the way.
+	maxRows = 1_000_000
+	// maxNameBytes is what the protocol to targets accepts for a name.
+	maxNameBytes = 256
+	// uuidTextBytes is the length of the canonical text form of a UUID.
+	uuidTextBytes = 36
+	// keyVersion is the UUID version whose first 48 bits are a time.
+	keyVersion = 7
+)
+
+var operators = map[string]api.Operator{
+	"=": api.Equal, "!=": api.NotEqual,
+	"<": api.Less, "<=": api.LessOrEqual,
+	">": api.Greater, ">=": api.GreaterOrEqual,
+	"contains": api.Contains,
+}
+
+type conditionBody struct {
+	Field    string `json:"field"`
+	Operator string `json:"operator"`
+	Value    string `json:"value"`
+}
+
+type searchBody struct {
+	Service         string          `json:"service"`
+	Conditions      []conditionBody `json:"conditions"`
+	OrderBy         string          `json:"order_by"`
+	Descending      bool            `json:"descending"`
+	Limit           int64           `json:"limit"`
+	DeadlineMillis  *int64          `json:"deadline_ms"`
+	CoveragePercent *float64        `json:"coverage_percent"`
+	EarlyReturn     *bool           `json:"early_return"`
+}
+
+type workBody struct {
+	Service        string `json:"service"`
+	Payload        string `json:"payload"`
+	DeadlineMillis *int64 `json:"deadline_ms"`
+}
+
+// decodeStrict reads exactly one JSON object into out. Unknown fields are an
+// error that names the field.
+func decodeStrict(r io.Reader, out any) error {
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more data after the JSON object")
+	}
+	return nil
+}
+
+// decodeSearch reads the body of POST /v1/search. A zero deadline takes the
+// service's rule.
+func decodeSearch(r io.Reader, now time.Time) (api.Search, time.Time, error) {
+	var body searchBody
+	if err := decodeStrict(r, &body); err != nil {
+		return api.Search{}, time.Time{}, err
+	}
+	deadline, err := deadlineOf(body.DeadlineMillis, now)
+	if err != nil {
+		return api.Search{}, time.Time{}, err
+	}
+	search, err := searchOf(body)
+	return search, deadline, err
+}
+
+func searchOf(body searchBody) (api.Search, error) {
+	if err := checkService(body.Service); err != nil {
+		return api.Search{}, err
+	}
+	if body.Limit < 0 || body.Limit > maxRows {
+		return api.Search{}, fmt.Errorf("limit must be from 0 to %d", maxRows)
+	}
+	coverage, err := coverageOf(body.CoveragePercent)
+	if err != nil {
+		return api.Search{}, err
+	}
+	search := api.Search{
+		Query: api.Query{
+			Service:    api.ServiceName(body.Service),
+			OrderBy:    body.OrderBy,
+			Descending: body.Descending,
+			Limit:      int(body.Limit),
+		},
+		Coverage:    coverage,
+		EarlyReturn: body.EarlyReturn,
+	}
+	for i, c := range body.Conditions {
+		operator, known := operators[c.Operator]
+		if !known {
+			return api.Search{}, fmt.Errorf("conditions[%d].operator is not one of = != < <= > >= contains", i)
+		}
+		if c.Field == "" {
+			return api.Search{}, fmt.Errorf("conditions[%d].field is missing", i)
+		}
+		search.Query.Conditions = append(search.Query.Conditions,
+			api.Condition{Field: c.Field, Operator: operator, Value: c.Value})
+	}
+	return search, nil
+}
+
+// decodeWork reads the body and the key of POST /v1/work.
+func decodeWork(r io.Reader, key string, now time.Time) (api.Work, time.Time, error) {
+	parsed, err := decodeKey(key)
+	if err != nil {
+		return api.Work{}, time.Time{}, err
+	}
+	var body workBody
+	if err := decodeStrict(r, &body); err != nil {
+		return api.Work{}, time.Time{}, err
+	}
+	if err := checkService(body.Service); err != nil {
+		return api.Work{}, time.Time{}, err
+	}
+	deadline, err := deadlineOf(body.DeadlineMillis, now)
+	return api.Work{
+		Service: api.ServiceName(body.Service),
+		Key:     parsed,
+		Payload: []byte(body.Payload),
+	}, deadline, err
+}
+
+// decodeKey accepts only the canonical text form: two spellings of one key
+// would confuse whoever compares logs.
+func decodeKey(key string) (api.IdempotencyKey, error) {
+	if key == "" {
+		return api.IdempotencyKey{}, errors.New("header Idempotency-Key is missing")
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || len(key) != uuidTextBytes {
+		return api.IdempotencyKey{}, errors.New("header Idempotency-Key is not a UUID")
+	}
+	if id.Version() != keyVersion || id.Variant() != uuid.RFC4122 {
+		return api.IdempotencyKey{}, errors.New("header Idempotency-Key is not a UUID of version 7")
+	}
+	return api.IdempotencyKey(id), nil
+}
+
+func checkService(name string) error {
+	if name == "" {
+		return errors.New("service is missing")
+	}
+	if len(name) > maxNameBytes {
+		return errors.New("service is too long")
+	}
+	return nil
+}
+
+func deadlineOf(ms *int64, now time.Time) (time.Time, error) {
+	if ms == nil {
+		return time.Time{}, nil
+	}
+	if *ms < 1 || *ms > maxDeadline.Milliseconds() {
+		return time.Time{}, fmt.Errorf("deadline_ms must be from 1 to %d", maxDeadline.Milliseconds())
+	}
+	return now.Add(time.Duration(*ms) * time.Millisecond), nil
+}
+
+// coverageOf converts a percentage; absent takes the service's rule. The result
+// is rounded up, so that a small wish does not become "take the rule".
+func coverageOf(percent *float64) (api.PPM, error) {
+	if percent == nil {
+		return 0, nil
+	}
+	if !(*percent > 0 && *percent <= 100) {
+		return 0, errors.New("coverage_percent must be above 0 and at most 100")
+	}
+	// The inner rounding removes binary noise: 99.9 % is 999,000 PPM.
+	ppm := math.Ceil(math.Round(*percent*1e7) / 1e3)
+	return min(api.PPM(ppm), api.Whole), nil
+}
