--- /dev/null
+++ b/entry/settings/settings.go
@@ -0,0 +1,171 @@
+// Package settings reads the settings file of an entry node: JSON with comments
+// and trailing commas. A file is checked as a whole, so that one run shows
+// everything that is wrong with it. docs/settings.md describes the keys.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Settings describe one entry node.
+type Settings struct {
+	Name       Name      `json:"name" required:"yes"`
+	DataCentre Name      `json:"data_centre" required:"yes"`
+	VM         Name      `json:"vm" required:"yes"`
+	Callers    Listener  `json:"callers"`
+	Operators  Listener  `json:"operators"`
+	Peers      Peers     `json:"peers"`
+	Platform   Platform  `json:"platform"`
+	Limits     Limits    `json:"limits"`
+	Shutdown   Shutdown  `json:"shutdown"`
+	Telemetry  Telemetry `json:"telemetry"`
+	LogLevel   LogLevel  `json:"log_level"`
+	// Seed makes the node's random choices repeatable; 0 draws one at start.
+	Seed uint64 `json:"seed"`
+}
+
+// Listener is where one of the HTTP interfaces listens.
+type Listener struct {
+	Listen ListenAddress `json:"listen" required:"yes"`
+}
+
+// Peers is where other entry nodes reach this one, and some nodes to start with.
+type Peers struct {
+	// Listen is also the address that other nodes are told.
+	Listen ReachableAddress `json:"listen" required:"yes"`
+	List   []Peer           `json:"list"`
+}
+
+// Peer is another entry node.
+type Peer struct {
+	Name    Name          `json:"name" required:"yes"`
+	Address RemoteAddress `json:"address" required:"yes"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	Stores []URL `json:"stores" required:"yes"`
+	// VMList is empty if the platform offers no list of VMs.
+	VMList       URL      `json:"vm_list"`
+	PollInterval Duration `json:"poll_interval"`
+}
+
+// Limits bound what callers and operators may send.
+type Limits struct {
+	MaxRequestBytes       Size     `json:"max_request_bytes"`
+	MaxHeaderBytes        Size     `json:"max_header_bytes"`
+	MaxConcurrentRequests Count    `json:"max_concurrent_requests"`
+	ReadTimeout           Duration `json:"read_timeout"`
+}
+
+// Shutdown holds the times of a graceful shutdown.
+type Shutdown struct {
+	// AcceptFor is how long new requests are served after readiness has failed.
+	AcceptFor Duration `json:"accept_for"`
+	// TotalLimit ends a shutdown that is not complete by then.
+	TotalLimit Duration `json:"total_limit"`
+}
+
+// Telemetry configures what is logged regularly.
+type Telemetry struct {
+	CounterLogInterval Duration `json:"counter_log_interval"`
+}
+
+// Defaults returns the settings that a file overrides.
+func Defaults() *Settings {
+	return &Settings{
+		Platform: Platform{PollInterval: Duration(5 * time.Second)},
+		Limits: Limits{
+			MaxRequestBytes:       1 << 20,
+			MaxHeaderBytes:        16 << 10,
+			MaxConcurrentRequests: 2000,
+			ReadTimeout:           Duration(5 * time.Second),
+		},
+		Shutdown: Shutdown{
+			// Load balancers of the platform notice a failed readiness check
+			// within some seconds.
+			AcceptFor:  Duration(10 * time.Second),
+			TotalLimit: Duration(60 * time.Second),
+		},
+		Telemetry: Telemetry{CounterLogInterval: Duration(time.Minute)},
+		LogLevel:  "info",
+	}
+}
+
+// Problem is one thing that is wrong with a settings file.
+type Problem struct {
+	File string
+	// Line is 1 for the first line; 0 if the file could not be read.
+	Line int
+	// Key is the path of the key, such as "peers.list[0].address".
+	Key     string
+	Message string
+}
+
+// String formats the problem as "file:line: key: message".
+func (p Problem) String() string {
+	where := fmt.Sprintf("%s:%d", p.File, p.Line)
+	if p.Key == "" {
+		return where + ": " + p.Message
+	}
+	return where + ": " + p.Key + ": " + p.Message
+}
+
+// Load reads and checks a settings file. The settings are usable only if there
+// are no problems.
+func Load(path string) (*Settings, []Problem) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []Problem{{File: path, Message: err.Error()}}
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file; file is its name in problems.
+func Parse(file string, text []byte) (*Settings, []Problem) {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return nil, []Problem{syntaxProblem(file, err)}
+	}
+	s := Defaults()
+	r := &reader{file: file, text: text, lines: make(map[string]int)}
+	r.object(root, s)
+	r.relations(s)
+	if len(r.problems) > 0 {
+		r.sort()
+		return nil, r.problems
+	}
+	return s, nil
+}
+
+// relations checks values against each other.
+func (r *reader) relations(s *Settings) {
+	if s.Shutdown.AcceptFor > s.Shutdown.TotalLimit {
+		r.problem(r.lineOf("shutdown.total_limit", "shutdown.accept_for"), "shutdown.total_limit",
+			"is shorter than shutdown.accept_for")
+	}
+	r.sameListener("operators.listen", string(s.Operators.Listen), "callers.listen", string(s.Callers.Listen))
+	r.sameListener("peers.listen", string(s.Peers.Listen), "callers.listen", string(s.Callers.Listen))
+	r.sameListener("peers.listen", string(s.Peers.Listen), "operators.listen", string(s.Operators.Listen))
+	seen := make(map[Name]bool)
+	for i, p := range s.Peers.List {
+		key := fmt.Sprintf("peers.list[%d].name", i)
+		if p.Name != "" && seen[p.Name] {
+			r.problem(r.lineOf(key), key, "names a peer that is listed before")
+		}
+		seen[p.Name] = true
+	}
+}
+
+// sameListener reports two listeners on one address. Port 0 lets the kernel
+// choose and never collides.
+func (r *reader) sameListener(key, address, otherKey, other string) {
+	if address == "" || address != other || portOf(address) == "0" {
+		return
+	}
+	r.problem(r.lineOf(key), key, "is the same address as "+otherKey)
+}
