--- a/core/event/event.go
+++ b/core/event/event.go
@@ -61,15 +61,21 @@
 // SearchReplied is a target's answer to SendSearch.
 type SearchReplied struct {
 	event
-	Conn  api.ConnID
-	Reply api.SearchReply
+	Conn api.ConnID
+	// Attempt is the attempt that the call was made for; Reply.Attempt is what
+	// the target echoed.
+	Attempt api.AttemptID
+	Reply   api.SearchReply
 }
 
 // WorkReplied is a target's answer to SendWork.
 type WorkReplied struct {
 	event
-	Conn  api.ConnID
-	Reply api.WorkReply
+	Conn api.ConnID
+	// Attempt is the attempt that the call was made for; Reply.Attempt is what
+	// the target echoed.
+	Attempt api.AttemptID
+	Reply   api.WorkReply
 }
 
 // AttemptFailed says that an attempt ended without an answer from the target.
--- /dev/null
+++ b/core/fanout/query_test.go
@@ -0,0 +1,337 @@
+package fanout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/snapshot"
+)
+
+const (
+	hedgeDelay = 10 * time.Millisecond
+	timeLimit  = 100 * time.Millisecond
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// sending is one request that the search asked its node to send.
+type sending struct {
+	id      api.AttemptID
+	part    int
+	replica api.ReplicaName
+}
+
+// fakeEnv sends to the first replica that is not excluded and records it.
+type fakeEnv struct {
+	sent      []sending
+	cancelled []api.AttemptID
+	tokens    int
+	busy      map[api.ReplicaName]bool
+	next      *snapshot.Choice
+	counts    *count.Set
+}
+
+func (e *fakeEnv) Send(_ time.Time, q *Query, part int, exclude []api.ReplicaName, only api.ReplicaName) (Sent, api.Reason) {
+	for _, r := range q.Shards[part].Replicas {
+		if slices.Contains(exclude, r) || (only != "" && r != only) {
+			continue
+		}
+		if e.busy[r] {
+			return Sent{}, api.ReasonOverloaded
+		}
+		id := api.AttemptID{Life: 7, Seq: uint64(len(e.sent) + 1)}
+		e.sent = append(e.sent, sending{id: id, part: part, replica: r})
+		return Sent{Attempt: id, Replica: r}, api.ReasonNone
+	}
+	return Sent{}, api.ReasonNoReplica
+}
+
+func (e *fakeEnv) Cancel(id api.AttemptID) { e.cancelled = append(e.cancelled, id) }
+
+func (e *fakeEnv) SpendExtra(time.Time, api.ServiceName) bool {
+	e.tokens--
+	return e.tokens >= 0
+}
+
+func (e *fakeEnv) Rechoose(time.Time, *Query) (snapshot.Choice, []Canary, bool) {
+	if e.next == nil {
+		return snapshot.Choice{}, nil, false
+	}
+	return *e.next, nil, true
+}
+
+func (e *fakeEnv) Count(kind count.Kind, detail api.Reason) { e.counts.Inc(kind, detail) }
+
+func partitionMap(epoch uint64, shards int) *config.PartitionMap {
+	m := &config.PartitionMap{Epoch: epoch}
+	width := uint32(1<<32/uint64(shards) - 1)
+	for i := range shards {
+		m.Shards = append(m.Shards, config.Shard{
+			Name:     api.ShardName(fmt.Sprintf("e%ds%d", epoch, i)),
+			First:    uint32(i) * (width + 1),
+			Last:     uint32(i)*(width+1) + width,
+			Replicas: []api.ReplicaName{"a", "b"},
+		})
+	}
+	return m
+}
+
+func choice(epoch, version uint64, shards int) snapshot.Choice {
+	return snapshot.Choice{
+		Snapshot: api.Snapshot{Epoch: epoch, Version: version},
+		Map:      partitionMap(epoch, shards),
+		Share:    api.Whole,
+	}
+}
+
+func begin(t *testing.T, shards int, change func(*Plan)) (*Query, *fakeEnv) {
+	t.Helper()
+	env := &fakeEnv{tokens: 100, busy: map[api.ReplicaName]bool{}, counts: count.NewSet()}
+	c := choice(1, 5, shards)
+	plan := Plan{
+		Query: api.Query{Service: "alarm"}, Choice: c, Shards: c.Map.Shards,
+		Wanted: api.Whole, Limit: 100, Start: start, Deadline: start.Add(timeLimit),
+		HedgeDelay: hedgeDelay,
+	}
+	if change != nil {
+		change(&plan)
+	}
+	q := New(plan, env)
+	q.Begin(start)
+	return q, env
+}
+
+// reply builds a correct answer to the n-th sending.
+func reply(q *Query, s sending, rows ...string) *api.SearchReply {
+	r := &api.SearchReply{
+		Attempt: s.id, Shard: q.Shards[s.part].Name, Snapshot: q.Snapshot(),
+		Outcome: api.TargetOK, RowCount: len(rows),
+	}
+	for _, k := range rows {
+		r.Rows = append(r.Rows, api.Row{Key: k})
+	}
+	return r
+}
+
+func answerOf(t *testing.T, q *Query) api.SearchAnswer {
+	t.Helper()
+	answer, done := q.Done()
+	if !done {
+		t.Fatal("search has not ended")
+	}
+	return answer
+}
+
+func keys(rows []api.Row) string {
+	out := ""
+	for _, r := range rows {
+		out += r.Key
+	}
+	return out
+}
+
+// Guards against rows lost or out of order when shards are merged.
+func TestMergesRowsOfAllShardsInOrder(t *testing.T) {
+	q, env := begin(t, 3, func(p *Plan) { p.Limit = 4 })
+	q.Replied(start, 0, env.sent[0].id, reply(q, env.sent[0], "b", "e"))
+	q.Replied(start, 1, env.sent[1].id, reply(q, env.sent[1], "a", "f"))
+	q.Replied(start, 2, env.sent[2].id, reply(q, env.sent[2], "d", "c")) // out of order
+	answer := answerOf(t, q)
+	if got := keys(answer.Rows); got != "abcd" || !answer.LimitReached {
+		t.Fatalf("rows %q, limit reached %v", got, answer.LimitReached)
+	}
+	if answer.Coverage.Share != api.Whole {
+		t.Fatalf("share %d", answer.Coverage.Share)
+	}
+}
+
+// Guards against an answer that claims a shard whose response was cut, came
+// from another snapshot, or belongs to another shard (P1, P2, P3).
+func TestUnverifiedAnswersDoNotCount(t *testing.T) {
+	cases := map[string]func(*api.SearchReply){
+		"truncated":      func(r *api.SearchReply) { r.RowCount = 9 },
+		"other version":  func(r *api.SearchReply) { r.Snapshot.Version++ },
+		"other epoch":    func(r *api.SearchReply) { r.Snapshot.Epoch++ },
+		"other shard":    func(r *api.SearchReply) { r.Shard = "e1s1" },
+		"target's error": func(r *api.SearchReply) { r.Outcome = api.TargetError },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			q, env := begin(t, 2, nil)
+			env.tokens = 0
+			bad := reply(q, env.sent[0], "x")
+			spoil(bad)
+			q.Replied(start, 0, env.sent[0].id, bad)
+			q.Replied(start, 1, env.sent[1].id, reply(q, env.sent[1], "y"))
+			answer := answerOf(t, q)
+			if keys(answer.Rows) != "y" || len(answer.Coverage.Missing) != 1 {
+				t.Fatalf("answer %+v", answer)
+			}
+		})
+	}
+}
+
+// Guards against an answer that mixes two snapshots after a restart (P1).
+func TestRestartDropsEverythingGathered(t *testing.T) {
+	q, env := begin(t, 2, nil)
+	next := choice(2, 6, 4)
+	q.Replied(start, 0, env.sent[0].id, reply(q, env.sent[0], "old"))
+	env.next = &next
+	for len(env.sent) < 3 { // both replicas of shard 1 have dropped the version
+		s := env.sent[len(env.sent)-1]
+		gone := reply(q, s)
+		gone.Outcome = api.TargetVersionGone
+		q.Replied(start, 1, s.id, gone)
+	}
+	s := env.sent[2]
+	gone := reply(q, s)
+	gone.Outcome = api.TargetVersionGone
+	q.Replied(start, 1, s.id, gone)
+	for n := 0; q.Snapshot().Epoch == 1 && n < 10; n++ {
+		q.Tick(q.Wake())
+		s = env.sent[len(env.sent)-1]
+		gone = reply(q, s)
+		gone.Outcome = api.TargetVersionGone
+		q.Replied(q.nextScan, 1, s.id, gone)
+	}
+	if q.Snapshot() != next.Snapshot {
+		t.Fatalf("snapshot %+v", q.Snapshot())
+	}
+	for _, s := range env.sent[len(env.sent)-4:] {
+		q.Replied(start, s.part, s.id, reply(q, s, "new"))
+	}
+	answer := answerOf(t, q)
+	if got := keys(answer.Rows); got != "newnewnewnew" {
+		t.Fatalf("rows %q", got)
+	}
+}
+
+// Guards against a late answer to an attempt that was given up (P3).
+func TestLateAndRepeatedAnswersAreIgnored(t *testing.T) {
+	q, env := begin(t, 1, nil)
+	q.Tick(start.Add(hedgeDelay)) // hedge
+	if len(env.sent) != 2 || env.sent[1].replica != "b" {
+		t.Fatalf("sent %+v", env.sent)
+	}
+	q.Replied(start, 0, env.sent[1].id, reply(q, env.sent[1], "x"))
+	q.Replied(start, 0, env.sent[0].id, reply(q, env.sent[0], "late"))
+	q.Replied(start, 0, env.sent[1].id, reply(q, env.sent[1], "again"))
+	if got := keys(answerOf(t, q).Rows); got != "x" {
+		t.Fatalf("rows %q", got)
+	}
+	if !slices.Contains(env.cancelled, env.sent[0].id) {
+		t.Fatal("the attempt that lost was not cancelled")
+	}
+}
+
+// Guards against hedges and retries beyond the budget (P11).
+func TestNoHedgeAndNoRetryWithoutBudget(t *testing.T) {
+	q, env := begin(t, 2, nil)
+	env.tokens = 0
+	q.Tick(start.Add(hedgeDelay))
+	q.Lost(start.Add(hedgeDelay), 0, env.sent[0].id, true)
+	if len(env.sent) != 2 {
+		t.Fatalf("sent %d requests", len(env.sent))
+	}
+	q.Tick(q.Deadline)
+	answer := answerOf(t, q)
+	if answer.Outcome != api.Unknown {
+		t.Fatalf("outcome %v", answer.Outcome)
+	}
+}
+
+// Guards against a search that waits for stragglers although its service asks
+// for an early return, and against one that hides what is missing.
+func TestEarlyReturnNamesWhatIsMissing(t *testing.T) {
+	q, env := begin(t, 4, func(p *Plan) { p.EarlyReturn = true; p.Wanted = 700_000 })
+	for i := range 3 {
+		q.Replied(start, i, env.sent[i].id, reply(q, env.sent[i], "r"))
+	}
+	if _, done := q.Done(); done {
+		t.Fatal("ended before the hedge delay")
+	}
+	q.Tick(start.Add(hedgeDelay))
+	answer := answerOf(t, q)
+	if len(answer.Coverage.Missing) != 1 || answer.Coverage.Missing[0].Reason != api.ReasonEarlyReturn {
+		t.Fatalf("missing %+v", answer.Coverage.Missing)
+	}
+}
+
+// Guards against "not run" for a search that may have run (P4).
+func TestNotRunOnlyIfNothingWasSent(t *testing.T) {
+	q, env := begin(t, 1, nil)
+	env.tokens = 0
+	shed := reply(q, env.sent[0])
+	shed.Outcome = api.TargetShed
+	q.Replied(start, 0, env.sent[0].id, shed)
+	if a := answerOf(t, q); a.Outcome != api.NotRun || a.Reason != api.ReasonShed || a.RetryAfter == 0 {
+		t.Fatalf("answer after shed: %+v", a)
+	}
+	q, _ = begin(t, 1, nil)
+	q.Tick(q.Deadline)
+	if a := answerOf(t, q); a.Outcome != api.Unknown {
+		t.Fatalf("answer after time-out: %+v", a)
+	}
+}
+
+// Guards against a crashing search that reaches more than two targets (P9).
+func TestCanariesReachTwoTargetsAtMost(t *testing.T) {
+	canaries := []Canary{{Part: 0, Replica: "a"}, {Part: 1, Replica: "b"}, {Part: 2, Replica: "a"}}
+	for mode, want := range map[CanaryMode]int{CanaryFirst: 2, Probation: 1} {
+		q, env := begin(t, 8, func(p *Plan) { p.Mode = mode; p.Canaries = canaries })
+		if len(env.sent) != 1 {
+			t.Fatalf("sent %d before a canary was answered", len(env.sent))
+		}
+		for n := 0; n < len(env.sent); n++ {
+			q.Lost(start, env.sent[n].part, env.sent[n].id, true)
+		}
+		if len(env.sent) != want {
+			t.Fatalf("mode %v: reached %d targets, want %d", mode, len(env.sent), want)
+		}
+		if a := answerOf(t, q); a.Outcome == api.NotRun {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+}
+
+// Guards against a canary that delays a harmless search for good.
+func TestAnsweredCanaryReleasesTheRest(t *testing.T) {
+	canaries := []Canary{{Part: 3, Replica: "b"}, {Part: 1, Replica: "a"}}
+	q, env := begin(t, 4, func(p *Plan) { p.Mode = CanaryFirst; p.Canaries = canaries })
+	q.Tick(start.Add(hedgeDelay)) // the second canary
+	q.Replied(start, 1, env.sent[1].id, reply(q, env.sent[1], "x"))
+	if len(env.sent) != 4 {
+		t.Fatalf("sent %d requests", len(env.sent))
+	}
+	for _, s := range env.sent {
+		q.Replied(start, s.part, s.id, reply(q, s, "x"))
+	}
+	if a := answerOf(t, q); a.Coverage.Share != api.Whole {
+		t.Fatalf("coverage %+v", a.Coverage)
+	}
+}
+
+// Guards against parts that wait for room and are forgotten.
+func TestWaitingPartsAreResumed(t *testing.T) {
+	q, env := begin(t, 2, func(p *Plan) { p.Limit = 1 })
+	if q.Waiting() {
+		t.Fatal("waiting with free replicas")
+	}
+	env.busy["a"], env.busy["b"] = true, true
+	q, env2 := begin(t, 2, nil)
+	env2.busy = env.busy
+	q.reset()
+	q.Begin(start)
+	if !q.Waiting() {
+		t.Fatal("not waiting with busy replicas")
+	}
+	clear(env2.busy)
+	if q.Resume(start) {
+		t.Fatal("still waiting")
+	}
+}
