--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,431 @@
+// Package quarantine limits the damage of requests that crash targets: an
+// unknown search runs on one target first, a request that was in flight at a
+// crash runs in isolation until it is answered, and one that crashes targets
+// again is refused. Section 7.7 of docs/design.md describes it.
+//
+// # Versions
+//
+// Every change of a fingerprint's state has a version: the greater of the
+// node's clock in milliseconds and the highest version known for the
+// fingerprint plus one. A change made in knowledge of another therefore always
+// has the higher version, whatever the clocks say. Two nodes that cannot talk
+// are ordered by their clocks, which is a guess if the clocks differ; of equal
+// versions a conviction wins over a clearing and a clearing over a suspicion.
+// A wrong order costs one more isolated run, or leaves a conviction until its
+// hour is over.
+package quarantine
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/gossip"
+)
+
+// Bounds.
+const (
+	// convictionTime is how long a request is refused after it was last seen.
+	convictionTime = time.Hour
+	// suspicionTime is how long a suspect that nobody sends stays one. It equals
+	// convictionTime, so that a slow sender of a fatal request gains nothing.
+	suspicionTime = time.Hour
+	// clearedTime is how long a clearing is remembered and repeated to peers; at
+	// least as long as a notice that it supersedes may be on its way.
+	clearedTime = time.Hour
+	// extensionStep is the smallest extension that a repeated notice can make.
+	// Without it, transit times would add up as nodes repeat one another.
+	extensionStep = time.Minute
+	// goodLimit and caseLimit bound the memory: about 100 bytes for each known
+	// good fingerprint, about 300 for each case.
+	goodLimit = 65_536
+	caseLimit = 4_096
+	// crashLimit bounds the crashes remembered of one fingerprint.
+	crashLimit = 8
+)
+
+// Options describe the request that asks for admission.
+type Options struct {
+	// Work is set for a work order, which goes to one target only and needs no
+	// canary.
+	Work bool
+	// Canary is the rule of the service.
+	Canary bool
+}
+
+// Kind says how a request may run.
+type Kind uint8
+
+const (
+	// Run allows a normal run.
+	Run Kind = iota + 1
+	// RunCanary sends to the first target of CanaryOrder only, and to the others
+	// after an answer.
+	RunCanary
+	// RunAlone is a probation run: one target, the first of CanaryOrder, without
+	// hedge and retry. The node calls Placed when it has chosen the target and
+	// Released when the run has ended, in the same step as and after a call of
+	// Answered or Crashed for it, before waiting requests ask again.
+	RunAlone
+	// Wait means that a probation run of the same fingerprint is in progress;
+	// ask again when it has ended or when Learn reports a change.
+	Wait
+	// Refuse means that the request is convicted.
+	Refuse
+)
+
+// Verdict answers Admit. RetryAfter is set for Refuse.
+type Verdict struct {
+	Kind       Kind
+	RetryAfter time.Duration
+}
+
+type crash struct {
+	replica     api.ReplicaName
+	incarnation api.Incarnation
+}
+
+// state is ordered by precedence among equal versions.
+type state uint8
+
+const (
+	suspect state = iota + 1
+	cleared
+	convicted
+)
+
+// record is what is known about a fingerprint that was in flight at a crash.
+type record struct {
+	state   state
+	version uint64
+	// clearedAt is the version of the newest clearing; older notices are void.
+	clearedAt uint64
+	until     time.Time
+	crashes   []crash
+	// reported is the largest number of crashes that a notice named.
+	reported int
+	running  bool            // a probation run of this node is in progress
+	runsOn   api.ReplicaName // where, if already known
+	// wasGood is set if a target had answered the request before its first
+	// crash. Such a request is convicted only by a crash during a probation run,
+	// because a popular request is in flight at every crash.
+	wasGood bool
+}
+
+// Registry holds the fingerprints known to one node. It is not safe for
+// concurrent use.
+type Registry struct {
+	counts *count.Set
+	good   *recent
+	cases  map[api.Fingerprint]*record
+}
+
+// New returns an empty registry.
+func New(counts *count.Set) *Registry {
+	return &Registry{counts: counts, good: newRecent(goodLimit), cases: make(map[api.Fingerprint]*record)}
+}
+
+// Admit says how a request may run now.
+func (r *Registry) Admit(now time.Time, fp api.Fingerprint, opts Options) Verdict {
+	if c := r.live(now, fp); c != nil {
+		switch c.state {
+		case convicted:
+			c.until = now.Add(convictionTime)
+			r.counts.Inc(count.Quarantine, "refused")
+			return Verdict{Kind: Refuse, RetryAfter: convictionTime}
+		case suspect:
+			c.until = now.Add(suspicionTime)
+			if c.running {
+				return Verdict{Kind: Wait}
+			}
+			c.running = true
+			r.counts.Inc(count.Quarantine, "probation")
+			return Verdict{Kind: RunAlone}
+		}
+	}
+	if opts.Work || !opts.Canary || r.good.touch(fp) {
+		return Verdict{Kind: Run}
+	}
+	r.counts.Inc(count.Quarantine, "canary")
+	return Verdict{Kind: RunCanary}
+}
+
+// live returns the case of a fingerprint unless it is over.
+func (r *Registry) live(now time.Time, fp api.Fingerprint) *record {
+	c := r.cases[fp]
+	if c == nil || now.Before(c.until) {
+		return c
+	}
+	delete(r.cases, fp)
+	return nil
+}
+
+// Answered reports that a target answered a request (not a refusal before
+// running). It must not be called for an attempt that was sent before its
+// fingerprint became suspect: only the answer of a probation run clears.
+func (r *Registry) Answered(now time.Time, fp api.Fingerprint) []gossip.Notice {
+	c := r.live(now, fp)
+	if c == nil || c.state == cleared {
+		r.good.add(fp)
+		return nil
+	}
+	if c.state == convicted || !c.running {
+		return nil
+	}
+	c.clear(nextVersion(now, c.version), now.Add(clearedTime))
+	r.good.add(fp)
+	r.counts.Inc(count.Quarantine, "cleared")
+	return []gossip.Notice{c.notice(now, fp)}
+}
+
+func (c *record) clear(version uint64, until time.Time) {
+	*c = record{state: cleared, version: version, clearedAt: version, until: until, wasGood: true}
+}
+
+// Placed reports the target of a probation run. Only a crash of this target
+// counts as a crash in isolation.
+func (r *Registry) Placed(now time.Time, fp api.Fingerprint, replica api.ReplicaName) {
+	if c := r.live(now, fp); c != nil && c.running {
+		c.runsOn = replica
+	}
+}
+
+// Released reports that a probation run has ended. If it ended without an
+// answer and without a crash (it timed out, was cancelled or was refused before
+// running), this neither clears nor convicts, and the next request may try.
+func (r *Registry) Released(now time.Time, fp api.Fingerprint) {
+	if c := r.live(now, fp); c != nil {
+		c.endRun()
+	}
+}
+
+func (c *record) endRun() { c.running, c.runsOn = false, "" }
+
+// Crashed reports that a target process ended with requests in flight. Further
+// reports of the same incarnation change nothing for a fingerprint that is
+// already held against it. Notices must be sent before the callers are answered.
+func (r *Registry) Crashed(now time.Time, replica api.ReplicaName, incarnation api.Incarnation,
+	inFlight []api.Fingerprint) []gossip.Notice {
+	fps := slices.Clone(inFlight)
+	slices.Sort(fps)
+	var out []gossip.Notice
+	for _, fp := range slices.Compact(fps) {
+		if n, changed := r.crashed(now, crash{replica, incarnation}, fp); changed {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (r *Registry) crashed(now time.Time, by crash, fp api.Fingerprint) (gossip.Notice, bool) {
+	c := r.live(now, fp)
+	if c == nil {
+		c = r.open(fp)
+	}
+	if c.state == convicted || slices.Contains(c.crashes, by) {
+		return gossip.Notice{}, false
+	}
+	alone := c.running && c.runsOn == by.replica
+	if alone {
+		c.endRun()
+	}
+	known := c.state == suspect
+	c.addCrash(by)
+	c.version = nextVersion(now, c.version)
+	c.state = suspect
+	c.until = now.Add(suspicionTime)
+	if known && c.total() >= 2 && (alone || !c.wasGood) {
+		c.state = convicted
+		c.until = now.Add(convictionTime)
+		r.counts.Inc(count.Quarantine, "convicted")
+	} else {
+		r.counts.Inc(count.Quarantine, "suspect")
+	}
+	r.good.remove(fp)
+	return c.notice(now, fp), true
+}
+
+// open starts a case.
+func (r *Registry) open(fp api.Fingerprint) *record {
+	r.makeRoom()
+	c := &record{wasGood: r.good.has(fp)}
+	r.cases[fp] = c
+	return c
+}
+
+func (c *record) addCrash(by crash) {
+	if slices.Contains(c.crashes, by) {
+		return
+	}
+	c.crashes = append(c.crashes, by)
+	if len(c.crashes) > crashLimit {
+		c.crashes = c.crashes[1:]
+	}
+}
+
+func (c *record) total() int { return max(len(c.crashes), c.reported) }
+
+// makeRoom drops the least important case of a full table: cleared ones before
+// suspects before convictions, the earliest to end first.
+func (r *Registry) makeRoom() {
+	if len(r.cases) < caseLimit {
+		return
+	}
+	rank := map[state]int{cleared: 0, suspect: 1, convicted: 2}
+	fps := r.sorted()
+	victim := fps[0]
+	for _, fp := range fps[1:] {
+		a, b := r.cases[fp], r.cases[victim]
+		if rank[a.state] < rank[b.state] || a.state == b.state && a.until.Before(b.until) {
+			victim = fp
+		}
+	}
+	delete(r.cases, victim)
+	r.counts.Inc(count.Quarantine, "evicted")
+}
+
+func (r *Registry) sorted() []api.Fingerprint {
+	fps := make([]api.Fingerprint, 0, len(r.cases))
+	for fp := range r.cases {
+		fps = append(fps, fp)
+	}
+	slices.Sort(fps)
+	return fps
+}
+
+func nextVersion(now time.Time, known uint64) uint64 {
+	return max(known+1, uint64(max(now.UnixMilli(), 0)))
+}
+
+// Learn takes a notice of a peer and reports whether the state of the
+// fingerprint changed, so that waiting requests should ask Admit again.
+func (r *Registry) Learn(now time.Time, n gossip.Notice) bool {
+	var to state
+	switch n.Kind {
+	case gossip.NoticeSuspect:
+		to = suspect
+	case gossip.NoticeCleared:
+		to = cleared
+	case gossip.NoticeConvicted:
+		to = convicted
+	default:
+		return false
+	}
+	if n.TimeToLive <= 0 {
+		return false
+	}
+	until := now.Add(min(n.TimeToLive, convictionTime))
+	c := r.live(now, n.Fingerprint)
+	if c == nil {
+		c = r.open(n.Fingerprint)
+	}
+	before := c.state
+	if !c.learn(n, to, until) {
+		return false
+	}
+	switch {
+	case to == cleared:
+		r.good.add(n.Fingerprint)
+	default:
+		r.good.remove(n.Fingerprint)
+	}
+	if before != c.state {
+		r.counts.Inc(count.Quarantine, "learned")
+	}
+	return before != c.state
+}
+
+// learn merges a notice into a case and reports whether it was used.
+func (c *record) learn(n gossip.Notice, to state, until time.Time) bool {
+	if n.Version < c.clearedAt || n.Version == c.clearedAt && to < convicted {
+		return false
+	}
+	if to == suspect && c.state == suspect && c.version > 0 {
+		c.mergeCrashes(n)
+		c.version = max(c.version, n.Version)
+		c.extend(until)
+		return true
+	}
+	newer := n.Version > c.version || n.Version == c.version && to > c.state
+	if !newer {
+		if n.Version == c.version && to == c.state {
+			c.extend(until)
+		}
+		return false
+	}
+	// A conviction outlasts suspicions that its sender did not know of.
+	if c.state == convicted && to == suspect {
+		return false
+	}
+	if to == cleared {
+		c.clear(n.Version, until)
+		return true
+	}
+	c.state, c.version = to, n.Version
+	c.until = until
+	c.mergeCrashes(n)
+	return true
+}
+
+func (c *record) mergeCrashes(n gossip.Notice) {
+	c.addCrash(crash{n.Replica, n.Incarnation})
+	c.reported = max(c.reported, n.Crashes)
+}
+
+func (c *record) extend(until time.Time) {
+	if until.Sub(c.until) > extensionStep {
+		c.until = until
+	}
+}
+
+func (c *record) notice(now time.Time, fp api.Fingerprint) gossip.Notice {
+	n := gossip.Notice{
+		Fingerprint: fp, Crashes: c.total(), Version: c.version, TimeToLive: c.until.Sub(now),
+	}
+	if len(c.crashes) > 0 {
+		last := c.crashes[len(c.crashes)-1]
+		n.Replica, n.Incarnation = last.replica, last.incarnation
+	}
+	switch c.state {
+	case suspect:
+		n.Kind = gossip.NoticeSuspect
+	case cleared:
+		n.Kind = gossip.NoticeCleared
+	case convicted:
+		n.Kind = gossip.NoticeConvicted
+	}
+	return n
+}
+
+// Active returns the notices of all open cases, newest version first, for the
+// periodic exchange.
+func (r *Registry) Active(now time.Time) []gossip.Notice {
+	var out []gossip.Notice
+	for _, fp := range r.sorted() {
+		if c := r.live(now, fp); c != nil {
+			out = append(out, c.notice(now, fp))
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Version > out[j].Version })
+	return out
+}
+
+// Tick drops the cases that are over.
+func (r *Registry) Tick(now time.Time) {
+	for _, fp := range r.sorted() {
+		r.live(now, fp)
+	}
+}
+
+// Wake returns when the first case ends, or the zero time.
+func (r *Registry) Wake() time.Time {
+	var at time.Time
+	for _, c := range r.cases {
+		if at.IsZero() || c.until.Before(at) {
+			at = c.until
+		}
+	}
+	return at
+}
