--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,362 @@
+// Package balance chooses among the replicas of a shard. It keeps, for each
+// replica, what answers and failures showed: latency, own attempts in flight,
+// reported load, incarnation, drain state and the index versions held.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/quantile"
+)
+
+const (
+	// RampUp is the time in which the share of a cold replica grows to its full one.
+	RampUp = 10 * time.Second
+	// rampStart is the share at the start of RampUp; some traffic is needed to warm up.
+	rampStart = 0.1
+	// latencyWeight is the weight of a new latency in the smoothed one.
+	latencyWeight = 0.125
+	// failureWeight is the weight of a new outcome in the smoothed failure rate.
+	failureWeight = 0.1
+	// failureCost multiplies the score of a replica that fails always by 1+failureCost.
+	failureCost = 15
+	// suspectAfter is the number of failures in a row from which a replica gets
+	// single probes only.
+	suspectAfter = 3
+	// probeFirst and probeMost bound the interval between probes, which doubles.
+	probeFirst = 200 * time.Millisecond
+	probeMost  = 5 * time.Second
+	// loadHalfLife halves the weight of a reported load.
+	loadHalfLife = 250 * time.Millisecond
+	// loadMost is the largest reported load that counts, per slot. Reports may
+	// be false; a replica that claims any load still gets a share.
+	loadMost = 2.0
+	// latencyHalfLife halves the excess of a smoothed latency over the prior, so
+	// that a replica that was slow is tried again.
+	latencyHalfLife = 5 * time.Second
+	// latencyFresh is the age up to which a latency counts in full.
+	latencyFresh = time.Second
+	// priorLocal and priorRemote are assumed before the first answer. They are
+	// low, so that an unknown replica is tried soon.
+	priorLocal  = time.Millisecond
+	priorRemote = 2 * time.Millisecond
+	// highQuantile is the second value of Latency.
+	highQuantile = 0.99
+	// drainsKept bounds the drained incarnations remembered per replica.
+	drainsKept = 4
+)
+
+// replica is what is known of one replica.
+type replica struct {
+	name    api.ReplicaName
+	address string
+	slots   float64
+	prior   float64
+	// operatorDrained is the flag of the document.
+	operatorDrained bool
+
+	incarnation api.Incarnation
+	// former is the incarnation before; its late answers are ignored.
+	former    api.Incarnation
+	coldUntil time.Time
+	// drained holds drained incarnations; drainPending drains the first
+	// incarnation that is seen.
+	drained      [drainsKept]api.Incarnation
+	nextDrained  int
+	drainPending bool
+
+	inFlight int
+	// latency is smoothed, in nanoseconds; 0 before the first answer.
+	latency   float64
+	latencyAt time.Time
+	high      quantile.Estimate
+	reported  float64
+	// reportedAt is when reported was received.
+	reportedAt  time.Time
+	failureRate float64
+	failures    int
+	probeAt     time.Time
+	held        []api.ShardVersions
+}
+
+// Replicas holds the state of all configured replicas.
+type Replicas struct {
+	rng        *rand.Rand
+	local      api.DataCentre
+	replicas   map[api.ReplicaName]*replica
+	configured bool
+}
+
+// New returns a Replicas without replicas. The data centre local is the node's own.
+func New(rng *rand.Rand, local api.DataCentre) *Replicas {
+	return &Replicas{rng: rng, local: local, replicas: make(map[api.ReplicaName]*replica)}
+}
+
+// Configure adopts the replicas of a document. What is known of a replica whose
+// address did not change is kept. A replica that is added or moved after the
+// first document starts cold.
+func (r *Replicas) Configure(now time.Time, doc *config.Document) {
+	for name := range r.replicas {
+		if _, ok := doc.Replicas[name]; !ok {
+			delete(r.replicas, name)
+		}
+	}
+	for name, c := range doc.Replicas {
+		s, ok := r.replicas[name]
+		if !ok || s.address != c.Address {
+			s = &replica{name: name, address: c.Address}
+			if r.configured {
+				s.coldUntil = now.Add(RampUp)
+			}
+			r.replicas[name] = s
+		}
+		s.slots = float64(max(c.Slots, 1))
+		s.operatorDrained = c.Drained
+		s.prior = float64(priorRemote)
+		if c.DataCentre == r.local {
+			s.prior = float64(priorLocal)
+		}
+	}
+	r.configured = true
+}
+
+// Sent records an attempt handed to a replica.
+func (r *Replicas) Sent(now time.Time, name api.ReplicaName) {
+	s, ok := r.replicas[name]
+	if !ok {
+		return
+	}
+	s.inFlight++
+	if s.failures >= suspectAfter {
+		s.probeAt = now.Add(r.probeDelay(s.failures))
+	}
+}
+
+// Done records an answer. The latency counts only if the target ran the
+// request: a fast refusal says nothing about the time that a request takes.
+func (r *Replicas) Done(now time.Time, name api.ReplicaName, outcome api.TargetOutcome, latency time.Duration, load api.TargetLoad) {
+	s, ok := r.replicas[name]
+	if !ok {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	r.observe(now, s, load)
+	switch outcome {
+	case api.TargetOK:
+		s.addLatency(now, latency)
+		s.high.Add(now, latency)
+		s.failureRate -= failureWeight * s.failureRate
+		s.failures = 0
+	case api.TargetError:
+		r.failed(now, s)
+	case api.TargetShed, api.TargetExpired:
+		// Overload is no fault of the replica: it lowers the share, but a replica
+		// that answers is never reduced to probes.
+		s.failureRate += failureWeight * (1 - s.failureRate)
+		s.failures = 0
+	}
+}
+
+// Lost records an attempt that ended without an answer because the connection
+// broke or the deadline passed.
+func (r *Replicas) Lost(now time.Time, name api.ReplicaName) {
+	if s, ok := r.replicas[name]; ok {
+		s.inFlight = max(s.inFlight-1, 0)
+		r.failed(now, s)
+	}
+}
+
+// Cancelled records an attempt that nobody waits for any more. The time waited
+// is a lower bound of its latency; without it, a slow replica whose attempts
+// always lose to hedges would keep a good figure.
+func (r *Replicas) Cancelled(now time.Time, name api.ReplicaName, waited time.Duration) {
+	s, ok := r.replicas[name]
+	if !ok {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	if float64(waited) > s.latency {
+		s.addLatency(now, waited)
+	}
+}
+
+// Unsent records an attempt that Sent counted but that never reached the
+// connection.
+func (r *Replicas) Unsent(name api.ReplicaName) {
+	if s, ok := r.replicas[name]; ok {
+		s.inFlight = max(s.inFlight-1, 0)
+	}
+}
+
+// ObserveLoad records a load that did not come with an answer, as on a new
+// connection or a probe.
+func (r *Replicas) ObserveLoad(now time.Time, name api.ReplicaName, load api.TargetLoad) {
+	if s, ok := r.replicas[name]; ok {
+		r.observe(now, s, load)
+	}
+}
+
+// SetDraining stops the use of one incarnation. Incarnation 0 stands for the
+// one known now, or for the first one seen if none is known. It reports whether
+// this was news.
+func (r *Replicas) SetDraining(_ time.Time, name api.ReplicaName, incarnation api.Incarnation) bool {
+	s, ok := r.replicas[name]
+	if !ok {
+		return false
+	}
+	if incarnation == 0 {
+		incarnation = s.incarnation
+	}
+	if incarnation == 0 {
+		news := !s.drainPending
+		s.drainPending = true
+		return news
+	}
+	return s.drain(incarnation)
+}
+
+// ClearDraining forgets all drain signals of a replica but the document's.
+func (r *Replicas) ClearDraining(name api.ReplicaName) {
+	if s, ok := r.replicas[name]; ok {
+		s.drained = [drainsKept]api.Incarnation{}
+		s.drainPending = false
+	}
+}
+
+// Usable reports whether new work may go to a replica, and the reason if not.
+// A replica with failures is usable; Pick reduces its share.
+func (r *Replicas) Usable(_ time.Time, name api.ReplicaName) (bool, api.Reason) {
+	s, ok := r.replicas[name]
+	if !ok {
+		return false, api.ReasonNoReplica
+	}
+	if s.isDrained() {
+		return false, api.ReasonDraining
+	}
+	return true, api.ReasonNone
+}
+
+// Held returns the index versions that a replica announced last. The caller
+// must not change it.
+func (r *Replicas) Held(name api.ReplicaName) []api.ShardVersions {
+	if s, ok := r.replicas[name]; ok {
+		return s.held
+	}
+	return nil
+}
+
+// Incarnation returns the incarnation that a replica showed last; 0 if unknown.
+func (r *Replicas) Incarnation(name api.ReplicaName) api.Incarnation {
+	if s, ok := r.replicas[name]; ok {
+		return s.incarnation
+	}
+	return 0
+}
+
+// Latency returns the smoothed latency of a replica and its 0.99 quantile; 0
+// before the first answer.
+func (r *Replicas) Latency(name api.ReplicaName) (smoothed, high time.Duration) {
+	s, ok := r.replicas[name]
+	if !ok {
+		return 0, 0
+	}
+	return time.Duration(s.latency), s.high.Value(highQuantile)
+}
+
+// InFlight returns the number of own attempts in flight on a replica.
+func (r *Replicas) InFlight(name api.ReplicaName) int {
+	if s, ok := r.replicas[name]; ok {
+		return s.inFlight
+	}
+	return 0
+}
+
+// observe takes over a reported load. Zero means that the answer carried none.
+func (r *Replicas) observe(now time.Time, s *replica, load api.TargetLoad) {
+	if load.Incarnation == 0 || load.Incarnation == s.former {
+		return
+	}
+	if load.Incarnation != s.incarnation {
+		s.restarted(now, load.Incarnation)
+	}
+	if load.Draining {
+		s.drain(load.Incarnation)
+	}
+	if load.Held != nil {
+		s.held = load.Held
+	}
+	s.reported = min(float64(max(load.Running+load.Queued, 0)), loadMost*s.slots)
+	s.reportedAt = now
+}
+
+// restarted begins a new incarnation. The first one seen is not known to be cold.
+func (s *replica) restarted(now time.Time, incarnation api.Incarnation) {
+	if s.incarnation != 0 {
+		s.coldUntil = now.Add(RampUp)
+		s.held = nil
+		s.failures, s.failureRate = 0, 0
+	}
+	s.former, s.incarnation = s.incarnation, incarnation
+	if s.drainPending {
+		s.drainPending = false
+		s.drain(incarnation)
+	}
+}
+
+// drain remembers a drained incarnation and reports whether it was news.
+func (s *replica) drain(incarnation api.Incarnation) bool {
+	for _, d := range s.drained {
+		if d == incarnation {
+			return false
+		}
+	}
+	s.drained[s.nextDrained] = incarnation
+	s.nextDrained = (s.nextDrained + 1) % drainsKept
+	return true
+}
+
+func (s *replica) isDrained() bool {
+	if s.operatorDrained || s.drainPending {
+		return true
+	}
+	if s.incarnation == 0 {
+		return false
+	}
+	for _, d := range s.drained {
+		if d == s.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *replica) addLatency(now time.Time, latency time.Duration) {
+	if s.latency == 0 {
+		s.latency = float64(latency)
+	} else {
+		s.latency += latencyWeight * (float64(latency) - s.latency)
+	}
+	s.latencyAt = now
+}
+
+func (r *Replicas) failed(now time.Time, s *replica) {
+	s.failureRate += failureWeight * (1 - s.failureRate)
+	s.failures++
+	if s.failures >= suspectAfter {
+		s.probeAt = now.Add(r.probeDelay(s.failures))
+	}
+}
+
+// probeDelay doubles with each failure and is spread by a quarter, so that the
+// nodes do not probe together.
+func (r *Replicas) probeDelay(failures int) time.Duration {
+	d := probeFirst
+	for i := suspectAfter; i < failures && d < probeMost; i++ {
+		d *= 2
+	}
+	d = min(d, probeMost)
+	return d - time.Duration(r.rng.Int64N(int64(d/4)))
+}
--- /dev/null
+++ b/core/limit/admission.go
@@ -0,0 +1,147 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+const (
+	// firstLimit is the limit of a service before anything is known of it.
+	firstLimit = 64
+	leastLimit = 1
+	// mostLimit bounds a limit that no target ever pushed back.
+	mostLimit = 100_000
+	// MaxWait bounds the expected wait of an admitted query. Longer queues only
+	// add latency: the rate at which the service answers stays the same.
+	MaxWait = 100 * time.Millisecond
+	// rateWindow is the time over which the rate of ended parts is measured.
+	rateWindow = 200 * time.Millisecond
+	// rateWeight is the weight of a new window in the smoothed rate.
+	rateWeight = 0.3
+	// retryLeast and retryMost bound the time after which a refused caller may return.
+	retryLeast = 20 * time.Millisecond
+	retryMost  = 5 * time.Second
+)
+
+// service is the admission state of one service.
+type service struct {
+	limit adaptive
+	// admitted counts parts that were admitted and have not ended.
+	admitted int
+	// rate is the smoothed number of parts that end per second; 0 if unknown.
+	rate        float64
+	ended       int
+	windowStart time.Time
+}
+
+// Admission decides, for each service, whether a query may start. Parts above
+// the adaptive limit are expected to wait in the node for a replica; a query
+// whose expected wait exceeds MaxWait or its time left is refused at once.
+type Admission struct {
+	rng      *rand.Rand
+	services map[api.ServiceName]*service
+	make     func() adaptive
+}
+
+// NewAdmission returns an Admission without services.
+func NewAdmission(rng *rand.Rand) *Admission {
+	return &Admission{
+		rng:      rng,
+		services: make(map[api.ServiceName]*service),
+		make:     func() adaptive { return &aimd{limit: firstLimit, least: leastLimit, most: mostLimit} },
+	}
+}
+
+// Admit takes the parts of a query into account if they may start. Otherwise it
+// returns the time after which the caller may come back. A query is admitted
+// whatever its size if nothing else of its service is in flight.
+func (a *Admission) Admit(now time.Time, name api.ServiceName, parts int, deadline time.Time) (bool, time.Duration) {
+	s := a.get(now, name)
+	excess := float64(s.admitted+parts) - s.limit.value()
+	if excess > 0 && s.admitted > 0 {
+		wait := s.wait(excess)
+		if wait > min(MaxWait, deadline.Sub(now)) {
+			return false, a.retryAfter(wait)
+		}
+	}
+	s.admitted += parts
+	return true, 0
+}
+
+// Done records that parts ended, with the latency of the answer since it was
+// sent. Outcome 0 stands for parts that ended without an answer; they free
+// their place and change no limit.
+func (a *Admission) Done(now time.Time, name api.ServiceName, parts int, outcome api.TargetOutcome, latency time.Duration) {
+	s := a.get(now, name)
+	busy := 2*float64(s.admitted) >= s.limit.value()
+	s.admitted = max(s.admitted-parts, 0)
+	s.count(now, parts)
+	switch outcome {
+	case 0:
+	case api.TargetShed, api.TargetExpired:
+		s.limit.observe(now, latency, true, busy)
+	case api.TargetOK, api.TargetError:
+		s.limit.observe(now, latency, false, busy)
+	}
+}
+
+// Limit returns the current limit of a service in parts.
+func (a *Admission) Limit(name api.ServiceName) int {
+	if s, ok := a.services[name]; ok {
+		return int(s.limit.value())
+	}
+	return firstLimit
+}
+
+// InFlight returns the number of admitted parts that have not ended.
+func (a *Admission) InFlight(name api.ServiceName) int {
+	if s, ok := a.services[name]; ok {
+		return s.admitted
+	}
+	return 0
+}
+
+// Drop forgets a service.
+func (a *Admission) Drop(name api.ServiceName) { delete(a.services, name) }
+
+func (a *Admission) get(now time.Time, name api.ServiceName) *service {
+	s, ok := a.services[name]
+	if !ok {
+		s = &service{limit: a.make(), windowStart: now}
+		a.services[name] = s
+	}
+	return s
+}
+
+// retryAfter is the expected wait, spread by half so that refused callers do
+// not return together.
+func (a *Admission) retryAfter(wait time.Duration) time.Duration {
+	wait = min(max(wait, retryLeast), retryMost)
+	return wait + time.Duration(a.rng.Int64N(int64(wait/2)+1))
+}
+
+// wait is the time until excess parts have ended at the measured rate.
+func (s *service) wait(excess float64) time.Duration {
+	if s.rate <= 0 {
+		return MaxWait + 1
+	}
+	return seconds(excess / s.rate)
+}
+
+// count adds to the measured rate. A pause in the traffic is left out.
+func (s *service) count(now time.Time, parts int) {
+	s.ended += parts
+	took := now.Sub(s.windowStart)
+	if took < rateWindow {
+		return
+	}
+	rate := float64(s.ended) / took.Seconds()
+	if s.rate == 0 {
+		s.rate = rate
+	} else if took < 5*rateWindow {
+		s.rate += rateWeight * (rate - s.rate)
+	}
+	s.ended, s.windowStart = 0, now
+}
--- /dev/null
+++ b/core/limit/concurrency.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+)
+
+const (
+	// leastConcurrency is the lowest limit of a node on one replica. Below 1, a
+	// node has one attempt in flight and pauses between attempts.
+	leastConcurrency = 0.1
+	// mostPerSlot bounds the limit of a node per slot of the replica.
+	mostPerSlot = 4
+	// longestPause bounds the pause of a limit below 1.
+	longestPause = 200 * time.Millisecond
+)
+
+// gate is the state of one replica.
+type gate struct {
+	limit    *aimd
+	slots    int
+	inFlight int
+	// openAt is the end of the pause of a limit below 1.
+	openAt time.Time
+}
+
+// Concurrency bounds a node's attempts in flight on each replica. Several nodes
+// share the slots of a replica and none sees their sum, so the limit follows
+// shed answers, latency and the queue that the replica reports.
+type Concurrency struct {
+	gates map[api.ReplicaName]*gate
+}
+
+// NewConcurrency returns a Concurrency without replicas.
+func NewConcurrency() *Concurrency {
+	return &Concurrency{gates: make(map[api.ReplicaName]*gate)}
+}
+
+// Configure adopts the replicas of a document and keeps the limits of known ones.
+func (c *Concurrency) Configure(doc *config.Document) {
+	for name := range c.gates {
+		if _, ok := doc.Replicas[name]; !ok {
+			delete(c.gates, name)
+		}
+	}
+	for name, r := range doc.Replicas {
+		slots := max(r.Slots, 1)
+		g, ok := c.gates[name]
+		if !ok {
+			g = &gate{limit: &aimd{limit: float64(slots), least: leastConcurrency}}
+			c.gates[name] = g
+		}
+		g.slots = slots
+		g.limit.most = float64(mostPerSlot * slots)
+	}
+}
+
+// Acquire takes a place for an attempt on a replica. If it returns false, a
+// place is free when an attempt ends, or after the returned time if that is
+// not 0.
+func (c *Concurrency) Acquire(now time.Time, name api.ReplicaName) (bool, time.Duration) {
+	g, ok := c.gates[name]
+	if !ok {
+		return false, 0
+	}
+	if wait := g.openAt.Sub(now); wait > 0 && g.inFlight == 0 {
+		return false, wait
+	}
+	if g.inFlight >= max(int(g.limit.limit), 1) {
+		return false, 0
+	}
+	g.inFlight++
+	return true, 0
+}
+
+// Release returns the place of an attempt that was answered. load is what the
+// answer reported.
+func (c *Concurrency) Release(now time.Time, name api.ReplicaName, outcome api.TargetOutcome, latency time.Duration, load api.TargetLoad) {
+	g, ok := c.gates[name]
+	if !ok {
+		return
+	}
+	busy := 2*float64(g.inFlight) >= g.limit.limit
+	g.inFlight = max(g.inFlight-1, 0)
+	// A queue of more than the slots means that a further attempt would only wait.
+	full := load.Queued > g.slots
+	g.limit.observe(now, latency, outcome == api.TargetShed, busy && !full)
+	if g.limit.limit < 1 {
+		g.openAt = now.Add(g.pause())
+	}
+}
+
+// Abandon returns the place of an attempt that ended without an answer.
+func (c *Concurrency) Abandon(name api.ReplicaName) {
+	if g, ok := c.gates[name]; ok {
+		g.inFlight = max(g.inFlight-1, 0)
+	}
+}
+
+// Limit returns the limit of the node on a replica.
+func (c *Concurrency) Limit(name api.ReplicaName) float64 {
+	if g, ok := c.gates[name]; ok {
+		return g.limit.limit
+	}
+	return 0
+}
+
+// pause makes one attempt at a time, with pauses, amount to a limit below 1.
+func (g *gate) pause() time.Duration {
+	d := time.Duration(g.limit.latency * (1/g.limit.limit - 1))
+	return min(d, longestPause)
+}
