--- /dev/null
+++ b/core/connhealth/connhealth_test.go
@@ -0,0 +1,303 @@
+package connhealth
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/event"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// rig drives a Manager in simulated time.
+type rig struct {
+	*Manager
+	t       testing.TB
+	now     time.Time
+	opens   []event.OpenConn
+	openAt  []time.Time
+	closed  map[api.ConnID]bool
+	probes  map[api.ConnID]int
+	crashes []Crash
+	seq     uint64
+}
+
+func newRig(t testing.TB, replicas, limit, nodes int) *rig {
+	r := &rig{t: t, now: start, closed: map[api.ConnID]bool{}, probes: map[api.ConnID]int{}}
+	var id api.ConnID
+	newConn := func() api.ConnID { id++; return id }
+	r.Manager = New(Settings{}, newConn, rand.New(rand.NewPCG(1, 2)), count.NewSet())
+	doc := &config.Document{Replicas: map[api.ReplicaName]*config.Replica{}}
+	for i := range replicas {
+		doc.Replicas[name(i)] = &config.Replica{Address: fmt.Sprint("a", i), Slots: 2, Connections: limit}
+	}
+	r.do(r.Configure(r.now, doc, nodes), nil)
+	return r
+}
+
+func name(i int) api.ReplicaName { return api.ReplicaName(fmt.Sprintf("r%03d", i)) }
+
+func (r *rig) do(actions []event.Action, crashes []Crash) {
+	r.crashes = append(r.crashes, crashes...)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case event.OpenConn:
+			r.opens, r.openAt = append(r.opens, a), append(r.openAt, r.now)
+		case event.CloseConn:
+			r.closed[a.Conn] = true
+		case event.Probe:
+			r.probes[a.Conn]++
+		}
+	}
+}
+
+// run advances the time, at the manager's wake times; each new connection is
+// answered by reply.
+func (r *rig) run(d time.Duration, reply func(event.OpenConn)) {
+	end := r.now.Add(d)
+	for answered := len(r.opens); ; {
+		for ; answered < len(r.opens); answered++ {
+			if reply != nil {
+				reply(r.opens[answered])
+			}
+		}
+		wake := r.Wake()
+		if wake.After(end) {
+			r.now = end
+			return
+		}
+		if wake.After(r.now) {
+			r.now = wake
+		}
+		r.do(r.Tick(r.now))
+	}
+}
+
+func (r *rig) accept(incarnation api.Incarnation) func(event.OpenConn) {
+	return func(o event.OpenConn) {
+		r.do(r.Opened(r.now, event.ConnOpened{Conn: o.Conn, Load: api.TargetLoad{Incarnation: incarnation}}))
+	}
+}
+
+func (r *rig) refuse(end event.ConnEnd) func(event.OpenConn) {
+	return func(o event.OpenConn) { r.do(r.Ended(r.now, event.ConnEnded{Conn: o.Conn, End: end})) }
+}
+
+func (r *rig) send(fp api.Fingerprint) (api.ConnID, api.AttemptID) {
+	r.t.Helper()
+	id, ok := r.Pick(r.now, name(0))
+	if !ok {
+		r.t.Fatal("no connection")
+	}
+	r.seq++
+	attempt := api.AttemptID{Seq: r.seq}
+	r.Sent(r.now, id, attempt, fp)
+	return id, attempt
+}
+
+func connected(t testing.TB, limit int) *rig {
+	r := newRig(t, 1, limit, 8)
+	r.run(time.Second, r.accept(7))
+	for _, o := range r.opens {
+		if r.Open(o.Replica) == 0 {
+			r.accept(7)(o)
+		}
+	}
+	if r.Open(name(0)) != 1 {
+		t.Fatal("not connected")
+	}
+	return r
+}
+
+// Guards against a silent connection that is found late, or not at all because
+// hedges answered and the attempts on it were cancelled.
+func TestSilentConnectionReplacedWithinBound(t *testing.T) {
+	for _, limit := range []int{25, 3} {
+		for _, cancel := range []bool{false, true} {
+			r := connected(t, limit)
+			sent := r.now
+			old, attempt := r.send(1)
+			if cancel {
+				r.Finished(r.now, old, attempt, false)
+			}
+			for !r.closed[old] && r.now.Sub(sent) < 5*time.Second {
+				r.run(10*time.Millisecond, r.accept(7))
+			}
+			took := r.now.Sub(sent)
+			if took > 2*time.Second {
+				t.Errorf("limit %d: closed after %v", limit, took)
+			}
+			r.run(time.Second, r.accept(7))
+			if id, ok := r.Pick(r.now, name(0)); !ok || id == old {
+				t.Errorf("limit %d: no replacement", limit)
+			}
+			if len(r.crashes) > 0 {
+				t.Error("closing a silent connection was taken for a crash")
+			}
+			t.Logf("limit %d, attempts cancelled %v: closed after %v", limit, cancel, took)
+		}
+	}
+}
+
+// Guards against closing a connection whose target is slow but replies to probes.
+func TestSlowRequestKeepsConnection(t *testing.T) {
+	r := connected(t, 25)
+	id, _ := r.send(1)
+	for range 100 {
+		r.run(50*time.Millisecond, r.accept(7))
+		if r.probes[id] > 0 {
+			r.probes[id] = 0
+			r.do(r.ProbeReplied(r.now, event.ProbeReplied{Conn: id, Load: api.TargetLoad{Incarnation: 7}}))
+		}
+	}
+	if r.closed[id] {
+		t.Error("a connection that replies was closed")
+	}
+	if r.Open(name(0)) > 2 {
+		t.Error("more connections than the quota")
+	}
+}
+
+// Guards against a crash that is missed, and against a network cut or an idle
+// reset that is taken for a crash.
+func TestCrashAndCut(t *testing.T) {
+	cases := []struct {
+		name  string
+		idle  bool
+		next  func(*rig) func(event.OpenConn)
+		crash bool
+	}{
+		{"refused", false, func(r *rig) func(event.OpenConn) { return r.refuse(event.ConnRefused) }, true},
+		{"restarted", false, func(r *rig) func(event.OpenConn) { return r.accept(8) }, true},
+		{"cut", false, func(r *rig) func(event.OpenConn) { return r.accept(7) }, false},
+		{"limited", false, func(r *rig) func(event.OpenConn) { return r.refuse(event.ConnLimited) }, false},
+		{"idle", true, func(r *rig) func(event.OpenConn) { return r.refuse(event.ConnRefused) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := connected(t, 25)
+			id := r.opens[0].Conn
+			if !c.idle {
+				var attempt api.AttemptID
+				_, attempt = r.send(1)
+				r.send(2)
+				r.Finished(r.now, id, attempt, false)
+			}
+			r.do(r.Ended(r.now, event.ConnEnded{Conn: id, End: event.ConnReset}))
+			if len(r.crashes) > 0 {
+				t.Fatal("a reset alone was taken for a crash")
+			}
+			r.run(time.Second, c.next(r))
+			if (len(r.crashes) == 1) != c.crash {
+				t.Fatalf("crashes: %v", r.crashes)
+			}
+			if c.crash && (r.crashes[0].Incarnation != 7 || len(r.crashes[0].InFlight) != 2) {
+				t.Errorf("crash: %+v", r.crashes[0])
+			}
+			r.run(time.Minute, r.accept(8))
+			if len(r.crashes) > 1 {
+				t.Error("reported twice")
+			}
+		})
+	}
+}
+
+// Guards against a storm of connections when targets refuse or are full, and
+// against replicas that refuse keeping the others from being connected.
+func TestReconnectRates(t *testing.T) {
+	for _, end := range []event.ConnEnd{event.ConnRefused, event.ConnLimited, event.ConnTimedOut} {
+		r := newRig(t, 200, 25, 8)
+		r.run(time.Second, nil)
+		if len(r.opens) != 200 {
+			t.Fatalf("%d first connections", len(r.opens))
+		}
+		for _, o := range append([]event.OpenConn(nil), r.opens...) {
+			r.accept(7)(o)
+		}
+		r.opens, r.openAt = nil, nil
+		for id := api.ConnID(1); id <= 200; id++ {
+			r.do(r.Ended(r.now, event.ConnEnded{Conn: id, End: event.ConnReset}))
+		}
+		up := map[api.ReplicaName]bool{}
+		r.run(60*time.Second, func(o event.OpenConn) {
+			if o.Replica < name(150) {
+				r.refuse(end)(o)
+				return
+			}
+			up[o.Replica] = true
+			r.accept(7)(o)
+		})
+		if len(up) != 50 {
+			t.Errorf("end %d: only %d of 50 replicas connected after a minute", end, len(up))
+		}
+		for i := 20; i < len(r.openAt); i++ {
+			if r.openAt[i].Sub(r.openAt[i-20]) < time.Second {
+				t.Fatalf("end %d: more than 20 reconnects in a second", end)
+			}
+		}
+		of := map[api.ReplicaName][]time.Time{}
+		for i, o := range r.opens {
+			of[o.Replica] = append(of[o.Replica], r.openAt[i])
+		}
+		for replica, at := range of {
+			for i := 2; i < len(at); i++ {
+				if at[i].Sub(at[i-2]) < time.Second {
+					t.Fatalf("end %d: more than 2 reconnects in a second to %s", end, replica)
+				}
+			}
+		}
+		t.Logf("end %d: %d reconnects in 60 s", end, len(r.opens))
+	}
+}
+
+// Guards against requests interrupted because a replica was dropped.
+func TestDroppedReplicaFinishesFirst(t *testing.T) {
+	r := connected(t, 25)
+	id, attempt := r.send(1)
+	r.do(r.Configure(r.now, &config.Document{}, 8), nil)
+	if r.closed[id] {
+		t.Fatal("closed with an attempt in flight")
+	}
+	if _, ok := r.Pick(r.now, name(0)); ok {
+		t.Error("a dropped replica is still picked")
+	}
+	r.Finished(r.now, id, attempt, true)
+	r.run(time.Millisecond, nil)
+	if !r.closed[id] {
+		t.Error("not closed when idle")
+	}
+}
+
+func BenchmarkSentFinished(b *testing.B) {
+	for _, n := range []int{1, 32, 256} {
+		b.Run(fmt.Sprint("inflight=", n), func(b *testing.B) {
+			r := connected(b, 25)
+			id := r.opens[0].Conn
+			now := r.now
+			for i := range n {
+				r.Sent(now, id, api.AttemptID{Seq: uint64(i)}, 1)
+			}
+			b.ReportAllocs()
+			seq := uint64(n)
+			for b.Loop() {
+				r.Finished(now, id, api.AttemptID{Seq: seq - uint64(n)}, true)
+				r.Sent(now, id, api.AttemptID{Seq: seq}, 1)
+				seq++
+				now = now.Add(10 * time.Microsecond)
+			}
+		})
+	}
+}
+
+func BenchmarkPickConn(b *testing.B) {
+	r := connected(b, 25)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Pick(r.now, name(0))
+	}
+}
