--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -3,8 +3,9 @@
 // and a backoff with jitter.
 //
 // The extra load on the targets of a service that fails altogether is at most
-// its share (rule extra_load, at most 10 %) of the first attempts, plus once a
-// full bucket: what 10 s of first attempts earned, but at least 3 tokens.
+// 10 % of its first attempts in any second of the clock (or 3 attempts, if that
+// is more), and over its lifetime its share (rule extra_load) of all first
+// attempts plus 3.
 package retry
 
 import (
@@ -37,6 +38,8 @@
 	sum      int64
 	// second is the Unix time of the newest entry of attempts.
 	second int64
+	// spent counts the tokens taken within second.
+	spent int64
 }
 
 // Budget holds the tokens of each service.
@@ -71,10 +74,11 @@
 	s := b.get(service)
 	s.advance(now.Unix())
 	s.tokens = min(s.tokens, s.capacity())
-	if s.tokens < token {
+	if s.tokens < token || s.spent >= s.mostPerSecond() {
 		return false
 	}
 	s.tokens -= token
+	s.spent++
 	return true
 }
 
@@ -107,9 +111,20 @@
 	return max(s.sum*s.share, minTokens*token)
 }
 
+// mostPerSecond bounds the tokens taken within a second. Without it, a full
+// bucket of a 10 % share would double the load for one second.
+func (s *bucket) mostPerSecond() int64 {
+	before := s.attempts[(s.second+bucketSeconds-1)%bucketSeconds]
+	recent := max(before, s.attempts[s.second%bucketSeconds])
+	return max(recent*int64(MaxShare)/token, minTokens)
+}
+
 // advance moves the window to the given second. A clock that steps back keeps
 // the newest second.
 func (s *bucket) advance(second int64) {
+	if second > s.second {
+		s.spent = 0
+	}
 	if second-s.second >= bucketSeconds {
 		s.attempts, s.sum, s.second = [bucketSeconds]int64{}, 0, second
 		return
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,173 @@
+package retry
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/quantile"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against retries that multiply the load of a service that fails
+// altogether, at any size, share and after a long healthy time.
+func TestExtraLoadOfFailingServiceIsBounded(t *testing.T) {
+	for _, share := range []api.PPM{0, 10_000, 50_000, 100_000, 900_000} {
+		for _, perSecond := range []int{1, 36, 1000, 78_300} {
+			b := NewBudget()
+			b.Configure("s", share)
+			now := start
+			first, extra, inSecond, worst := 0, 0, 0, 0
+			step := time.Second / time.Duration(perSecond)
+			for range 60 * perSecond {
+				now = now.Add(step)
+				b.Earn(now, "s", 1)
+			}
+			for i := range 60 * perSecond {
+				now = now.Add(step)
+				b.Earn(now, "s", 1)
+				first++
+				if i%perSecond == 0 {
+					inSecond = 0
+				}
+				// Each part asks for three retries, as a failing service would.
+				for range 3 {
+					if b.Spend(now, "s") {
+						extra++
+						inSecond++
+					}
+				}
+				worst = max(worst, inSecond)
+			}
+			used := float64(min(share, MaxShare)) / float64(api.Whole)
+			bucket := max(used*float64(10*perSecond), 3)
+			bound := used*float64(first) + bucket + 1
+			if float64(extra) > bound {
+				t.Errorf("share %d, %d/s: %d extra attempts, bound %.0f", share, perSecond, extra, bound)
+			}
+			// The counted second may touch two seconds of the clock.
+			if most := max(2*perSecond/10, 6); worst > most {
+				t.Errorf("share %d, %d/s: %d extra attempts in one second", share, perSecond, worst)
+			}
+			if share == DefaultShare || share == MaxShare {
+				t.Logf("share %4.1f %%, %6d/s: %6d extra over %7d first in 60 s = %4.1f %%, worst second %5.1f %%, since start %.1f %%",
+					share.Percent(), perSecond, extra, first, 100*float64(extra)/float64(first),
+					100*float64(worst)/float64(perSecond), 50*float64(extra)/float64(first))
+			}
+		}
+	}
+}
+
+// Guards against a bucket that stays full of old earnings after traffic fell.
+func TestBucketShrinksWithTraffic(t *testing.T) {
+	b := NewBudget()
+	b.Earn(start, "s", 10_000)
+	spent := 0
+	for b.Spend(start.Add(11*time.Second), "s") {
+		spent++
+	}
+	if spent != minTokens {
+		t.Errorf("%d tokens after 11 s without traffic", spent)
+	}
+}
+
+// Guards against a hedge delay that forgets slowly, exceeds half of the time
+// left or drops below the floor.
+func TestHedgeDelay(t *testing.T) {
+	d := NewDelay(0, 0)
+	if got := d.Hedge("s", 100*time.Millisecond); got != 25*time.Millisecond {
+		t.Errorf("without latencies: %v", got)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := start
+	feed := func(n int, mean time.Duration) {
+		for range n {
+			now = now.Add(time.Millisecond)
+			d.Observe(now, "s", time.Duration(rng.ExpFloat64()*float64(mean)))
+		}
+	}
+	feed(5000, 10*time.Millisecond)
+	want := 10 * math.Log(20)
+	got := d.Hedge("s", time.Second)
+	t.Logf("exponential, mean 10 ms: p95 estimate %v, true %.2f ms", got, want)
+	if math.Abs(got.Seconds()*1000-want) > 0.15*want {
+		t.Errorf("p95 %v, want %.1f ms", got, want)
+	}
+	feed(2500, time.Millisecond)
+	if got := d.Hedge("s", time.Second); got > 4*time.Millisecond {
+		t.Errorf("after 2500 faster latencies: %v", got)
+	}
+	if got := d.Hedge("s", 2*time.Millisecond); got != time.Millisecond {
+		t.Errorf("with 2 ms left: %v", got)
+	}
+	feed(3000, time.Microsecond)
+	if got := d.Hedge("s", time.Second); got != DefaultFloor {
+		t.Errorf("floor: %v", got)
+	}
+}
+
+// Guards against a histogram error above the documented one.
+func TestQuantileError(t *testing.T) {
+	worst := 0.0
+	for us := 8; us < 60_000_000; us += us/100 + 1 {
+		var e quantile.Estimate
+		d := time.Duration(us) * time.Microsecond
+		e.Add(start, d)
+		worst = max(worst, math.Abs(float64(e.Value(0.5)-d))/float64(d))
+	}
+	t.Logf("largest error %.4f", worst)
+	if worst > 1.0/16 {
+		t.Errorf("error %.4f", worst)
+	}
+}
+
+// Guards against backoffs that are aligned or exceed the cap.
+func TestBackoffJitter(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := Backoff{Base: 100 * time.Millisecond, Cap: time.Second}
+	sum := time.Duration(0)
+	for range 1000 {
+		d := b.Delay(rng, 10)
+		if d < 0 || d >= b.Cap {
+			t.Fatalf("delay %v", d)
+		}
+		sum += d
+	}
+	if mean := sum / 1000; mean < 450*time.Millisecond || mean > 550*time.Millisecond {
+		t.Errorf("mean %v of a cap of %v", mean, b.Cap)
+	}
+}
+
+func BenchmarkEarnSpend(b *testing.B) {
+	budget := NewBudget()
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		budget.Earn(now, "alarm-console-01", 1)
+		budget.Spend(now, "alarm-console-01")
+	}
+}
+
+func BenchmarkSpend(b *testing.B) {
+	budget := NewBudget()
+	budget.Earn(start, "alarm-console-01", 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Spend(start, "alarm-console-01")
+	}
+}
+
+func BenchmarkObserveHedge(b *testing.B) {
+	d := NewDelay(0, 0)
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		d.Observe(now, "alarm-console-01", 3*time.Millisecond)
+		d.Hedge("alarm-console-01", time.Second)
+	}
+}
