--- /dev/null
+++ b/core/config/editor.go
@@ -0,0 +1,342 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// editor applies operations to a copy of a document. Services are copied when
+// they are first changed; the partition maps of an earlier epoch are never
+// changed in place.
+type editor struct {
+	doc        *Document
+	ownService map[*Service]bool // copied by this editor
+	newEpoch   map[*Service]bool // the newest map was made by this editor
+}
+
+func (e *editor) apply(op Op) error {
+	switch {
+	case op.CreateService != nil:
+		return e.createService(op.CreateService)
+	case op.AlterService != nil:
+		return e.alterService(op.AlterService)
+	case op.DropService != nil:
+		return e.dropService(op.DropService)
+	case op.CreateReplica != nil:
+		return e.createReplica(op.CreateReplica)
+	case op.AlterReplica != nil:
+		return e.alterReplica(op.AlterReplica)
+	case op.DropReplica != nil:
+		return e.dropReplica(op.DropReplica)
+	case op.CreateShard != nil:
+		return e.createShard(op.CreateShard)
+	case op.AlterShard != nil:
+		return e.alterShard(op.AlterShard)
+	case op.SplitShard != nil:
+		return e.splitShard(op.SplitShard)
+	case op.MergeShards != nil:
+		return e.mergeShards(op.MergeShards)
+	case op.DropShard != nil:
+		return e.dropShard(op.DropShard)
+	case op.Drain != nil:
+		return e.drain(op.Drain)
+	}
+	return nil // Recover changes only the position
+}
+
+// service returns a copy of the service that may be changed.
+func (e *editor) service(name api.ServiceName) (*Service, error) {
+	s := e.doc.Services[name]
+	if s == nil {
+		return nil, ErrInvalidOp.New("service %q does not exist", name)
+	}
+	if e.ownService[s] {
+		return s, nil
+	}
+	own := *s
+	own.Maps = slices.Clone(s.Maps)
+	e.ownService[&own] = true
+	e.doc.Services[name] = &own
+	return &own, nil
+}
+
+func (e *editor) createService(op *CreateService) error {
+	if err := checkName(ErrInvalidOp, "service", string(op.Name)); err != nil {
+		return err
+	}
+	if e.doc.Services[op.Name] != nil {
+		return ErrInvalidOp.New("service %q exists already", op.Name)
+	}
+	if op.Kind != KindSearch && op.Kind != KindWork {
+		return ErrInvalidOp.New("service %q: kind is %q, expected %q or %q", op.Name, op.Kind, KindSearch, KindWork)
+	}
+	s := &Service{Kind: op.Kind, Rule: op.Settings.over(DefaultRule(op.Kind))}
+	e.ownService[s] = true
+	e.doc.Services[op.Name] = s
+	return checkRule(op.Name, s.Rule)
+}
+
+func (e *editor) alterService(op *AlterService) error {
+	s, err := e.service(op.Name)
+	if err != nil {
+		return err
+	}
+	s.Rule = op.Settings.over(s.Rule)
+	return checkRule(op.Name, s.Rule)
+}
+
+// over returns the rule with the settings applied.
+func (r RuleSettings) over(rule Rule) Rule {
+	setIf(&rule.Deadline, r.Deadline)
+	setIf(&rule.Coverage, r.Coverage)
+	setIf(&rule.EarlyReturn, r.EarlyReturn)
+	setIf(&rule.ExtraLoad, r.ExtraLoad)
+	setIf(&rule.Canary, r.Canary)
+	setIf(&rule.MaxRows, r.MaxRows)
+	return rule
+}
+
+func setIf[T any](to *T, from *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
+func (e *editor) dropService(op *DropService) error {
+	s := e.doc.Services[op.Name]
+	if s == nil {
+		return ErrInvalidOp.New("service %q does not exist", op.Name)
+	}
+	if m := s.Newest(); m != nil && len(m.Shards) > 0 {
+		return ErrInvalidOp.New("service %q still has %d shards, drop them first", op.Name, len(m.Shards))
+	}
+	if reps := e.doc.ReplicasOf(op.Name); len(reps) > 0 {
+		return ErrInvalidOp.New("service %q still has %d replicas (first %q), drop them first", op.Name, len(reps), reps[0])
+	}
+	delete(e.doc.Services, op.Name)
+	return nil
+}
+
+func (e *editor) createReplica(op *CreateReplica) error {
+	if e.doc.Replicas[op.Name] != nil {
+		return ErrInvalidOp.New("replica %q exists already", op.Name)
+	}
+	r := op.Replica
+	e.doc.Replicas[op.Name] = &r
+	return validateReplica(e.doc, op.Name)
+}
+
+func (e *editor) alterReplica(op *AlterReplica) error {
+	old := e.doc.Replicas[op.Name]
+	if old == nil {
+		return ErrInvalidOp.New("replica %q does not exist", op.Name)
+	}
+	r := *old
+	setIf(&r.Address, op.Address)
+	setIf(&r.DataCentre, op.DataCentre)
+	setIf(&r.VM, op.VM)
+	setIf(&r.Slots, op.Slots)
+	setIf(&r.Connections, op.Connections)
+	e.doc.Replicas[op.Name] = &r
+	return validateReplica(e.doc, op.Name)
+}
+
+// dropReplica also removes the replica from the previous partition map, so that
+// every replica named in a kept map exists.
+func (e *editor) dropReplica(op *DropReplica) error {
+	r := e.doc.Replicas[op.Name]
+	if r == nil {
+		return ErrInvalidOp.New("replica %q does not exist", op.Name)
+	}
+	s, err := e.service(r.Service)
+	if err != nil {
+		return err
+	}
+	if m := s.Newest(); m != nil {
+		for i := range m.Shards {
+			if slices.Contains(m.Shards[i].Replicas, op.Name) {
+				return ErrInvalidOp.New("replica %q still serves shard %q of service %q, alter the shard first", op.Name, m.Shards[i].Name, r.Service)
+			}
+		}
+	}
+	for i := range s.Maps {
+		s.Maps[i].Shards = withoutReplica(s.Maps[i].Shards, op.Name)
+	}
+	delete(e.doc.Replicas, op.Name)
+	return nil
+}
+
+func withoutReplica(shards []Shard, name api.ReplicaName) []Shard {
+	out := slices.Clone(shards)
+	for i := range out {
+		out[i].Replicas = slices.DeleteFunc(slices.Clone(out[i].Replicas), func(r api.ReplicaName) bool { return r == name })
+	}
+	return out
+}
+
+func (e *editor) drain(op *Drain) error {
+	names := []api.ReplicaName{op.Replica}
+	switch {
+	case (op.Replica == "") == (op.VM == ""):
+		return ErrInvalidOp.New("expected either a replica or a VM")
+	case op.VM != "":
+		names = e.doc.ReplicasOn(op.VM)
+		if len(names) == 0 {
+			return ErrInvalidOp.New("VM %q has no replicas", op.VM)
+		}
+	case e.doc.Replicas[op.Replica] == nil:
+		return ErrInvalidOp.New("replica %q does not exist", op.Replica)
+	}
+	for _, name := range names {
+		r := *e.doc.Replicas[name]
+		r.Drained = op.Drained
+		e.doc.Replicas[name] = &r
+	}
+	return nil
+}
+
+// epoch returns the partition map that this list builds; the first change of
+// shards in a list starts it as a copy of the newest map.
+func (e *editor) epoch(name api.ServiceName) (*Service, *PartitionMap, error) {
+	s, err := e.service(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	if s.Kind != KindSearch {
+		return nil, nil, ErrInvalidOp.New("service %q is a %s service, only search services have shards", name, s.Kind)
+	}
+	if e.newEpoch[s] {
+		return s, s.Newest(), nil
+	}
+	next := PartitionMap{Epoch: 1}
+	if m := s.Newest(); m != nil {
+		next = PartitionMap{Epoch: m.Epoch + 1, Shards: slices.Clone(m.Shards)}
+	}
+	s.Maps = append(s.Maps, next)
+	if len(s.Maps) > keptMaps {
+		s.Maps = slices.Clone(s.Maps[len(s.Maps)-keptMaps:])
+	}
+	e.newEpoch[s] = true
+	return s, s.Newest(), nil
+}
+
+// add inserts a shard under a name that no kept map uses.
+func (e *editor) add(service api.ServiceName, s *Service, m *PartitionMap, sh Shard) error {
+	if err := checkName(ErrInvalidOp, "shard", string(sh.Name)); err != nil {
+		return err
+	}
+	for i := range s.Maps {
+		if s.Maps[i].Shard(sh.Name) != nil {
+			return ErrInvalidOp.New("shard name %q is in use at epoch %d of service %q, expected a new name", sh.Name, s.Maps[i].Epoch, service)
+		}
+	}
+	if sh.Last < sh.First {
+		return ErrInvalidOp.New("shard %q ends at %d before it starts at %d", sh.Name, sh.Last, sh.First)
+	}
+	sh.Replicas = sortedReplicas(sh.Replicas)
+	if err := checkShardReplicas(e.doc, service, &sh); err != nil {
+		return err
+	}
+	m.Shards = append(m.Shards, sh)
+	slices.SortStableFunc(m.Shards, compareShards)
+	return nil
+}
+
+func compareShards(a, b Shard) int {
+	return cmp.Or(cmp.Compare(a.First, b.First), cmp.Compare(a.Last, b.Last), cmp.Compare(a.Name, b.Name))
+}
+
+func sortedReplicas(in []api.ReplicaName) []api.ReplicaName {
+	out := append([]api.ReplicaName{}, in...)
+	slices.Sort(out)
+	return out
+}
+
+// remove takes the named shard out of the map.
+func remove(service api.ServiceName, m *PartitionMap, name api.ShardName) (Shard, error) {
+	i := slices.IndexFunc(m.Shards, func(s Shard) bool { return s.Name == name })
+	if i < 0 {
+		return Shard{}, ErrInvalidOp.New("service %q has no shard %q", service, name)
+	}
+	sh := m.Shards[i]
+	m.Shards = slices.Delete(m.Shards, i, i+1)
+	return sh, nil
+}
+
+func (e *editor) createShard(op *CreateShard) error {
+	s, m, err := e.epoch(op.Service)
+	if err != nil {
+		return err
+	}
+	return e.add(op.Service, s, m, op.Shard)
+}
+
+func (e *editor) alterShard(op *AlterShard) error {
+	_, m, err := e.epoch(op.Service)
+	if err != nil {
+		return err
+	}
+	sh := m.Shard(op.Name)
+	if sh == nil {
+		return ErrInvalidOp.New("service %q has no shard %q", op.Service, op.Name)
+	}
+	sh.Replicas = sortedReplicas(op.Replicas)
+	return checkShardReplicas(e.doc, op.Service, sh)
+}
+
+func (e *editor) splitShard(op *SplitShard) error {
+	s, m, err := e.epoch(op.Service)
+	if err != nil {
+		return err
+	}
+	old, err := remove(op.Service, m, op.Name)
+	if err != nil {
+		return err
+	}
+	if op.At <= old.First || op.At > old.Last {
+		return ErrInvalidOp.New("shard %q covers %d to %d, it cannot be split at %d", op.Name, old.First, old.Last, op.At)
+	}
+	low := Shard{Name: op.Low.Name, First: old.First, Last: op.At - 1, Replicas: op.Low.Replicas}
+	if err := e.add(op.Service, s, m, low); err != nil {
+		return err
+	}
+	high := Shard{Name: op.High.Name, First: op.At, Last: old.Last, Replicas: op.High.Replicas}
+	return e.add(op.Service, s, m, high)
+}
+
+func (e *editor) mergeShards(op *MergeShards) error {
+	s, m, err := e.epoch(op.Service)
+	if err != nil {
+		return err
+	}
+	if len(op.Names) < 2 {
+		return ErrInvalidOp.New("expected at least two shards to merge")
+	}
+	var old []Shard
+	for _, name := range op.Names {
+		sh, err := remove(op.Service, m, name)
+		if err != nil {
+			return err
+		}
+		old = append(old, sh)
+	}
+	slices.SortFunc(old, compareShards)
+	for i := 1; i < len(old); i++ {
+		if uint64(old[i].First) != uint64(old[i-1].Last)+1 {
+			return ErrInvalidOp.New("shards %q and %q are not adjacent", old[i-1].Name, old[i].Name)
+		}
+	}
+	into := Shard{Name: op.Into.Name, First: old[0].First, Last: old[len(old)-1].Last, Replicas: op.Into.Replicas}
+	return e.add(op.Service, s, m, into)
+}
+
+func (e *editor) dropShard(op *DropShard) error {
+	_, m, err := e.epoch(op.Service)
+	if err != nil {
+		return err
+	}
+	_, err = remove(op.Service, m, op.Name)
+	return err
+}
