--- a/lang/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package lang is a placeholder of the workspace module.
-package lang
