--- /dev/null
+++ b/entry/telemetry/metrics.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/count"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	// metricPrefix starts the name of every metric.
+	metricPrefix = "baobabsail"
+	// reportInterval is how often tally passes values to Prometheus. It bounds
+	// the age of what a scrape sees.
+	reportInterval = time.Second
+)
+
+// Metrics exports counters and gauges in the Prometheus text format.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	registry *prom.Registry
+	// exported holds the totals that Export has passed on.
+	exported map[count.Key]uint64
+}
+
+// NewMetrics returns an empty set of metrics. node is the label of every metric.
+func NewMetrics(node string) *Metrics {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         metricPrefix,
+		Tags:           map[string]string{"node": node},
+		CachedReporter: reporter,
+		// The reporter panics on "." in names, tally's default separator, and on
+		// the names of tally's own cardinality metrics.
+		Separator:              "_",
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, registry: registry, exported: make(map[count.Key]uint64)}
+}
+
+// Export passes on how much the counters have grown since the last call. It
+// must not be called concurrently.
+func (m *Metrics) Export(totals map[count.Key]uint64) {
+	for key, value := range totals {
+		if delta := value - m.exported[key]; delta > 0 {
+			m.scope.Tagged(map[string]string{
+				"kind": string(key.Kind), "reason": string(key.Detail),
+			}).Counter("events_total").Inc(int64(delta))
+		}
+		m.exported[key] = value
+	}
+}
+
+// Gauge sets a gauge.
+func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close passes on what is left and ends the reporting.
+func (m *Metrics) Close() { _ = m.closer.Close() }
+
+// Sum adds up counters of several sources.
+func Sum(sources ...[]count.Total) map[count.Key]uint64 {
+	out := make(map[count.Key]uint64)
+	for _, totals := range sources {
+		for _, t := range totals {
+			out[t.Key] += t.Value
+		}
+	}
+	return out
+}
