--- /dev/null
+++ b/entry/peer/peer_test.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/entry/telemetry"
+)
+
+// fakeReceiver passes messages on and blocks while its channel is full, as a
+// slow peer does.
+type fakeReceiver struct {
+	received chan gossip.Message
+	full     bool
+}
+
+func (f *fakeReceiver) TryReport(ev event.Event) bool {
+	if f.full {
+		return false
+	}
+	f.received <- ev.(event.PeerReceived).Message
+	return true
+}
+
+func (f *fakeReceiver) Search(_ context.Context, _ api.CallerID, s api.Search, _ time.Time) api.SearchAnswer {
+	return api.SearchAnswer{Outcome: api.Answered, Coverage: api.Coverage{Snapshot: s.Pin.Snapshot, Covered: s.Pin.Shards}}
+}
+
+func serve(t *testing.T, f *fakeReceiver, counts *telemetry.Counts) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serveOn(t, l, f, counts)
+}
+
+func serveOn(t *testing.T, l net.Listener, f *fakeReceiver, counts *telemetry.Counts) string {
+	s := NewServer(f, counts, DefaultMaxMessageBytes)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+func newClient(t *testing.T, c Config) (*Client, <-chan event.Event) {
+	t.Helper()
+	events := make(chan event.Event, 100)
+	c.Report = func(e event.Event) { events <- e }
+	client := NewClient(c)
+	t.Cleanup(client.Shutdown)
+	return client, events
+}
+
+func message(heartbeat uint64) gossip.Message {
+	return gossip.Message{From: gossip.Member{Name: "n", Life: 1, Address: "127.0.0.1:1", Heartbeat: heartbeat}}
+}
+
+// A slow peer must cost the sender a bounded queue, keep the newest gossip, and
+// every dropped message must be reported.
+func TestSlowPeerLosesOldestGossip(t *testing.T) {
+	f := &fakeReceiver{received: make(chan gossip.Message)}
+	counts := telemetry.NewCounts()
+	address := serve(t, f, nil)
+	c, events := newClient(t, Config{QueueSize: 2, SendTimeout: time.Minute, Counts: counts})
+	send := func(n uint64) { c.Send(event.SendPeer{Peer: "p", Address: address, Message: message(n)}) }
+	send(1)
+	for c.queueLength(address) != 0 { // The first message is on its way.
+		time.Sleep(time.Millisecond)
+	}
+	for n := range uint64(5) {
+		send(n + 2)
+	}
+	for _, want := range []uint64{1, 5, 6} {
+		if got := (<-f.received).From.Heartbeat; got != want {
+			t.Errorf("received message %d, want %d", got, want)
+		}
+	}
+	for range 3 {
+		if e, ok := (<-events).(event.PeerFailed); !ok || e.Peer != "p" {
+			t.Errorf("got %+v, want PeerFailed", e)
+		}
+	}
+	if n := counts.Get(count.Peer, detailQueueFull); n != 3 {
+		t.Errorf("%d dropped messages counted, want 3", n)
+	}
+}
+
+func (c *Client) queueLength(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.links[address].queue)
+}
+
+func TestUnreachableAndFullPeerAreReported(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	full := serve(t, &fakeReceiver{full: true}, nil)
+	c, events := newClient(t, Config{})
+	for _, address := range []string{l.Addr().String(), full} {
+		c.Send(event.SendPeer{Peer: "p", Address: address, Message: message(1)})
+		if e, ok := (<-events).(event.PeerFailed); !ok || e.Peer != "p" {
+			t.Errorf("%s: got %+v, want PeerFailed", address, e)
+		}
+	}
+}
+
+func TestRunPart(t *testing.T) {
+	address := serve(t, &fakeReceiver{}, nil)
+	c, events := newClient(t, Config{})
+	pin := &api.Pin{Snapshot: api.Snapshot{Epoch: 1, Version: 2}, Shards: []api.ShardName{"a"}}
+	part := event.SendPart{
+		Op: 3, Address: address, Deadline: time.Now().Add(time.Minute),
+		Search: api.Search{Query: api.Query{Service: "s"}, Pin: pin},
+	}
+	c.RunPart(part)
+	e, ok := (<-events).(event.PartReplied)
+	if !ok || e.Op != 3 || e.Answer.Outcome != api.Answered || e.Answer.Coverage.Snapshot != pin.Snapshot || len(e.Answer.Coverage.Covered) != 1 {
+		t.Errorf("got %+v", e)
+	}
+	part.Op, part.Search.Pin = 4, nil // It cannot be encoded; the node must still get a result.
+	c.RunPart(part)
+	if e, ok := (<-events).(event.PartReplied); !ok || e.Op != 4 || e.Answer.Outcome != api.Unknown {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// silentFirst accepts one connection that never answers before it serves.
+type silentFirst struct {
+	net.Listener
+	silent net.Conn
+}
+
+func (l *silentFirst) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil && l.silent == nil {
+		l.silent = c
+		return l.Accept()
+	}
+	return c, err
+}
+
+// A silent connection must be replaced, or the peer stays unreachable.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeReceiver{received: make(chan gossip.Message, 100)}
+	address := serveOn(t, &silentFirst{Listener: inner}, f, nil)
+	c, events := newClient(t, Config{SendTimeout: 100 * time.Millisecond})
+	c.Send(event.SendPeer{Peer: "p", Address: address, Message: message(1)})
+	if e, ok := (<-events).(event.PeerFailed); !ok {
+		t.Fatalf("got %+v, want PeerFailed", e)
+	}
+	for {
+		c.Send(event.SendPeer{Peer: "p", Address: address, Message: message(2)})
+		select {
+		case <-f.received:
+			return
+		case <-events: // A loaded machine may need more than one attempt.
+		}
+	}
+}
