--- /dev/null
+++ b/entry/operatorhttp/show.go
@@ -0,0 +1,160 @@
+package operatorhttp
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/node"
+	"github.com/baobabsail/baobabsail/entry/driver"
+	"github.com/baobabsail/baobabsail/lang"
+)
+
+// show runs a report. The document is immutable, so that it is read outside the
+// goroutine of the node.
+func (s *server) show(ctx context.Context, statement lang.Show) Result {
+	var doc *config.Document
+	var status node.Status
+	err := s.Node.Inspect(ctx, func(n driver.Node, now time.Time) {
+		doc = n.Document()
+		status = n.Status(now)
+	})
+	if err != nil {
+		return Result{Outcome: Refused, Reason: api.ReasonShuttingDown}
+	}
+	if statement.Subject == lang.ShowStatus {
+		return showStatus(status)
+	}
+	if doc == nil {
+		return Result{Outcome: Refused, Reason: api.ReasonNoConfiguration}
+	}
+	if statement.Service != "" && doc.Services[statement.Service] == nil {
+		return Result{
+			Outcome: Invalid, Reason: api.ReasonUnknownService,
+			Message: "service " + string(statement.Service) + " does not exist",
+		}
+	}
+	switch statement.Subject {
+	case lang.ShowServices:
+		return showServices(doc, slices.Sorted(maps.Keys(doc.Services)))
+	case lang.ShowService:
+		return showServices(doc, []api.ServiceName{statement.Service})
+	case lang.ShowReplicas:
+		return showReplicas(doc, statement.Service, status.Replicas)
+	case lang.ShowShards:
+		return showShards(doc.Services[statement.Service])
+	case lang.ShowHistory:
+		return showHistory(doc, statement.Limit)
+	case lang.ShowConfiguration:
+		return showConfiguration(doc)
+	}
+	return Result{Outcome: Invalid, Message: "report " + string(statement.Subject) + " is not known"}
+}
+
+func showServices(doc *config.Document, names []api.ServiceName) Result {
+	replicas := make(map[api.ServiceName]int)
+	for _, r := range doc.Replicas {
+		replicas[r.Service]++
+	}
+	result := Result{Outcome: OK, Columns: []string{
+		"service", "kind", "epoch", "shards", "replicas", "deadline", "coverage",
+		"early return", "extra load", "canary", "max rows",
+	}}
+	for _, name := range names {
+		service := doc.Services[name]
+		epoch, shards := newestMap(service)
+		rule := service.Rule
+		result.Rows = append(result.Rows, []string{
+			string(name), string(service.Kind), epoch, strconv.Itoa(len(shards)), strconv.Itoa(replicas[name]),
+			rule.Deadline.String(), formatShare(rule.Coverage), strconv.FormatBool(rule.EarlyReturn),
+			formatShare(rule.ExtraLoad), strconv.FormatBool(rule.Canary), strconv.Itoa(rule.MaxRows),
+		})
+	}
+	return result
+}
+
+// newestMap returns the newest epoch and its shards; "" if there is none.
+func newestMap(service *config.Service) (epoch string, shards []config.Shard) {
+	if len(service.Maps) == 0 {
+		return "", nil
+	}
+	newest := service.Maps[len(service.Maps)-1]
+	return formatUint(newest.Epoch), newest.Shards
+}
+
+func showReplicas(doc *config.Document, service api.ServiceName, known []node.ReplicaStatus) Result {
+	status := make(map[api.ReplicaName]node.ReplicaStatus)
+	for _, r := range known {
+		status[r.Name] = r
+	}
+	result := Result{Outcome: OK, Columns: []string{
+		"replica", "service", "address", "data centre", "vm", "slots", "connections", "drained",
+		"usable", "draining", "open", "in flight", "latency",
+	}}
+	for _, name := range slices.Sorted(maps.Keys(doc.Replicas)) {
+		r := doc.Replicas[name]
+		if service != "" && r.Service != service {
+			continue
+		}
+		now := status[name]
+		result.Rows = append(result.Rows, []string{
+			string(name), string(r.Service), r.Address, string(r.DataCentre), string(r.VM),
+			strconv.Itoa(r.Slots), strconv.Itoa(r.Connections), strconv.FormatBool(r.Drained),
+			strconv.FormatBool(now.Usable), strconv.FormatBool(now.Draining),
+			strconv.Itoa(now.Connections), strconv.Itoa(now.InFlight), now.Latency.String(),
+		})
+	}
+	return result
+}
+
+func showShards(service *config.Service) Result {
+	result := Result{Outcome: OK, Columns: []string{"epoch", "shard", "first", "last", "replicas"}}
+	epoch, shards := newestMap(service)
+	for _, s := range shards {
+		result.Rows = append(result.Rows, []string{
+			epoch, string(s.Name), formatUint(uint64(s.First)), formatUint(uint64(s.Last)), joinNames(s.Replicas),
+		})
+	}
+	return result
+}
+
+// showHistory lists the newest changes first; limit 0 lists all.
+func showHistory(doc *config.Document, limit int) Result {
+	result := Result{Outcome: OK, Columns: []string{"revision", "when", "who", "why", "change", "text"}}
+	for _, c := range slices.Backward(doc.History) {
+		if limit > 0 && len(result.Rows) == limit {
+			break
+		}
+		result.Rows = append(result.Rows, []string{
+			formatUint(c.Revision), c.When.UTC().Format(time.RFC3339), c.Who, c.Why, string(c.ID), c.Text,
+		})
+	}
+	return result
+}
+
+func showStatus(s node.Status) Result {
+	return Result{Outcome: OK, Columns: []string{"what", "value"}, Rows: [][]string{
+		{"name", string(s.Name)},
+		{"life", formatLife(s.Life)},
+		{"generation", formatUint(s.Generation)},
+		{"revision", formatUint(s.Revision)},
+		{"configuration age", s.ConfigAge.String()},
+		{"configuration alarm", string(s.ConfigAlarm)},
+		{"members", joinNames(s.Members)},
+		{"replicas", strconv.Itoa(len(s.Replicas))},
+		{"in flight", strconv.Itoa(s.InFlight)},
+		{"shutting down", strconv.FormatBool(s.ShuttingDown)},
+	}}
+}
+
+func showConfiguration(doc *config.Document) Result {
+	encoded, err := config.Encode(doc)
+	if err != nil {
+		return Result{Outcome: Failed, Message: err.Error()}
+	}
+	return Result{Outcome: OK, Document: encoded}
+}
