--- a/entry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package entry is a placeholder of the workspace module.
-package entry
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,276 @@
+// Package entry assembles one entry node from its parts: the node, the driver,
+// the three listeners, the clients of targets and peers, and telemetry.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/node"
+	"github.com/baobabsail/baobabsail/entry/callerhttp"
+	"github.com/baobabsail/baobabsail/entry/driver"
+	"github.com/baobabsail/baobabsail/entry/operatorhttp"
+	"github.com/baobabsail/baobabsail/entry/peer"
+	"github.com/baobabsail/baobabsail/entry/settings"
+	"github.com/baobabsail/baobabsail/entry/targetclient"
+	"github.com/baobabsail/baobabsail/entry/telemetry"
+	"google.golang.org/grpc"
+)
+
+// idleTimeout ends keep-alive connections that callers no longer use.
+const idleTimeout = 2 * time.Minute
+
+// ErrShutdownIncomplete means that the total limit of a shutdown ended before
+// the requests in flight did.
+var ErrShutdownIncomplete = errors.New("shutdown limit reached with requests in flight")
+
+// Options are the parts of an entry node that its settings do not describe.
+type Options struct {
+	Store driver.Store
+	// VMs is nil if the platform offers no list of VMs.
+	VMs driver.VMLister
+	Log *telemetry.Logger
+	// NewNode makes the node; node.New if nil.
+	NewNode func(node.Settings) driver.Node
+}
+
+// Entry is a running entry node.
+type Entry struct {
+	settings *settings.Settings
+	log      *telemetry.Logger
+	counts   *telemetry.Counts
+	metrics  *telemetry.Metrics
+	driver   *driver.Driver
+	targets  *targetclient.Client
+	peers    *peer.Client
+
+	callers, operators           *http.Server
+	peerServer                   *grpc.Server
+	callersAt, operatorsAt, peer net.Listener
+
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// Start opens the listeners and runs the node.
+func Start(s *settings.Settings, o Options) (*Entry, error) {
+	e := &Entry{settings: s, log: o.Log, counts: telemetry.NewCounts()}
+	if err := e.listen(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	if err := e.build(o); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.serve(ctx)
+	e.log.Info("started", "name", s.Name, "callers", e.CallersAddress(),
+		"operators", e.OperatorsAddress(), "peers", e.PeersAddress())
+	return e, nil
+}
+
+// CallersAddress returns the address of the callers' listener.
+func (e *Entry) CallersAddress() string { return e.callersAt.Addr().String() }
+
+// OperatorsAddress returns the address of the operators' listener.
+func (e *Entry) OperatorsAddress() string { return e.operatorsAt.Addr().String() }
+
+// PeersAddress returns the address of the peers' listener.
+func (e *Entry) PeersAddress() string { return e.peer.Addr().String() }
+
+func (e *Entry) listen() error {
+	for _, l := range []struct {
+		key     string
+		address string
+		to      *net.Listener
+	}{
+		{"callers.listen", string(e.settings.Callers.Listen), &e.callersAt},
+		{"operators.listen", string(e.settings.Operators.Listen), &e.operatorsAt},
+		{"peers.listen", string(e.settings.Peers.Listen), &e.peer},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", l.key, err)
+		}
+		*l.to = listener
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.callersAt, e.operatorsAt, e.peer} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// build connects the parts; nothing runs yet.
+func (e *Entry) build(o Options) error {
+	s := e.settings
+	e.driver = driver.New(driver.Config{
+		Node:       newNode(o)(nodeSettings(s, e.PeersAddress())),
+		Store:      o.Store,
+		VMs:        o.VMs,
+		VMInterval: s.Platform.PollInterval.Std(),
+		Log:        e.log,
+		Counts:     e.counts,
+	})
+	e.targets = targetclient.New(targetclient.Config{Report: e.driver.Report})
+	e.peers = peer.NewClient(peer.Config{Report: e.driver.Report, Counts: e.counts})
+	e.driver.Connect(e.targets, e.peers)
+	e.metrics = telemetry.NewMetrics(string(s.Name))
+	callers, err := callerhttp.New(callerhttp.Config{
+		Requests:      e.driver,
+		MaxBodyBytes:  int64(s.Limits.MaxRequestBytes),
+		ReadTimeout:   s.Limits.ReadTimeout.Std(),
+		MaxConcurrent: int(s.Limits.MaxConcurrentRequests),
+		Counts:        e.counts,
+		Panicked:      func(v any) { e.log.Error("panic", "value", fmt.Sprint(v)) },
+	})
+	if err != nil {
+		return err
+	}
+	e.callers = e.httpServer(callers)
+	e.operators = e.httpServer(operatorhttp.New(operatorhttp.Config{
+		Node:         e.driver,
+		Metrics:      e.metrics.Handler(),
+		MaxBodyBytes: int64(s.Limits.MaxRequestBytes),
+		ReadTimeout:  s.Limits.ReadTimeout.Std(),
+	}))
+	e.peerServer = peer.NewServer(e.driver, e.counts, peer.DefaultMaxMessageBytes)
+	return nil
+}
+
+func newNode(o Options) func(node.Settings) driver.Node {
+	if o.NewNode != nil {
+		return o.NewNode
+	}
+	return func(s node.Settings) driver.Node { return node.New(s) }
+}
+
+func nodeSettings(s *settings.Settings, address string) node.Settings {
+	out := node.Settings{
+		Name:       api.EntryName(s.Name),
+		Life:       api.Life(randomNumber()),
+		Address:    address,
+		DataCentre: api.DataCentre(s.DataCentre),
+		VM:         api.VMName(s.VM),
+		Seed:       s.Seed,
+	}
+	if out.Seed == 0 {
+		out.Seed = randomNumber()
+	}
+	for _, p := range s.Peers.List {
+		if p.Name != s.Name {
+			out.Peers = append(out.Peers, node.Peer{Name: api.EntryName(p.Name), Address: string(p.Address)})
+		}
+	}
+	return out
+}
+
+// randomNumber returns a random number that is not 0.
+func randomNumber() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // It never fails.
+	return max(1, binary.LittleEndian.Uint64(b[:]))
+}
+
+func (e *Entry) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: e.settings.Limits.ReadTimeout.Std(),
+		MaxHeaderBytes:    int(e.settings.Limits.MaxHeaderBytes),
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// serve starts the goroutines.
+func (e *Entry) serve(ctx context.Context) {
+	e.running.Go(func() { e.driver.Run(ctx) })
+	e.running.Go(func() { e.logServeError("callers", e.callers.Serve(e.callersAt)) })
+	e.running.Go(func() { e.logServeError("operators", e.operators.Serve(e.operatorsAt)) })
+	e.running.Go(func() { e.logServeError("peers", e.peerServer.Serve(e.peer)) })
+	exporter := &telemetry.Exporter{
+		Read:        e.sample,
+		Metrics:     e.metrics,
+		Log:         e.log,
+		LogInterval: e.settings.Telemetry.CounterLogInterval.Std(),
+	}
+	e.running.Go(func() { exporter.Run(ctx) })
+}
+
+func (e *Entry) logServeError(listener string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		e.log.Error("listener_failed", "listener", listener, "error", err.Error())
+	}
+}
+
+// sample reads the counters and gauges of the node.
+func (e *Entry) sample(ctx context.Context) (telemetry.Sample, bool) {
+	var out telemetry.Sample
+	err := e.driver.Inspect(ctx, func(n driver.Node, now time.Time) {
+		status := n.Status(now)
+		alarm := 0.0
+		if status.ConfigAlarm != api.ReasonNone {
+			alarm = 1
+		}
+		out.Totals = telemetry.Sum(n.Counts().Totals(), e.counts.Totals())
+		out.Gauges = map[string]float64{
+			"config_generation":  float64(status.Generation),
+			"config_revision":    float64(status.Revision),
+			"config_age_seconds": status.ConfigAge.Seconds(),
+			"config_alarm":       alarm,
+			"members":            float64(len(status.Members)),
+			"in_flight":          float64(status.InFlight),
+		}
+	})
+	return out, err == nil
+}
+
+// Shutdown ends the node gracefully: readiness fails, new requests are served
+// for the accepting time, then the listener of callers closes and the requests
+// in flight end by their own deadlines. It returns ErrShutdownIncomplete if the
+// total limit ends first.
+func (e *Entry) Shutdown() error {
+	s := e.settings.Shutdown
+	ctx, cancel := context.WithTimeout(context.Background(), s.TotalLimit.Std())
+	defer cancel()
+	e.log.Info("shutdown_started", "accept_for", s.AcceptFor.Std(), "total_limit", s.TotalLimit.Std())
+	e.driver.Shutdown(s.AcceptFor.Std())
+	time.Sleep(s.AcceptFor.Std())
+	err := e.callers.Shutdown(ctx)
+	select {
+	case <-e.driver.Stopped():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	e.Close()
+	if err != nil {
+		return ErrShutdownIncomplete
+	}
+	return nil
+}
+
+// Close ends the node at once. Requests in flight are cut.
+func (e *Entry) Close() {
+	_ = e.callers.Close()
+	_ = e.operators.Close()
+	e.peerServer.Stop()
+	e.cancel()
+	e.targets.Shutdown()
+	e.peers.Shutdown()
+	e.running.Wait()
+	e.metrics.Close()
+	e.log.Info("stopped")
+}
