config: change a shard's replicas without a new epoch

Cause: alter shard made a new epoch, so every target of the service refused with wrong_epoch until it had learned the number, although no hash range had changed. Ruled out: letting targets accept any epoch that has the shard's name; the check of the epoch is what keeps an answer on one partition map. The replicas now change in every kept map that has the shard.

--- a/core/config/editor.go
+++ b/core/config/editor.go
@@ -197,16 +197,25 @@
 	return nil
 }
 
+// searchService returns a service that has shards, for changing.
+func (e *editor) searchService(name api.ServiceName) (*Service, error) {
+	s, err := e.service(name)
+	if err != nil {
+		return nil, err
+	}
+	if s.Kind != KindSearch {
+		return nil, ErrInvalidOp.New("service %q is a %s service, only search services have shards", name, s.Kind)
+	}
+	return s, nil
+}
+
 // epoch returns the partition map that this list builds; the first change of
 // shards in a list starts it as a copy of the newest map.
 func (e *editor) epoch(name api.ServiceName) (*Service, *PartitionMap, error) {
-	s, err := e.service(name)
+	s, err := e.searchService(name)
 	if err != nil {
 		return nil, nil, err
 	}
-	if s.Kind != KindSearch {
-		return nil, nil, ErrInvalidOp.New("service %q is a %s service, only search services have shards", name, s.Kind)
-	}
 	if e.newEpoch[s] {
 		return s, s.Newest(), nil
 	}
@@ -273,17 +282,30 @@
 	return e.add(op.Service, s, m, op.Shard)
 }
 
+// alterShard changes the replicas of a shard in every kept map that has it. It
+// makes no new epoch: the hash ranges stay the same, and a target that serves
+// the shard need not learn a new number.
 func (e *editor) alterShard(op *AlterShard) error {
-	_, m, err := e.epoch(op.Service)
+	s, err := e.searchService(op.Service)
 	if err != nil {
 		return err
 	}
-	sh := m.Shard(op.Name)
-	if sh == nil {
+	if m := s.Newest(); m == nil || m.Shard(op.Name) == nil {
 		return ErrInvalidOp.New("service %q has no shard %q", op.Service, op.Name)
 	}
-	sh.Replicas = sortedReplicas(op.Replicas)
-	return checkShardReplicas(e.doc, op.Service, sh)
+	for i := range s.Maps {
+		m := &s.Maps[i]
+		if m.Shard(op.Name) == nil {
+			continue
+		}
+		m.Shards = slices.Clone(m.Shards)
+		sh := m.Shard(op.Name)
+		sh.Replicas = sortedReplicas(op.Replicas)
+		if err := checkShardReplicas(e.doc, op.Service, sh); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (e *editor) splitShard(op *SplitShard) error {
--- /dev/null
+++ b/core/node/work.go
@@ -0,0 +1,311 @@
+package node
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/once"
+	"github.com/baobabsail/baobabsail/core/quarantine"
+)
+
+type workState uint8
+
+const (
+	// workWaiting waits for the result of a probation run.
+	workWaiting workState = iota
+	// workClaiming waits for its claim.
+	workClaiming
+	// workReady is claimed and not at any target: never sent, or refused by
+	// each target before running.
+	workReady
+	// workSent was handed to a connection.
+	workSent
+)
+
+const (
+	// maxWorkAttempts bounds the targets asked. Only attempts that certainly did
+	// not run are followed by another.
+	maxWorkAttempts = 3
+	// resendAfter is when a caller with an unknown outcome may ask again with
+	// the same key.
+	resendAfter = time.Second
+	// lateResultWait bounds the time that a work order is remembered after its
+	// deadline, so that a late result is recorded for resends.
+	lateResultWait = 30 * time.Second
+)
+
+// work is one work order of a caller.
+type work struct {
+	arrived     event.WorkArrived
+	fingerprint api.Fingerprint
+	deadline    time.Time
+	state       workState
+	probation   bool
+	sent        int
+	tried       []api.ReplicaName
+	reason      api.Reason // why the newest attempt did not run
+	answered    bool       // the caller has its answer
+	forgetAt    time.Time
+}
+
+func (w *work) id() api.RequestID { return w.arrived.Request }
+
+// workArrived checks a work order and asks for its claim, or refuses it.
+func (n *Node) workArrived(now time.Time, ev event.WorkArrived) {
+	rule, refusal := n.ruleFor(now, ev.Work.Service, config.KindWork)
+	if refusal != api.ReasonNone {
+		n.refuseWork(ev.Request, refusal, comeBackAfter)
+		return
+	}
+	w := &work{
+		arrived:     ev,
+		fingerprint: quarantine.WorkFingerprint(ev.Work),
+		deadline:    earliest(ev.Deadline, now.Add(rule.Deadline)),
+	}
+	if !now.Before(w.deadline) {
+		n.refuseWork(ev.Request, api.ReasonDeadline, 0)
+		return
+	}
+	if admitted, retryAfter := n.admission.Admit(now, ev.Work.Service, 1, w.deadline); !admitted {
+		n.refuseWork(ev.Request, api.ReasonOverloaded, retryAfter)
+		return
+	}
+	n.works[ev.Request] = w
+	n.timers.set(timer{at: w.deadline, request: ev.Request})
+	n.admitWork(now, w)
+}
+
+func (n *Node) refuseWork(request api.RequestID, reason api.Reason, retryAfter time.Duration) {
+	n.answerWork(request, api.WorkAnswer{Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
+}
+
+func (n *Node) answerWork(request api.RequestID, answer api.WorkAnswer) {
+	n.counts.Inc(count.WorkEnded, api.Reason(answer.Outcome.String()))
+	if answer.Outcome == api.NotRun {
+		n.counts.Inc(count.Refused, answer.Reason)
+	}
+	n.act(event.AnswerWork{Request: request, Answer: answer})
+}
+
+// admitWork asks the quarantine, then for the claim.
+func (n *Node) admitWork(now time.Time, w *work) {
+	verdict := n.quarantine.Admit(now, w.fingerprint, quarantine.Options{Work: true})
+	switch verdict.Kind {
+	case quarantine.Refuse:
+		n.endWork(now, w, api.WorkAnswer{
+			Outcome: api.NotRun, Reason: api.ReasonQuarantined, RetryAfter: verdict.RetryAfter,
+		})
+		return
+	case quarantine.Wait:
+		w.state = workWaiting
+		n.onProbation[w.fingerprint] = append(n.onProbation[w.fingerprint], w.id())
+		return
+	case quarantine.RunAlone:
+		w.probation = true
+	}
+	w.state = workClaiming
+	n.decide(now, n.claims.Begin(now, once.Claimant{
+		Request: w.id(), Caller: w.arrived.Caller, Work: w.arrived.Work, Deadline: w.deadline,
+	}))
+}
+
+// endWork answers the caller, unless it was answered before, and forgets the
+// work order.
+func (n *Node) endWork(now time.Time, w *work, answer api.WorkAnswer) {
+	if !w.answered {
+		w.answered = true
+		n.answerWork(w.id(), answer)
+	}
+	if n.works[w.id()] != w {
+		return
+	}
+	delete(n.works, w.id())
+	n.admission.Done(now, w.arrived.Work.Service, 1, 0, 0)
+	if w.probation {
+		w.probation = false
+		n.endProbation(now, w.fingerprint)
+	}
+}
+
+// decide carries out the decisions of the claim coordinator.
+func (n *Node) decide(now time.Time, r once.Result) {
+	n.act(r.Actions...)
+	for _, d := range r.Decisions {
+		w := n.works[d.Request]
+		switch {
+		case w == nil:
+		case d.Granted:
+			w.state = workReady
+			n.sendWork(now, w)
+		default:
+			n.endWork(now, w, d.Answer)
+		}
+	}
+}
+
+// sendWork sends a claimed work order to a target. It is called only while no
+// attempt of it can have run, so that the work order runs at most once.
+func (n *Node) sendWork(now time.Time, w *work) {
+	if w.answered || !now.Before(w.deadline) {
+		n.giveUpWork(now, w, api.ReasonDeadline, comeBackAfter)
+		return
+	}
+	all := n.document.ReplicasOf(w.arrived.Work.Service)
+	candidates, reason := n.candidates(now, all, w.tried, "", api.Snapshot{}, "")
+	if reason != api.ReasonNone {
+		n.giveUpWork(now, w, workReason(w, reason), comeBackAfter)
+		return
+	}
+	if w.probation {
+		candidates = quarantine.CanaryOrder(w.fingerprint, candidates)[:1]
+	}
+	replica, conn, reason := n.place(now, candidates)
+	if reason != api.ReasonNone {
+		n.giveUpWork(now, w, workReason(w, reason), comeBackAfter)
+		return
+	}
+	n.dispatchWork(now, w, replica, conn)
+}
+
+// workReason prefers what a target said over what kept the next attempt back.
+func workReason(w *work, reason api.Reason) api.Reason {
+	if w.reason != api.ReasonNone {
+		return w.reason
+	}
+	return reason
+}
+
+func (n *Node) dispatchWork(now time.Time, w *work, replica api.ReplicaName, conn api.ConnID) {
+	a := &attempt{
+		id: n.newAttempt(), request: w.id(), service: w.arrived.Work.Service, fingerprint: w.fingerprint,
+		work: true, extra: w.sent > 0, conn: conn, replica: replica,
+	}
+	w.state = workSent
+	w.sent++
+	w.tried = append(w.tried, replica)
+	n.track(now, a)
+	if w.probation {
+		n.quarantine.Placed(now, w.fingerprint, replica)
+	}
+	n.act(event.SendWork{Conn: conn, Request: api.WorkRequest{
+		Attempt: a.id, Service: w.arrived.Work.Service, Key: w.arrived.Work.Key,
+		Payload: w.arrived.Work.Payload, Deadline: w.deadline,
+	}})
+}
+
+// giveUpWork ends a claimed work order that certainly did not run and releases
+// its claim, so that the caller may send the same key again.
+func (n *Node) giveUpWork(now time.Time, w *work, reason api.Reason, retryAfter time.Duration) {
+	n.endWork(now, w, api.WorkAnswer{Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
+	n.decide(now, n.claims.Finish(now, w.id(), once.Finish{Outcome: api.NotRun}))
+}
+
+// workReplied handles a target's answer to a work order.
+func (n *Node) workReplied(now time.Time, ev *event.WorkReplied) {
+	a := n.attempts[ev.Attempt]
+	if a == nil || !a.work {
+		n.counts.Inc(count.Discarded, "late")
+		n.observeLoad(now, ev.Conn, ev.Reply.Load)
+		return
+	}
+	delete(n.attempts, ev.Attempt)
+	n.settle(now, a, ev.Reply.Outcome, now.Sub(a.sentAt), ev.Reply.Load)
+	w := n.works[a.request]
+	switch {
+	case w == nil:
+		n.counts.Inc(count.Discarded, "forgotten")
+	case ev.Reply.Attempt != ev.Attempt:
+		// The answer belongs to another work order: what became of this one is
+		// not known.
+		n.counts.Inc(count.Discarded, api.ReasonMismatched)
+		n.workUnknown(now, w, api.ReasonMismatched)
+	case ev.Reply.Outcome.Ran():
+		n.workRan(now, a, w, &ev.Reply)
+	default:
+		n.workRefused(now, w, &ev.Reply)
+	}
+	n.resume(now, a.replica)
+}
+
+// workRan records the result of a work order and answers the caller.
+func (n *Node) workRan(now time.Time, a *attempt, w *work, reply *api.WorkReply) {
+	if !a.stale {
+		n.publish(now, n.quarantine.Answered(now, a.fingerprint))
+	}
+	outcome := api.Answered
+	reason := api.ReasonNone
+	if reply.Outcome == api.TargetError {
+		outcome, reason = api.Failed, api.ReasonFailed
+	}
+	n.endWork(now, w, api.WorkAnswer{Outcome: outcome, Reason: reason, Result: reply.Result})
+	n.decide(now, n.claims.Finish(now, w.id(), once.Finish{Outcome: outcome, Result: reply.Result}))
+}
+
+// workRefused tries another target. That is safe because the target refused
+// the work order before running it.
+func (n *Node) workRefused(now time.Time, w *work, reply *api.WorkReply) {
+	w.state = workReady
+	w.reason = reply.Outcome.Reason()
+	if w.probation || w.sent >= maxWorkAttempts || !n.budget.Spend(now, w.arrived.Work.Service) {
+		n.giveUpWork(now, w, w.reason, max(reply.RetryAfter, comeBackAfter))
+		return
+	}
+	n.counts.Inc(count.Retried, w.reason)
+	n.sendWork(now, w)
+}
+
+// workLost handles an attempt that ended without an answer.
+func (n *Node) workLost(now time.Time, a *attempt, sent bool) {
+	w := n.works[a.request]
+	if w == nil {
+		return
+	}
+	if sent {
+		n.workUnknown(now, w, api.ReasonConnectionLost)
+		return
+	}
+	// No byte was handed to a connection, so that another attempt is safe.
+	w.state = workReady
+	w.reason = api.ReasonNoConnection
+	n.counts.Inc(count.Retried, w.reason)
+	n.sendWork(now, w)
+}
+
+// workUnknown ends a work order that may have run. Its claim stays, so that it
+// never runs again.
+func (n *Node) workUnknown(now time.Time, w *work, reason api.Reason) {
+	n.endWork(now, w, api.WorkAnswer{Outcome: api.Unknown, Reason: reason, RetryAfter: resendAfter})
+	n.decide(now, n.claims.Finish(now, w.id(), once.Finish{Outcome: api.Unknown}))
+}
+
+// wakeWork handles the deadline of a work order.
+func (n *Node) wakeWork(now time.Time, w *work) {
+	switch {
+	case now.Before(w.deadline):
+	case w.state == workWaiting:
+		n.endWork(now, w, api.WorkAnswer{Outcome: api.NotRun, Reason: api.ReasonQuarantined, RetryAfter: comeBackAfter})
+	case w.state == workSent && !w.answered:
+		w.answered = true
+		n.answerWork(w.id(), api.WorkAnswer{Outcome: api.Unknown, Reason: api.ReasonDeadline, RetryAfter: resendAfter})
+		w.forgetAt = now.Add(lateResultWait)
+		n.timers.set(timer{at: w.forgetAt, request: w.id()})
+	case w.state == workSent && !now.Before(w.forgetAt):
+		n.workUnknown(now, w, api.ReasonDeadline)
+	}
+}
+
+// workCallerGone gives up a work order that was not sent. One that was sent is
+// followed to its end, so that its outcome is recorded.
+func (n *Node) workCallerGone(now time.Time, w *work) {
+	w.answered = true
+	switch w.state {
+	case workWaiting:
+		n.endWork(now, w, api.WorkAnswer{})
+	case workClaiming:
+		n.endWork(now, w, api.WorkAnswer{})
+		n.decide(now, n.claims.Cancel(now, w.id()))
+	}
+}
