Reconnect first where a crash has to be told from a cut

A crash is known only after the next connection attempt, which could wait behind all other reconnects of the node.

--- a/core/connhealth/connhealth_test.go
+++ b/core/connhealth/connhealth_test.go
@@ -1,6 +1,7 @@
 package connhealth
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -117,22 +118,27 @@
 // Guards against a silent connection that is found late, or not at all because
 // hedges answered and the attempts on it were cancelled.
 func TestSilentConnectionReplacedWithinBound(t *testing.T) {
-	for _, limit := range []int{25, 3} {
+	for _, limit := range []int{25, 3, 0} {
 		for _, cancel := range []bool{false, true} {
-			r := connected(t, limit)
+			r := connected(t, cmp.Or(limit, 25))
+			reply := r.accept(7)
+			if limit == 0 {
+				// The target accepts no more connections.
+				reply = r.refuse(event.ConnLimited)
+			}
 			sent := r.now
 			old, attempt := r.send(1)
 			if cancel {
 				r.Finished(r.now, old, attempt, false)
 			}
 			for !r.closed[old] && r.now.Sub(sent) < 5*time.Second {
-				r.run(10*time.Millisecond, r.accept(7))
+				r.run(10*time.Millisecond, reply)
 			}
 			took := r.now.Sub(sent)
 			if took > 2*time.Second {
 				t.Errorf("limit %d: closed after %v", limit, took)
 			}
-			r.run(time.Second, r.accept(7))
+			r.run(5*time.Second, r.accept(7))
 			if id, ok := r.Pick(r.now, name(0)); !ok || id == old {
 				t.Errorf("limit %d: no replacement", limit)
 			}
@@ -297,7 +303,22 @@
 func BenchmarkPickConn(b *testing.B) {
 	r := connected(b, 25)
 	b.ReportAllocs()
+	replica := name(0)
+	for b.Loop() {
+		r.Pick(r.now, replica)
+	}
+}
+
+// BenchmarkTick is the cost of a full pass at the planned number of replicas.
+func BenchmarkTick(b *testing.B) {
+	r := newRig(b, 2500, 25, 8)
+	r.run(2*time.Second, r.accept(7))
+	for id := api.ConnID(1); id <= 2500; id++ {
+		r.Sent(r.now, id, api.AttemptID{Seq: uint64(id)}, 1)
+	}
+	b.ReportAllocs()
 	for b.Loop() {
-		r.Pick(r.now, name(0))
+		r.wake = r.now
+		r.Tick(r.now)
 	}
 }
--- a/core/connhealth/lifecycle.go
+++ b/core/connhealth/lifecycle.go
@@ -102,13 +102,12 @@
 			m.due = append(m.due, r)
 		}
 	}
-	// The replica that waited longest comes first: by name, replicas that refuse
-	// could use up the node's rate and starve those after them.
-	slices.SortStableFunc(m.due, func(a, b *replica) int { return a.nextOpen.Compare(b.nextOpen) })
+	slices.SortStableFunc(m.due, byUrgency)
 	for _, r := range m.due {
 		m.open(now, r)
 	}
-	for _, c := range slices.Clone(m.retiring) {
+	for i := len(m.retiring) - 1; i >= 0; i-- {
+		c := m.retiring[i]
 		if len(c.sent) == 0 || now.Sub(c.retiredAt) >= retireWait {
 			m.close(c)
 			continue
@@ -117,12 +116,27 @@
 	}
 }
 
+// byUrgency puts replicas with a possible crash first, then the one that waited
+// longest: by name, replicas that refuse could use up the node's rate and starve
+// those after them.
+func byUrgency(a, b *replica) int {
+	if (a.pending != nil) != (b.pending != nil) {
+		if a.pending != nil {
+			return -1
+		}
+		return 1
+	}
+	return a.nextOpen.Compare(b.nextOpen)
+}
+
 // check probes and closes the silent connections of a replica.
 func (m *Manager) check(now time.Time, r *replica) {
 	if r.pending != nil && now.Sub(r.pending.since) >= crashWait {
 		r.pending = nil
 	}
-	for _, c := range slices.Clone(r.conns) {
+	// Backwards, because a closed connection is removed from the list.
+	for i := len(r.conns) - 1; i >= 0; i-- {
+		c := r.conns[i]
 		switch {
 		case c.state != open || !c.awaiting:
 		case !c.probed():
