--- a/core/connhealth/connhealth_test.go
+++ b/core/connhealth/connhealth_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -322,3 +323,34 @@
 		r.Tick(r.now)
 	}
 }
+
+// Guards against a silence bound that grows with the latency of a slow replica.
+func TestSilenceBoundOfSlowReplica(t *testing.T) {
+	r := connected(t, 25)
+	for range 100 {
+		id, attempt := r.send(1)
+		r.now = r.now.Add(450 * time.Millisecond)
+		r.Finished(r.now, id, attempt, true)
+	}
+	sent := r.now
+	old, _ := r.send(1)
+	r.run(1400*time.Millisecond, r.accept(7))
+	if r.closed[old] {
+		t.Errorf("closed %v after the last answer, before 1 s + 0.5 s", r.now.Sub(sent))
+	}
+	r.run(200*time.Millisecond, r.accept(7))
+	if !r.closed[old] {
+		t.Errorf("not closed after %v", r.now.Sub(sent))
+	}
+}
+
+// Guards against the order of a map in the actions.
+func TestSameSeedSameActions(t *testing.T) {
+	a, b := newRig(t, 300, 25, 8), newRig(t, 300, 25, 8)
+	for _, r := range []*rig{a, b} {
+		r.run(20*time.Second, r.refuse(event.ConnTimedOut))
+	}
+	if !slices.Equal(a.opens, b.opens) || !slices.Equal(a.openAt, b.openAt) {
+		t.Error("two runs differ")
+	}
+}
