Compose the decision packages into a node

core/node turns events into actions: it admits searches and work orders, sends parts and claimed work orders to replicas, learns from answers and connections, and exchanges configuration and notices with peers.

Decisions: parts that find no room wait in a queue per replica, so that one full replica does not hold back parts for others (ruled out: one queue per service).

--- a/core/confsync/confsync/propose.go
+++ b/core/confsync/propose.go
@@ -30,8 +30,12 @@
 	// later. The attempt must then be repeated byte for byte at the same store
 	// revision until its fate is known: at most one copy can be applied.
 	maybe   bool
+	copies  int       // writes of the current attempt
 	retryAt time.Time // of the next read; zero if none is planned
-	winner  *config.Change
+	// lost is the position of an attempt that lost to another change; zero if
+	// none did or the loss has been dealt with.
+	lost   config.Position
+	winner *config.Change
 }
 
 // Propose takes an operator's change. Its answer follows within OperatorWait.
@@ -79,13 +83,17 @@
 	}
 }
 
-// giveUp ends a proposal whose fate is not decided: unknown if a write may be
-// applied, else refused.
+// giveUp ends a proposal that cannot be decided any further: unknown if a write
+// may be applied, conflict if another change is known to have won, else refused.
 func (s *Syncer) giveUp(now time.Time, p *proposal) {
 	if p.maybe {
 		s.finish(now, p, event.AnswerChange{Outcome: event.ChangeUnknown, Reason: api.ReasonStoreUnavailable, RetryAfter: OperatorWait})
 		return
 	}
+	if p.lost != (config.Position{}) {
+		s.conflict(now, p, nil, "another change came first")
+		return
+	}
 	s.finish(now, p, event.AnswerChange{Outcome: event.ChangeRefused, Reason: api.ReasonStoreUnavailable, RetryAfter: OperatorWait})
 }
 
@@ -149,6 +157,10 @@
 		p.retryAt = now.Add(s.jitter(recheckDelay))
 	case s.alarm != api.ReasonNone && !p.change.IsRecover():
 		s.finish(now, p, event.AnswerChange{Outcome: event.ChangeRefused, Reason: s.alarm})
+	case s.doc == nil && p.change.IsRecover():
+		s.finish(now, p, event.AnswerChange{Outcome: event.ChangeRefused, Reason: api.ReasonNoConfiguration})
+	case p.lost != (config.Position{}):
+		s.rebase(now, p, got.revision)
 	default:
 		s.attempt(now, p, got.revision)
 	}
@@ -162,7 +174,7 @@
 		base = config.Empty(now)
 	}
 	if e := p.arrived.Expected; e != nil && *e != base.Revision {
-		s.conflict(now, p, s.winnerAfter(p, *e), fmt.Sprintf("the configuration is at revision %d, the change expects revision %d", base.Revision, *e))
+		s.conflict(now, p, s.winnerAfter(*e), fmt.Sprintf("the configuration is at revision %d, the change expects revision %d", base.Revision, *e))
 		return
 	}
 	doc, err := config.Apply(base, p.change)
@@ -182,6 +194,7 @@
 	p.doc = doc
 	p.value = value
 	p.ifRevision = storeRevision
+	p.copies = 0
 	s.write(now, p)
 }
 
@@ -189,12 +202,14 @@
 	op := s.start(now, opWrite, p)
 	op.written = p.doc
 	p.maybe = true
+	p.copies++
 	s.counts.Inc(count.Store, countWrite)
 	s.emit(event.WriteStore{Op: op.id, Key: Key, Value: p.value, IfRevision: p.ifRevision})
 }
 
 // proposalWritten takes the result of a write; WriteUnknown also stands for no
-// answer in time.
+// answer in time. A refusal of the only copy is final. A refusal of a later
+// copy says nothing about the earlier ones.
 func (s *Syncer) proposalWritten(now time.Time, op *operation, result event.WriteResult) {
 	p := op.proposal
 	if result == event.WriteApplied {
@@ -204,19 +219,95 @@
 	if p.done {
 		return
 	}
-	first := p.retryAt.IsZero() && !p.repeated()
-	if result == event.WriteNotSent && first {
+	final := p.copies == 1 && result != event.WriteUnknown
+	switch {
+	case final && result == event.WriteNotSent:
 		p.maybe = false
 		s.giveUp(now, p)
+	case final:
+		p.maybe = false
+		p.lost = p.doc.Position()
+		s.read(now, p)
+	case p.copies == 1:
+		s.counts.Inc(count.Store, countWriteLost)
+		s.read(now, p)
+	default:
+		p.retryAt = now.Add(s.jitter(recheckDelay))
+	}
+}
+
+// writeApplied adopts what the store is known to hold, or to have held if the
+// answer is late.
+func (s *Syncer) writeApplied(now time.Time, op *operation) {
+	if s.adopt(now, op.written, countFromStore) && !op.timedOut {
+		s.setAlarm(api.ReasonNone, op.written)
+	}
+	if p := op.proposal; !p.done {
+		s.finish(now, p, event.AnswerChange{Outcome: event.ChangeAccepted, Revision: op.written.Revision})
+	}
+}
+
+// resolve decides the fate of a write whose answer was lost, from a read that
+// was issued after it.
+func (s *Syncer) resolve(now time.Time, p *proposal, got seen) {
+	if c := got.doc.FindChange(p.change.ID); c != nil {
+		s.finish(now, p, event.AnswerChange{Outcome: event.ChangeAccepted, Revision: c.Revision})
 		return
 	}
-	if result == event.WriteConflict && first {
-		p.maybe = false
-		s.lost(now, p)
+	if got.stale {
+		p.retryAt = now.Add(s.jitter(recheckDelay))
 		return
 	}
-	if result == event.WriteUnknown {
-		s.counts.Inc(count.Store, countWriteLost)
+	if s.alarm != api.ReasonNone && !p.change.IsRecover() {
+		s.giveUp(now, p)
+		return
+	}
+	if got.revision == p.ifRevision {
+		// The lost write may still be applied later. A copy at the same store
+		// revision settles it: whichever comes second fails.
+		s.write(now, p)
+		return
+	}
+	w := got.doc.ChangeAt(p.doc.Position())
+	if w == nil {
+		// The history no longer reaches back to the attempt, or the store was
+		// restored since: the change may have been there.
+		s.giveUp(now, p)
+		return
+	}
+	p.maybe = false
+	p.lost = p.doc.Position()
+	s.rebase(now, p, got.revision)
+}
+
+// rebase continues after another change has taken the place of the attempt.
+func (s *Syncer) rebase(now time.Time, p *proposal, storeRevision int64) {
+	p.winner = s.doc.ChangeAt(p.lost)
+	if p.winner == nil {
+		p.winner = s.doc.Head()
+	}
+	p.lost = config.Position{}
+	p.rebases++
+	if p.arrived.Expected != nil || p.change.IsRecover() || p.rebases > maxRebases {
+		s.conflict(now, p, p.winner, "another change came first")
+		return
+	}
+	s.counts.Inc(count.Config, countRebased)
+	s.attempt(now, p, storeRevision)
+}
+
+func (s *Syncer) conflict(now time.Time, p *proposal, winner *config.Change, message string) {
+	s.finish(now, p, event.AnswerChange{Outcome: event.ChangeConflict, Reason: api.ReasonConflict, Winner: winner, Message: message})
+}
+
+// winnerAfter returns the change that followed the revision expected by the
+// operator, or the newest if the history no longer holds it.
+func (s *Syncer) winnerAfter(expected uint64) *config.Change {
+	if s.doc == nil {
+		return nil
+	}
+	if c := s.doc.ChangeAt(config.Position{Generation: s.doc.Generation, Revision: expected + 1}); c != nil {
+		return c
 	}
-	s.read(now, p)
+	return s.doc.Head()
 }
--- a/core/connhealth/connhealth.go
+++ b/core/connhealth/connhealth.go
@@ -275,6 +275,13 @@
 	return n
 }
 
+// ResetPending reports whether a connection to a replica was reset and it is
+// not yet known whether the target crashed.
+func (m *Manager) ResetPending(name api.ReplicaName) bool {
+	r, ok := m.replicas[name]
+	return ok && r.pending != nil
+}
+
 // Distance returns the smoothed time to open a connection to a replica; 0 if
 // none has been opened.
 func (m *Manager) Distance(name api.ReplicaName) time.Duration {
--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -54,6 +54,10 @@
 	if isVersionReason(reason) && q.tryRestart(now) {
 		return
 	}
+	if lost && !q.env.MayTryAgain(now, q) {
+		q.finishUnreleased(now)
+		return
+	}
 	if !q.env.SpendExtra(now, q.Query.Service) {
 		q.env.Count(count.RetryDenied, api.ReasonBudget)
 		q.finishUnreleased(now)
--- a/core/fanout/finish.go
+++ b/core/fanout/finish.go
@@ -106,7 +106,7 @@
 		p.state = partMissing
 		last = p.reason
 	}
-	q.unsettled, q.waiting = 0, 0
+	q.unsettled = 0
 	return last
 }
 
--- a/core/fanout/plan.go
+++ b/core/fanout/plan.go
@@ -89,6 +89,9 @@
 	SpendExtra(now time.Time, service api.ServiceName) bool
 	// Rechoose returns the best snapshot known now, with canaries for it.
 	Rechoose(now time.Time, q *Query) (snapshot.Choice, []Canary, bool)
+	// MayTryAgain reports whether a search whose canary was lost may send
+	// another one.
+	MayTryAgain(now time.Time, q *Query) bool
 	// Count adds one to a counter.
 	Count(kind count.Kind, detail api.Reason)
 }
--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -60,7 +60,6 @@
 	covered      uint64 // width of covered parts
 	total        uint64 // width of all parts
 	unsettled    int
-	waiting      int
 	versionGaps  int // parts missing because of their version
 	nextScan     time.Time
 	canaryNext   int // next candidate
@@ -85,7 +84,7 @@
 func (q *Query) reset() {
 	q.parts = make([]part, len(q.Shards))
 	q.covered, q.total = 0, 0
-	q.unsettled, q.waiting, q.versionGaps = len(q.Shards), 0, 0
+	q.unsettled, q.versionGaps = len(q.Shards), 0
 	for i := range q.Shards {
 		q.total += q.Shards[i].Width()
 	}
@@ -127,30 +126,16 @@
 		return true
 	}
 	if reason == api.ReasonOverloaded {
-		q.setWaiting(p)
+		p.state = partWaiting
 		return false
 	}
 	q.giveUpOrPause(now, i, reason)
 	return false
 }
 
-func (q *Query) setWaiting(p *part) {
-	if p.state != partWaiting {
-		q.waiting++
-	}
-	p.state = partWaiting
-}
-
-func (q *Query) leaveWaiting(p *part) {
-	if p.state == partWaiting {
-		q.waiting--
-	}
-}
-
 // started records an attempt.
 func (q *Query) started(now time.Time, i int, sent Sent, canary bool) {
 	p := &q.parts[i]
-	q.leaveWaiting(p)
 	p.state = partRunning
 	p.live = append(p.live, attempt{id: sent.Attempt, replica: sent.Replica, sentAt: now, canary: canary})
 	p.tried = append(p.tried, sent.Replica)
@@ -164,20 +149,17 @@
 	}
 }
 
-// Resume tries the parts that wait for room. It reports whether some still wait.
-func (q *Query) Resume(now time.Time) bool {
-	for i := 0; i < len(q.parts) && q.waiting > 0 && !q.done; i++ {
-		if q.parts[i].state == partWaiting {
-			q.dispatch(now, i)
-		}
+// ResumePart tries again to send a part that waits for room. It reports whether
+// the part no longer waits.
+func (q *Query) ResumePart(now time.Time, i int) bool {
+	if q.done || i >= len(q.parts) || q.parts[i].state != partWaiting {
+		return true
 	}
+	q.dispatch(now, i)
 	q.evaluate(now)
-	return q.waiting > 0 && !q.done
+	return q.done || q.parts[i].state != partWaiting
 }
 
-// Waiting reports whether parts wait for room at a replica.
-func (q *Query) Waiting() bool { return q.waiting > 0 && !q.done }
-
 // Wake returns when Tick has to be called next.
 func (q *Query) Wake() time.Time {
 	if q.nextScan.IsZero() || q.Deadline.Before(q.nextScan) {
--- a/core/fanout/replies.go
+++ b/core/fanout/replies.go
@@ -153,7 +153,6 @@
 // pause lets a part wait before it is sent again.
 func (q *Query) pause(now time.Time, i int, wait time.Duration) {
 	p := &q.parts[i]
-	q.leaveWaiting(p)
 	p.state = partPaused
 	p.retryAt = now.Add(max(wait, retryPause))
 	if !p.retryAt.Before(q.Deadline) {
@@ -169,7 +168,6 @@
 	if p.state.settled() {
 		return
 	}
-	q.leaveWaiting(p)
 	q.cancelPart(p)
 	p.state = partMissing
 	p.reason = reason
--- a/core/gossip/members.go
+++ b/core/gossip/members.go
@@ -31,6 +31,9 @@
 	return out
 }
 
+// Self returns this node as its peers should know it.
+func (x *Exchange) Self() Member { return x.self }
+
 // SetVMs takes the platform's VM list.
 func (x *Exchange) SetVMs(now time.Time, vms []VM) {
 	clear(x.leaving)
--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -251,7 +251,7 @@
 	if s == nil || s.query == nil {
 		return
 	}
-	n.giveBack(now, s, ev.Reply.Outcome, latency)
+	n.giveBack(now, s, ev.Reply.Outcome)
 	if ev.Reply.Attempt != ev.Attempt {
 		n.counts.Inc(count.Discarded, api.ReasonMismatched)
 		s.query.Lost(now, a.part, a.id, true)
@@ -266,22 +266,23 @@
 
 // settle gives back what an answered attempt held and learns from the answer.
 func (n *Node) settle(now time.Time, a *attempt, outcome api.TargetOutcome, latency time.Duration, load api.TargetLoad) {
-	n.replicas.Done(now, a.replica, outcome, latency, load)
+	drained := n.replicas.Done(now, a.replica, outcome, latency, load)
 	n.concurrent.Release(now, a.replica, outcome, latency, load)
 	n.conns.Finished(now, a.conn, a.id, true)
 	if outcome.Ran() {
 		n.delay.Observe(now, a.service, latency)
 	}
-	n.learnLoad(now, a.replica, load)
+	n.learnLoad(now, a.replica, load, drained)
 }
 
-// giveBack returns one part to the admission control.
-func (n *Node) giveBack(now time.Time, s *search, outcome api.TargetOutcome, latency time.Duration) {
+// giveBack returns one part to the admission control, with the time since the
+// search was admitted: the wait in the node is part of the queueing delay.
+func (n *Node) giveBack(now time.Time, s *search, outcome api.TargetOutcome) {
 	if s.admitted == 0 {
 		return
 	}
 	s.admitted--
-	n.admission.Done(now, s.service(), 1, outcome, latency)
+	n.admission.Done(now, s.service(), 1, outcome, now.Sub(s.start))
 }
 
 // noteVersionRefusal corrects what is known of a replica that refused a
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -17,6 +17,9 @@
 	// pushSome is the number of random peers that news goes to otherwise. Each
 	// receiver pushes once, so that five rounds reach 570 nodes.
 	pushSome = 4
+	// refreshInterval is how often the remaining validity of suspicions and
+	// convictions is brought up to date for the periodic exchange.
+	refreshInterval = 10 * time.Second
 )
 
 // changeArrived handles an operator's change.
@@ -161,6 +164,15 @@
 	}
 }
 
+// refreshNotices repeats what the quarantine holds with its present validity.
+func (n *Node) refreshNotices(now time.Time) {
+	if now.Before(n.refreshAt) {
+		return
+	}
+	n.refreshAt = now.Add(refreshInterval)
+	n.peers.Refresh(now, n.quarantine.Active(now)...)
+}
+
 // peerReceived handles a message of another entry node.
 func (n *Node) peerReceived(now time.Time, m gossip.Message) {
 	n.counts.Inc(count.Peer, "received")
@@ -208,7 +220,7 @@
 		list = append(list, gossip.VM{Name: vm.Name, Leaving: vm.Leaving})
 		if vm.Leaving && !n.vmsGone[vm.Name] && n.document != nil {
 			for _, replica := range n.document.ReplicasOn(vm.Name) {
-				n.draining(now, replica, 0)
+				n.draining(now, replica)
 			}
 		}
 		n.vmsGone[vm.Name] = vm.Leaving
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -4,12 +4,22 @@
 package node
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/confsync"
+	"github.com/baobabsail/baobabsail/core/connhealth"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/limit"
+	"github.com/baobabsail/baobabsail/core/once"
+	"github.com/baobabsail/baobabsail/core/quarantine"
+	"github.com/baobabsail/baobabsail/core/retry"
+	"github.com/baobabsail/baobabsail/core/snapshot"
 )
 
 // Peer is another entry node named in the settings.
@@ -33,83 +43,191 @@
 type Node struct {
 	settings Settings
 	counts   *count.Set
+
+	nextAttempt uint64
+	nextConn    api.ConnID
+	nextOp      api.OpID
+	out         []event.Action
+
+	config     *confsync.Syncer
+	peers      *gossip.Exchange
+	replicas   *balance.Replicas
+	conns      *connhealth.Manager
+	admission  *limit.Admission
+	concurrent *limit.Concurrency
+	budget     *retry.Budget
+	delay      *retry.Delay
+	holdings   *snapshot.Tracker
+	claims     *once.Coordinator
+	quarantine *quarantine.Registry
+	rng        *rand.Rand
+
+	document *config.Document // the one the other packages are configured with
+	liveLast int              // live nodes at the last change of quotas
+	vmsGone  map[api.VMName]bool
+
+	searches map[api.RequestID]*search
+	works    map[api.RequestID]*work
+	attempts map[api.AttemptID]*attempt
+	timers   timerQueue
+	// waiting lists, per replica, the parts that wait for room at it.
+	waiting map[api.ReplicaName][]waitingPart
+	// resuming is set while the parts that wait for one replica are tried.
+	resuming     api.ReplicaName
+	resumingPart waitingPart
+	// cancelled holds the attempts given up during this step.
+	cancelled []*attempt
+	// onProbation lists, per fingerprint, the requests that wait for the result
+	// of a probation run.
+	onProbation map[api.Fingerprint][]api.RequestID
+	// unresolved lists, per replica, lost attempts whose cause is not yet known.
+	unresolved map[api.ReplicaName][]lostAttempt
+
+	refreshAt time.Time // when the notices of the quarantine are refreshed next
+
+	started  bool
+	shutdown shutdown
 }
 
-// New returns a node that has not started; the first Step may be any event.
+// New returns a node that has not started; the first Step starts it.
 func New(settings Settings) *Node {
-	return &Node{settings: settings, counts: count.NewSet()}
+	n := &Node{
+		settings:    settings,
+		counts:      count.NewSet(),
+		rng:         rand.New(rand.NewPCG(settings.Seed, uint64(settings.Life))),
+		budget:      retry.NewBudget(),
+		delay:       retry.NewDelay(0, 0),
+		holdings:    snapshot.NewTracker(),
+		concurrent:  limit.NewConcurrency(),
+		vmsGone:     make(map[api.VMName]bool),
+		searches:    make(map[api.RequestID]*search),
+		works:       make(map[api.RequestID]*work),
+		attempts:    make(map[api.AttemptID]*attempt),
+		waiting:     make(map[api.ReplicaName][]waitingPart),
+		onProbation: make(map[api.Fingerprint][]api.RequestID),
+		unresolved:  make(map[api.ReplicaName][]lostAttempt),
+	}
+	n.replicas = balance.New(n.rng, settings.DataCentre)
+	n.admission = limit.NewAdmission(n.rng)
+	n.conns = connhealth.New(connhealth.Settings{}, n.newConn, n.rng, n.counts)
+	n.claims = once.New(settings.Life, n.newOp, n.counts)
+	n.quarantine = quarantine.New(n.counts)
+	n.config = confsync.New(confsync.Settings{
+		Life: settings.Life, Name: settings.Name, DataCentre: settings.DataCentre,
+	}, n.newOp, n.rng, n.counts)
+	seeds := make([]gossip.Seed, 0, len(settings.Peers))
+	for _, p := range settings.Peers {
+		seeds = append(seeds, gossip.Seed{Name: p.Name, Address: p.Address})
+	}
+	self := gossip.Member{
+		Name: settings.Name, Life: settings.Life, Address: settings.Address, DataCentre: settings.DataCentre,
+	}
+	n.peers = gossip.New(self, seeds, n.rng, n.counts)
+	return n
 }
 
-// Step feeds one event to the node and returns what the driver has to do, in
-// order. The slice is valid until the next call of Step.
-func (n *Node) Step(now time.Time, ev event.Event) []event.Action {
-	return nil
+func (n *Node) newConn() api.ConnID {
+	n.nextConn++
+	return n.nextConn
 }
 
-// Wake returns the time at which the node wants a Timer event; the zero time
-// if it wants none.
-func (n *Node) Wake() time.Time { return time.Time{} }
-
-// Counts returns the node's counters.
-func (n *Node) Counts() *count.Set { return n.counts }
+func (n *Node) newOp() api.OpID {
+	n.nextOp++
+	return n.nextOp
+}
 
-// Document returns the adopted configuration, or nil if there is none yet. It
-// must not be changed.
-func (n *Node) Document() *config.Document { return nil }
-
-// ReplicaStatus is what a node knows about one replica.
-type ReplicaStatus struct {
-	Name        api.ReplicaName
-	Service     api.ServiceName
-	Usable      bool
-	Draining    bool
-	Connections int
-	InFlight    int
-	Latency     time.Duration // smoothed
-	Held        []api.ShardVersions
+func (n *Node) newAttempt() api.AttemptID {
+	n.nextAttempt++
+	return api.AttemptID{Life: n.settings.Life, Seq: n.nextAttempt}
 }
 
-// Status is a report for operators.
-type Status struct {
-	Name       api.EntryName
-	Life       api.Life
-	Generation uint64
-	Revision   uint64
-	// ConfigAge is the time since the document was last confirmed by the store
-	// or a peer.
-	ConfigAge    time.Duration
-	ConfigAlarm  api.Reason // ReasonStoreRegressed, or ReasonNone
-	Members      []api.EntryName
-	Replicas     []ReplicaStatus
-	InFlight     int
-	ShuttingDown bool
+func (n *Node) act(actions ...event.Action) { n.out = append(n.out, actions...) }
+
+// Step feeds one event to the node and returns what the driver has to do, in
+// order. The slice is valid until the next call of Step.
+func (n *Node) Step(now time.Time, ev event.Event) []event.Action {
+	clear(n.out)
+	n.out = n.out[:0]
+	if !n.started {
+		n.started = true
+		n.act(n.config.Start(now)...)
+		n.send(n.peers.Tick(now))
+	}
+	n.handle(now, ev)
+	n.adopt(now)
+	n.settleCancelled(now)
+	n.finishShutdown(now)
+	return n.out
 }
 
-// Status returns a report of the node's state.
-func (n *Node) Status(now time.Time) Status {
-	return Status{Name: n.settings.Name, Life: n.settings.Life}
+func (n *Node) handle(now time.Time, ev event.Event) {
+	switch ev := ev.(type) {
+	case event.Timer:
+		n.tick(now)
+	case event.SearchArrived:
+		n.searchArrived(now, ev)
+	case event.WorkArrived:
+		n.workArrived(now, ev)
+	case event.CallerGone:
+		n.callerGone(now, ev.Request)
+	case event.ChangeArrived:
+		n.changeArrived(now, ev)
+	case event.SearchReplied:
+		n.searchReplied(now, &ev)
+	case event.WorkReplied:
+		n.workReplied(now, &ev)
+	case event.AttemptFailed:
+		n.attemptFailed(now, ev)
+	case event.PartReplied:
+		n.counts.Inc(count.Discarded, "part_reply")
+	case event.ConnOpened, event.ConnEnded, event.ProbeReplied:
+		n.connEvent(now, ev)
+	case event.PeerReceived:
+		n.peerReceived(now, ev.Message)
+	case event.PeerFailed:
+		n.peers.Failed(now, ev.Peer)
+	case event.StoreRead, event.StoreWritten, event.StoreChanged, event.StoreWatchEnded:
+		n.storeEvent(now, ev)
+	case event.VMListRead:
+		n.vmListRead(now, ev.VMs)
+	case event.ShutdownStarted:
+		n.shutdownStarted(now, ev)
+	}
 }
 
-// PlanShard is one shard of a Plan with the replicas that could serve it,
-// best first.
-type PlanShard struct {
-	Shard    api.ShardName
-	Replicas []api.ReplicaName
-	Missing  api.Reason // why no replica could serve it; ReasonNone if one could
+// tick does everything that is due.
+func (n *Node) tick(now time.Time) {
+	n.act(n.config.Tick(now)...)
+	n.send(n.peers.Tick(now))
+	actions, crashes := n.conns.Tick(now)
+	n.act(actions...)
+	n.crashed(now, crashes)
+	n.decide(now, n.claims.Tick(now))
+	n.quarantine.Tick(now)
+	n.refreshNotices(now)
+	n.resolveOverdue(now)
+	n.runTimers(now)
+	n.updateQuotas(now)
 }
 
-// Plan says how a search would run now, without running it.
-type Plan struct {
-	Refused      api.Reason
-	Snapshot     api.Snapshot
-	Expected     api.PPM // coverage expected from what replicas are known to hold
-	Shards       []PlanShard
-	Deadline     time.Duration
-	HedgeDelay   time.Duration
-	BudgetTokens float64
-	Connections  int // open connections to the replicas of the service
-	Canary       bool
+// Wake returns the time at which the node wants a Timer event; the zero time
+// if it wants none.
+func (n *Node) Wake() time.Time {
+	var wake time.Time
+	for _, at := range [...]time.Time{
+		n.config.Wake(), n.peers.Wake(), n.conns.Wake(), n.claims.Wake(), n.quarantine.Wake(),
+		n.timers.next(), n.unresolvedWake(), n.shutdown.wake(),
+	} {
+		if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
+			wake = at
+		}
+	}
+	return wake
 }
 
-// Explain returns the plan of a search.
-func (n *Node) Explain(now time.Time, search api.Search) Plan { return Plan{} }
+// Counts returns the node's counters.
+func (n *Node) Counts() *count.Set { return n.counts }
+
+// Document returns the adopted configuration, or nil if there is none yet. It
+// must not be changed.
+func (n *Node) Document() *config.Document { return n.document }
--- /dev/null
+++ b/core/node/node_test.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/event"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// find returns the first action of a type.
+func find[T event.Action](actions []event.Action) (T, bool) {
+	for _, a := range actions {
+		if t, ok := a.(T); ok {
+			return t, true
+		}
+	}
+	var zero T
+	return zero, false
+}
+
+// Guards against a request that hangs at a node without configuration.
+func TestRequestsBeforeConfigurationAreRefusedAtOnce(t *testing.T) {
+	n := New(Settings{Name: "e1", Life: 1, Seed: 1})
+	search, ok := find[event.AnswerSearch](n.Step(start, event.SearchArrived{Request: 1}))
+	if !ok || search.Answer.Outcome != api.NotRun || search.Answer.Reason != api.ReasonNoConfiguration || search.Answer.RetryAfter == 0 {
+		t.Fatalf("search: %+v", search)
+	}
+	work, ok := find[event.AnswerWork](n.Step(start, event.WorkArrived{Request: 2}))
+	if !ok || work.Answer.Outcome != api.NotRun || work.Answer.Reason != api.ReasonNoConfiguration {
+		t.Fatalf("work order: %+v", work)
+	}
+}
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
@@ -61,8 +63,8 @@
 	if replica == "" {
 		return
 	}
-	n.replicas.ObserveLoad(now, replica, load)
-	n.learnLoad(now, replica, load)
+	drained := n.replicas.ObserveLoad(now, replica, load)
+	n.learnLoad(now, replica, load, drained)
 }
 
 // observeLoad learns from an answer that nobody waits for any more.
@@ -72,23 +74,25 @@
 	}
 }
 
-// learnLoad takes the versions held and the drain state from a load.
-func (n *Node) learnLoad(now time.Time, replica api.ReplicaName, load api.TargetLoad) {
+// learnLoad takes the versions held from a load, and passes on the first sign
+// of a drain.
+func (n *Node) learnLoad(now time.Time, replica api.ReplicaName, load api.TargetLoad, drained bool) {
 	n.holdings.Observe(replica, load.Held)
-	if load.Draining {
-		n.draining(now, replica, load.Incarnation)
+	if drained {
+		n.tellDraining(now, replica, load.Incarnation)
 	}
 }
 
 // draining stops new work to a replica and tells the peers, if this is news.
-func (n *Node) draining(now time.Time, replica api.ReplicaName, incarnation api.Incarnation) {
-	if !n.replicas.SetDraining(now, replica, incarnation) {
-		return
+func (n *Node) draining(now time.Time, replica api.ReplicaName) {
+	if n.replicas.SetDraining(now, replica, 0) {
+		n.tellDraining(now, replica, n.replicas.Incarnation(replica))
 	}
+}
+
+// tellDraining tells the peers that an incarnation of a replica is leaving.
+func (n *Node) tellDraining(now time.Time, replica api.ReplicaName, incarnation api.Incarnation) {
 	n.holdings.Invalidate()
-	if incarnation == 0 {
-		incarnation = n.replicas.Incarnation(replica)
-	}
 	n.publish(now, []gossip.Notice{{
 		Kind: gossip.NoticeDraining, Replica: replica, Incarnation: incarnation,
 		Version: 1, TimeToLive: drainNoticeTime,
@@ -154,10 +158,7 @@
 
 // resolveOverdue reports the losses whose cause was not found out in time.
 func (n *Node) resolveOverdue(now time.Time) {
-	if len(n.unresolved) == 0 {
-		return
-	}
-	for _, replica := range n.document.ReplicaNames() {
+	for _, replica := range slices.Sorted(maps.Keys(n.unresolved)) {
 		losses := n.unresolved[replica]
 		due, rest := splitDue(losses, now)
 		if len(due) == 0 {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -152,6 +152,10 @@
 	return Verdict{Kind: RunCanary}
 }
 
+// Known reports whether a target has answered the request, so that it runs
+// without a canary.
+func (r *Registry) Known(fp api.Fingerprint) bool { return r.good.has(fp) }
+
 // live returns the case of a fingerprint unless it is over.
 func (r *Registry) live(now time.Time, fp api.Fingerprint) *record {
 	c := r.cases[fp]
