--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is a placeholder of the workspace module.
-package standin
--- /dev/null
+++ b/standin/target/settings.go
@@ -0,0 +1,155 @@
+package target
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Shard is a shard that a target holds under one epoch of the partition map.
+type Shard struct {
+	Epoch uint64 `json:"epoch"`
+	Name  string `json:"name"`
+	// First and Last are the inclusive ends of the hash range.
+	First uint32 `json:"first"`
+	Last  uint32 `json:"last"`
+	// Versions holds the index versions of this shard; empty takes those of
+	// the settings.
+	Versions []uint64 `json:"versions,omitempty"`
+}
+
+// ServiceTime describes how long a request occupies a slot: log-normal, with a
+// share of stragglers that take longer by a factor.
+type ServiceTime struct {
+	MedianMS        float64 `json:"median_ms"`
+	Sigma           float64 `json:"sigma"`
+	StragglerShare  float64 `json:"straggler_share"`
+	StragglerFactor float64 `json:"straggler_factor"`
+}
+
+// ColdStart multiplies the service time after a start; the factor falls
+// linearly to 1 over the duration.
+type ColdStart struct {
+	DurationMS float64 `json:"duration_ms"`
+	Factor     float64 `json:"factor"`
+}
+
+// Settings describes one target.
+type Settings struct {
+	Name string `json:"name"`
+	// Listen is the address of the gRPC listener; port 0 lets the kernel choose.
+	Listen  string `json:"listen"`
+	Service string `json:"service"`
+	// Seed determines the sample data and the service times.
+	Seed uint64 `json:"seed"`
+	// Rows is the row count of the whole service.
+	Rows   int     `json:"rows"`
+	Shards []Shard `json:"shards"`
+	// Versions holds the index versions at the start, ascending.
+	Versions []uint64 `json:"versions"`
+	// KeepVersions is how many versions remain after an advance.
+	KeepVersions int `json:"keep_versions"`
+	// Slots is the number of requests that run at once; Queue the number that wait.
+	Slots int `json:"slots"`
+	Queue int `json:"queue"`
+	// Connections is the number of connections accepted; 0 sets no limit.
+	Connections int `json:"connections"`
+	// ConnectDelayMS is the time from accepting a connection to its first byte.
+	ConnectDelayMS float64 `json:"connect_delay_ms"`
+	// RetryAfterMS is sent with refusals for load.
+	RetryAfterMS uint32      `json:"retry_after_ms"`
+	ServiceTime  ServiceTime `json:"service_time"`
+	ColdStart    ColdStart   `json:"cold_start"`
+	// RestartDelayMS is the time between a crash and the next start in the
+	// same process.
+	RestartDelayMS float64 `json:"restart_delay_ms"`
+	// SearchJournal bounds the started searches kept in memory.
+	SearchJournal int `json:"search_journal"`
+	// WorkJournalFile receives one JSON line per work order before it runs, so
+	// that the journal outlives the process; empty writes no file.
+	WorkJournalFile string `json:"work_journal_file"`
+	// OnCrash replaces the restart within the process; the program exits in it.
+	OnCrash func() `json:"-"`
+}
+
+// FileSettings is the settings file of a process with one or more targets.
+type FileSettings struct {
+	// Admin is the address of the admin listener.
+	Admin   string     `json:"admin"`
+	Targets []Settings `json:"targets"`
+}
+
+// ReadSettings reads a settings file: JSON with comments.
+func ReadSettings(path string) (FileSettings, error) {
+	var out FileSettings
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return out, ErrSettings.Wrap(err, "read settings")
+	}
+	plain, err := hujson.Standardize(text)
+	if err != nil {
+		return out, ErrSettings.Wrap(err, "parse %s", path)
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(plain)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&out); err != nil {
+		return out, ErrSettings.Wrap(err, "parse %s", path)
+	}
+	return out, nil
+}
+
+func (s *Settings) setDefaults() {
+	if s.Listen == "" {
+		s.Listen = "127.0.0.1:0"
+	}
+	if s.KeepVersions == 0 {
+		s.KeepVersions = 2
+	}
+	if s.Slots == 0 {
+		s.Slots = 2
+	}
+	if s.RetryAfterMS == 0 {
+		s.RetryAfterMS = 20
+	}
+	if s.SearchJournal == 0 {
+		s.SearchJournal = 100_000
+	}
+	if len(s.Versions) == 0 {
+		s.Versions = []uint64{1}
+	}
+}
+
+func (s *Settings) validate() error {
+	var faults []string
+	check := func(ok bool, text string) {
+		if !ok {
+			faults = append(faults, text)
+		}
+	}
+	check(s.Name != "", "name is empty")
+	check(s.Service != "", "service is empty")
+	check(s.Slots > 0, "slots must be positive")
+	check(s.Queue >= 0 && s.Connections >= 0 && s.Rows >= 0, "queue, connections and rows must not be negative")
+	check(s.KeepVersions > 0, "keep_versions must be positive")
+	check(!slices.Contains(s.Versions, 0), "version 0 is reserved for the newest version")
+	check(validTime(s.ServiceTime), "service_time must not be negative and straggler_share must be at most 1")
+	check(s.ConnectDelayMS >= 0 && s.RestartDelayMS >= 0 && s.ColdStart.DurationMS >= 0, "delays must not be negative")
+	for _, shard := range s.Shards {
+		check(shard.Name != "" && shard.Epoch > 0, "a shard needs a name and an epoch above 0")
+		check(shard.First <= shard.Last, "shard "+shard.Name+" has its first hash after its last")
+	}
+	if len(faults) > 0 {
+		return ErrSettings.New("target %q: %s", s.Name, strings.Join(faults, "; "))
+	}
+	return nil
+}
+
+func validTime(t ServiceTime) bool {
+	return t.MedianMS >= 0 && t.Sigma >= 0 && t.StragglerFactor >= 0 && t.StragglerShare >= 0 && t.StragglerShare <= 1
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/standin/target/target_test.go
@@ -0,0 +1,395 @@
+package target
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/wire/targetpb"
+)
+
+// longMS is a deadline that no test reaches.
+const longMS = 600_000
+
+func startTarget(t *testing.T, change func(*Settings)) *Target {
+	t.Helper()
+	s := Settings{
+		Name: "t1", Service: "alarm", Seed: 7, Rows: 400, Slots: 2, Queue: 1,
+		Versions: []uint64{3, 4},
+		Shards:   []Shard{{Epoch: 2, Name: "low", Last: 1<<31 - 1}, {Epoch: 2, Name: "high", First: 1 << 31, Last: math.MaxUint32}},
+	}
+	if change != nil {
+		change(&s)
+	}
+	out, err := New(s, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := out.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(out.Close)
+	return out
+}
+
+func dial(t *testing.T, address string) targetpb.TargetClient {
+	t.Helper()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return targetpb.NewTargetClient(conn)
+}
+
+func searchRequest(shard string, version uint64) *targetpb.SearchRequest {
+	return &targetpb.SearchRequest{
+		Attempt: &targetpb.AttemptID{Life: 9, Seq: 1}, Shard: shard,
+		Snapshot: &targetpb.Snapshot{Epoch: 2, Version: version},
+		Query:    &targetpb.Query{Service: "alarm", Limit: 1000}, DeadlineMs: longMS,
+	}
+}
+
+func workRequest(payload string) *targetpb.ExecuteRequest {
+	return &targetpb.ExecuteRequest{
+		Attempt: &targetpb.AttemptID{Life: 9, Seq: 2}, Service: "alarm",
+		Key: make([]byte, 16), Payload: []byte(payload), DeadlineMs: longMS,
+	}
+}
+
+// eventually waits for a condition; the test's own timeout bounds it.
+func eventually(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+type searchResult struct {
+	reply *targetpb.SearchReply
+	err   error
+}
+
+func goSearch(ctx context.Context, c targetpb.TargetClient, req *targetpb.SearchRequest) <-chan searchResult {
+	out := make(chan searchResult, 1)
+	go func() {
+		reply, err := c.Search(ctx, req)
+		out <- searchResult{reply, err}
+	}()
+	return out
+}
+
+func mustSearch(t *testing.T, c targetpb.TargetClient, req *targetpb.SearchRequest) *targetpb.SearchReply {
+	t.Helper()
+	reply, err := c.Search(t.Context(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+// fill occupies both slots and the queue of a stalled target.
+func fill(t *testing.T, target *Target, c targetpb.TargetClient) []<-chan searchResult {
+	t.Helper()
+	if err := target.SetFaults(Faults{Stalled: true}); err != nil {
+		t.Fatal(err)
+	}
+	var out []<-chan searchResult
+	for range 3 {
+		out = append(out, goSearch(t.Context(), c, searchRequest("low", 4)))
+	}
+	eventually(func() bool {
+		running, queued, _ := target.State()
+		return running == 2 && queued == 1
+	})
+	return out
+}
+
+// Guards against running more requests than slots, and against a refusal for
+// load that ran.
+func TestSlotsAndShedding(t *testing.T) {
+	target := startTarget(t, nil)
+	c := dial(t, target.Address())
+	waiting := fill(t, target, c)
+	reply := mustSearch(t, c, searchRequest("low", 4))
+	if reply.GetOutcome() != targetpb.Outcome_SHED || reply.GetRetryAfterMs() == 0 {
+		t.Fatalf("want SHED with retry_after, got %v", reply)
+	}
+	if load := reply.GetLoad(); load.GetRunning() != 2 || load.GetQueued() != 1 || load.GetSlots() != 2 {
+		t.Fatalf("load is %v", load)
+	}
+	if n := len(target.Journal(true).Searches); n != 2 {
+		t.Fatalf("%d searches started, want 2", n)
+	}
+	_ = target.SetFaults(Faults{})
+	for _, w := range waiting {
+		if r := <-w; r.err != nil || r.reply.GetOutcome() != targetpb.Outcome_OK {
+			t.Fatalf("admitted search ended with %v, %v", r.reply.GetOutcome(), r.err)
+		}
+	}
+}
+
+// Guards against a drain that cuts running or queued requests, or admits new ones.
+func TestDrainCutsNothing(t *testing.T) {
+	target := startTarget(t, nil)
+	c := dial(t, target.Address())
+	waiting := fill(t, target, c)
+	drained := make(chan struct{})
+	go func() { target.Drain(0); close(drained) }()
+	eventually(func() bool { _, _, draining := target.State(); return draining })
+	reply := mustSearch(t, c, searchRequest("low", 4))
+	if reply.GetOutcome() != targetpb.Outcome_DRAINING || !reply.GetLoad().GetDraining() {
+		t.Fatalf("want DRAINING, got %v", reply)
+	}
+	_ = target.SetFaults(Faults{})
+	for _, w := range waiting {
+		if r := <-w; r.err != nil || r.reply.GetOutcome() != targetpb.Outcome_OK {
+			t.Fatalf("drain cut a request: %v, %v", r.reply.GetOutcome(), r.err)
+		}
+	}
+	<-drained
+	if conn, err := net.Dial("tcp", target.Address()); err == nil {
+		_ = conn.Close()
+		t.Fatal("the drained target still accepts connections")
+	}
+}
+
+// Guards against running a request whose deadline has passed or whose caller
+// has gone, and against leaking its slot.
+func TestDeadlineAndCancellation(t *testing.T) {
+	target := startTarget(t, func(s *Settings) { s.Slots = 1 })
+	c := dial(t, target.Address())
+	_ = target.SetFaults(Faults{Stalled: true})
+	running, cancelRunning := context.WithCancel(t.Context())
+	first := goSearch(running, c, searchRequest("low", 4))
+	eventually(func() bool { n, _, _ := target.State(); return n == 1 })
+
+	late := searchRequest("low", 4)
+	late.DeadlineMs = 20
+	if reply := mustSearch(t, c, late); reply.GetOutcome() != targetpb.Outcome_EXPIRED {
+		t.Fatalf("queued past its deadline: %v", reply.GetOutcome())
+	}
+	late.DeadlineMs = 0
+	if reply := mustSearch(t, c, late); reply.GetOutcome() != targetpb.Outcome_EXPIRED {
+		t.Fatalf("arrived past its deadline: %v", reply.GetOutcome())
+	}
+	work := workRequest("crew")
+	work.DeadlineMs = 20
+	if reply, err := c.Execute(t.Context(), work); err != nil || reply.GetOutcome() != targetpb.Outcome_EXPIRED {
+		t.Fatalf("work order past its deadline: %v, %v", reply, err)
+	}
+	cancelRunning()
+	if r := <-first; status.Code(r.err) != codes.Canceled {
+		t.Fatalf("cancelled search ended with %v", r.err)
+	}
+	eventually(func() bool { n, _, _ := target.State(); return n == 0 })
+	late.DeadlineMs = 500
+	if r := <-goSearch(t.Context(), c, late); status.Code(r.err) != codes.DeadlineExceeded {
+		t.Fatalf("running past its deadline: %v, %v", r.reply, r.err)
+	}
+	if j := target.Journal(false); len(j.Work) != 0 || j.Counters[SearchesStarted] != 2 {
+		t.Fatalf("journal is %+v", j)
+	}
+}
+
+// Guards against answering from another snapshot than the one asked for.
+func TestSnapshotRefusals(t *testing.T) {
+	target := startTarget(t, nil)
+	c := dial(t, target.Address())
+	cases := []struct {
+		shard          string
+		epoch, version uint64
+		want           targetpb.Outcome
+		served         uint64
+	}{
+		{"low", 2, 3, targetpb.Outcome_OK, 3},
+		{"low", 2, 4, targetpb.Outcome_OK, 4},
+		{"low", 2, api.NewestVersion, targetpb.Outcome_OK, 4},
+		{"low", 2, 2, targetpb.Outcome_VERSION_GONE, 2},
+		{"low", 2, 5, targetpb.Outcome_VERSION_NOT_YET, 5},
+		{"low", 1, 4, targetpb.Outcome_WRONG_EPOCH, 4},
+		{"middle", 2, 4, targetpb.Outcome_WRONG_EPOCH, 4},
+	}
+	for _, k := range cases {
+		req := searchRequest(k.shard, k.version)
+		req.Snapshot.Epoch = k.epoch
+		reply := mustSearch(t, c, req)
+		if reply.GetOutcome() != k.want || reply.GetSnapshot().GetVersion() != k.served {
+			t.Errorf("%+v: got %v at %v", k, reply.GetOutcome(), reply.GetSnapshot())
+		}
+		for _, row := range rowsFrom(reply) {
+			if v, _ := row.Value("version"); v != map[uint64]string{3: "3", 4: "4"}[k.served] {
+				t.Fatalf("%+v: row of version %s", k, v)
+			}
+		}
+	}
+	target.AddVersion("", 0)
+	if reply := mustSearch(t, c, searchRequest("high", 3)); reply.GetOutcome() != targetpb.Outcome_VERSION_GONE {
+		t.Fatalf("after the advance: %v", reply.GetOutcome())
+	}
+}
+
+func rowsFrom(reply *targetpb.SearchReply) []api.Row {
+	var out []api.Row
+	for _, r := range reply.GetRows() {
+		row := api.Row{Key: r.GetKey()}
+		for _, f := range r.GetFields() {
+			row.Fields = append(row.Fields, api.Field{Name: f.GetName(), Value: f.GetValue()})
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// Guards against fault switches that do not show in the answer.
+func TestTruncationAndWrongEcho(t *testing.T) {
+	target := startTarget(t, nil)
+	c := dial(t, target.Address())
+	_ = target.SetFaults(Faults{Truncate: 1, WrongEcho: 1})
+	reply := mustSearch(t, c, searchRequest("low", 4))
+	if int(reply.GetRowCount()) <= len(reply.GetRows()) || reply.GetAttempt().GetSeq() == 1 {
+		t.Fatalf("announced %d, sent %d, attempt %v", reply.GetRowCount(), len(reply.GetRows()), reply.GetAttempt())
+	}
+	reply = mustSearch(t, c, searchRequest("low", 4))
+	if int(reply.GetRowCount()) != len(reply.GetRows()) || reply.GetAttempt().GetSeq() != 1 {
+		t.Fatal("the counted faults did not end")
+	}
+}
+
+// Guards against a crash that answers its request, or that loses the journal.
+func TestCrash(t *testing.T) {
+	target := startTarget(t, nil)
+	c := dial(t, target.Address())
+	before := target.Incarnation()
+	_ = target.SetFaults(Faults{CrashOn: "poison"})
+	if _, err := c.Execute(t.Context(), workRequest("poison")); status.Code(err) != codes.Unavailable {
+		t.Fatalf("the crash answered: %v", err)
+	}
+	eventually(func() bool { now := target.Incarnation(); return now != 0 && now != before })
+	reply, err := c.Execute(t.Context(), workRequest("crew"), grpc.WaitForReady(true))
+	if err != nil || reply.GetOutcome() != targetpb.Outcome_OK || reply.GetLoad().GetIncarnation() == before {
+		t.Fatalf("after the crash: %v, %v", reply, err)
+	}
+	work := target.Journal(false).Work
+	if len(work) != 2 || work[0].Finished || !work[1].Finished || string(work[0].Payload) != "poison" {
+		t.Fatalf("journal is %+v", work)
+	}
+}
+
+// Guards against a connection limit that silent connections do not use up, and
+// against a freeze that loses a request.
+func TestConnectionsAndFreeze(t *testing.T) {
+	target := startTarget(t, func(s *Settings) { s.Connections = 1 })
+	c := dial(t, target.Address())
+	mustSearch(t, c, searchRequest("low", 4))
+	if _, err := dial(t, target.Address()).Search(t.Context(), searchRequest("low", 4)); status.Code(err) != codes.Unavailable {
+		t.Fatalf("beyond the limit: %v", err)
+	}
+	_ = target.SetFaults(Faults{Frozen: true})
+	pending := goSearch(t.Context(), c, searchRequest("low", 4))
+	_ = target.SetFaults(Faults{})
+	if r := <-pending; r.err != nil {
+		t.Fatal(r.err)
+	}
+	if target.SilenceConnections(2) != 1 {
+		t.Fatal("want one connection to silence")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	pending = goSearch(ctx, c, searchRequest("low", 4))
+	cancel()
+	if r := <-pending; status.Code(r.err) != codes.Canceled {
+		t.Fatalf("a silent connection answered: %v, %v", r.reply, r.err)
+	}
+	if target.OpenConnections() != 1 {
+		t.Fatal("the silent connection does not count")
+	}
+	target.CutSilentConnections()
+	if _, err := c.Search(t.Context(), searchRequest("low", 4), grpc.WaitForReady(true)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against versions held that are not announced after a change.
+func TestHeldIsSentOnChange(t *testing.T) {
+	target := startTarget(t, nil)
+	c := dial(t, target.Address())
+	held := func() int { return len(mustSearch(t, c, searchRequest("low", 4)).GetLoad().GetHeld()) }
+	if held() != 2 || held() != 0 {
+		t.Fatal("want held in the first answer only")
+	}
+	target.AddVersion("low", 0)
+	if held() != 2 {
+		t.Fatal("want held after a change")
+	}
+	_ = target.SetFaults(Faults{Lie: &Lie{Versions: []uint64{99}}})
+	health, err := c.Health(t.Context(), &targetpb.HealthRequest{})
+	if err != nil || health.GetLoad().GetHeld()[0].GetVersions()[0] != 99 {
+		t.Fatalf("the lie is missing: %v, %v", health, err)
+	}
+}
+
+// Guards against rows that are lost or doubled between shards, and against an
+// order or limit that is not applied.
+func TestDataset(t *testing.T) {
+	d := NewDataset(7, "alarm", 400)
+	q := api.Query{OrderBy: "reading", Descending: true, Conditions: []api.Condition{{Field: "number", Operator: api.Less, Value: "300"}}}
+	whole, _ := d.Search(q, 5, 0, math.MaxUint32)
+	low, _ := d.Search(q, 5, 0, 99_999_999)
+	high, _ := d.Search(q, 5, 100_000_000, math.MaxUint32)
+	if len(whole) == 0 || len(low)+len(high) != len(whole) {
+		t.Fatalf("whole %d, parts %d + %d", len(whole), len(low), len(high))
+	}
+	for i := 1; i < len(whole); i++ {
+		a, _ := whole[i-1].Value("reading")
+		b, _ := whole[i].Value("reading")
+		if compareValues(a, b) < 0 {
+			t.Fatalf("rows out of order: %s before %s", a, b)
+		}
+	}
+	q.Limit = 3
+	first, more := d.Search(q, 5, 0, math.MaxUint32)
+	if len(first) != 3 || !more || first[0].Key != whole[0].Key {
+		t.Fatal("the limit is not applied after the order")
+	}
+}
+
+// Guards against admin requests that pass over an unknown switch or change
+// switches that they do not name.
+func TestAdmin(t *testing.T) {
+	h, err := NewHost([]Settings{{Name: "a", Service: "s"}, {Name: "b", Service: "s"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Close)
+	post := func(path, body string) int {
+		w := httptest.NewRecorder()
+		h.Handler().ServeHTTP(w, httptest.NewRequest("POST", path, strings.NewReader(body)))
+		return w.Code
+	}
+	if code := post("/targets/all/faults", `{"truncate":-1,"lie":{"running":1}}`); code != 204 {
+		t.Fatal(code)
+	}
+	if code := post("/targets/b/faults", `{"stalled":true}`); code != 204 {
+		t.Fatal(code)
+	}
+	for _, body := range []string{`{"stalled":false,"no_such":1}`, `{"echo":"x"}`, `{"fail":-2}`} {
+		if code := post("/targets/b/faults", body); code != 400 {
+			t.Fatalf("%s: %d", body, code)
+		}
+	}
+	if f := h.Target("b").Faults(); f.Truncate != Always || !f.Stalled || f.Lie == nil {
+		t.Fatalf("faults are %+v", f)
+	}
+	if code := post("/targets/c/crash", ""); code != 404 {
+		t.Fatal(code)
+	}
+}
