--- /dev/null
+++ b/standin/load/targets.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/baobabsail/baobabsail/standin/target"
+)
+
+// targetRequests sums the requests that all targets have received so far.
+func (g *Generator) targetRequests(ctx context.Context) (uint64, error) {
+	sum := uint64(0)
+	for _, admin := range g.settings.TargetAdmins {
+		var counters map[target.Counter]uint64
+		if err := getJSON(ctx, g.client, admin, "/counters", &counters); err != nil {
+			return 0, err
+		}
+		sum += counters[target.RequestsReceived]
+	}
+	return sum, nil
+}
+
+// Journals reads the journals of all targets behind the admin addresses of the
+// settings.
+func (g *Generator) Journals(ctx context.Context) ([]target.Journal, error) {
+	var out []target.Journal
+	for _, admin := range g.settings.TargetAdmins {
+		var list []target.Status
+		if err := getJSON(ctx, g.client, admin, "/targets", &list); err != nil {
+			return nil, err
+		}
+		for _, t := range list {
+			var journal target.Journal
+			if err := getJSON(ctx, g.client, admin, "/targets/"+t.Name+"/journal", &journal); err != nil {
+				return nil, err
+			}
+			out = append(out, journal)
+		}
+	}
+	return out, nil
+}
+
+func getJSON(ctx context.Context, client *http.Client, base, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(base, "/")+path, nil)
+	if err != nil {
+		return ErrAdmin.Wrap(err, "build request")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return ErrAdmin.Wrap(err, "read %s", path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return ErrAdmin.New("read %s: status %d", path, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		return ErrAdmin.Wrap(err, "decode %s", path)
+	}
+	return nil
+}
+
+// CheckWork compares what callers were told about work orders with what targets
+// ran, and returns one line for each contradiction: a key that ran twice, ran
+// although every answer said not_run, or did not run although an answer said
+// that it did.
+func CheckWork(records []WorkRecord, journals []target.Journal) []string {
+	runs := make(map[string]int)
+	for _, j := range journals {
+		for _, w := range j.Work {
+			runs[w.Key]++
+		}
+	}
+	type told struct{ ran, open bool }
+	answers := make(map[string]told)
+	for _, r := range records {
+		t := answers[r.Key]
+		switch r.Outcome {
+		case outcomeAnswered, outcomeFailed:
+			t.ran = true
+		case outcomeNotRun:
+		default:
+			t.open = true
+		}
+		answers[r.Key] = t
+	}
+	var out []string
+	for key, n := range runs {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("work order %s ran %d times", key, n))
+		}
+	}
+	for key, t := range answers {
+		switch {
+		case t.ran && runs[key] == 0:
+			out = append(out, fmt.Sprintf("work order %s did not run, but an answer says that it did", key))
+		case !t.ran && !t.open && runs[key] > 0:
+			out = append(out, fmt.Sprintf("work order %s ran, but every answer says not_run", key))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
