--- a/standin/load/doc.go
+++ b/standin/load/doc.go
@@ -15,4 +15,6 @@
 	ErrSettings = Errors.NewType("settings")
 	// ErrAdmin marks a target's admin interface that could not be read.
 	ErrAdmin = Errors.NewType("admin")
+	// ErrContradiction marks answers to work orders that do not fit the journals.
+	ErrContradiction = Errors.NewType("contradiction")
 )
