--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -42,14 +43,19 @@
 	return out
 }
 
-func dial(t *testing.T, address string) targetpb.TargetClient {
+func dialConn(t *testing.T, address string) *grpc.ClientConn {
 	t.Helper()
 	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return targetpb.NewTargetClient(conn)
+	return conn
+}
+
+func dial(t *testing.T, address string) targetpb.TargetClient {
+	t.Helper()
+	return targetpb.NewTargetClient(dialConn(t, address))
 }
 
 func searchRequest(shard string, version uint64) *targetpb.SearchRequest {
@@ -291,9 +297,12 @@
 	target := startTarget(t, func(s *Settings) { s.Connections = 1 })
 	c := dial(t, target.Address())
 	mustSearch(t, c, searchRequest("low", 4))
-	if _, err := dial(t, target.Address()).Search(t.Context(), searchRequest("low", 4)); status.Code(err) != codes.Unavailable {
+	second := dialConn(t, target.Address())
+	if _, err := targetpb.NewTargetClient(second).Search(t.Context(), searchRequest("low", 4)); status.Code(err) != codes.Unavailable {
 		t.Fatalf("beyond the limit: %v", err)
 	}
+	// The second client must not take the place that the cut below frees.
+	_ = second.Close()
 	_ = target.SetFaults(Faults{Frozen: true})
 	pending := goSearch(t.Context(), c, searchRequest("low", 4))
 	_ = target.SetFaults(Faults{})
@@ -313,9 +322,14 @@
 		t.Fatal("the silent connection does not count")
 	}
 	target.CutSilentConnections()
-	if _, err := c.Search(t.Context(), searchRequest("low", 4), grpc.WaitForReady(true)); err != nil {
-		t.Fatal(err)
-	}
+	// A search may still go to the cut connection before the client notices.
+	eventually(func() bool {
+		_, err := c.Search(t.Context(), searchRequest("low", 4), grpc.WaitForReady(true))
+		if err != nil && status.Code(err) != codes.Unavailable {
+			t.Fatal(err)
+		}
+		return err == nil
+	})
 }
 
 // Guards against versions held that are not announced after a change.
@@ -393,3 +407,39 @@
 		t.Fatal(code)
 	}
 }
+
+// Guards against service times that ignore the seed, the stragglers or the cold
+// start.
+func TestServiceTime(t *testing.T) {
+	draw := func(seed uint64) (times []time.Duration, slow int) {
+		target, err := New(Settings{
+			Name: "t", Service: "s", Seed: seed,
+			ServiceTime: ServiceTime{MedianMS: 10, StragglerShare: 0.25, StragglerFactor: 50},
+		}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 400 {
+			d := target.serviceTime(&life{started: time.Now()})
+			times = append(times, d)
+			if d == 500*time.Millisecond {
+				slow++
+			} else if d != 10*time.Millisecond {
+				t.Fatalf("drew %v", d)
+			}
+		}
+		return times, slow
+	}
+	first, slow := draw(1)
+	second, _ := draw(1)
+	other, _ := draw(2)
+	if !slices.Equal(first, second) || slices.Equal(first, other) || slow < 60 || slow > 140 {
+		t.Fatalf("%d stragglers of 400, want about 100", slow)
+	}
+	cold := &Target{settings: Settings{ColdStart: ColdStart{DurationMS: 1000, Factor: 5}}}
+	for age, want := range map[time.Duration]float64{0: 5, 500 * time.Millisecond: 3, time.Second: 1, time.Hour: 1} {
+		if got := cold.coldFactor(age); got != want {
+			t.Errorf("factor %v at age %v, want %v", got, age, want)
+		}
+	}
+}
