--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,10 +34,10 @@
 
 // Options are the parts of an entry node that its settings do not describe.
 type Options struct {
-	Store driver.Store
-	// VMs is nil if the platform offers no list of VMs.
-	VMs driver.VMLister
 	Log *telemetry.Logger
+	// Store and VMs replace the platform's services named in the settings.
+	Store driver.Store
+	VMs   driver.VMLister
 	// NewNode makes the node; node.New if nil.
 	NewNode func(node.Settings) driver.Node
 }
@@ -56,13 +56,18 @@
 	peerServer                   *grpc.Server
 	callersAt, operatorsAt, peer net.Listener
 
+	// after is time.After; tests replace it.
+	after   func(time.Duration) <-chan time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
 
 // Start opens the listeners and runs the node.
 func Start(s *settings.Settings, o Options) (*Entry, error) {
-	e := &Entry{settings: s, log: o.Log, counts: telemetry.NewCounts()}
+	e := &Entry{settings: s, log: o.Log, counts: telemetry.NewCounts(), after: time.After}
+	if err := connectPlatform(s, &o); err != nil {
+		return nil, err
+	}
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		return nil, err
@@ -248,7 +253,7 @@
 	defer cancel()
 	e.log.Info("shutdown_started", "accept_for", s.AcceptFor.Std(), "total_limit", s.TotalLimit.Std())
 	e.driver.Shutdown(s.AcceptFor.Std())
-	time.Sleep(s.AcceptFor.Std())
+	<-e.after(s.AcceptFor.Std())
 	err := e.callers.Shutdown(ctx)
 	select {
 	case <-e.driver.Stopped():
