--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -27,6 +27,11 @@
 	held    []api.RequestID
 	leaving bool
 	arrived chan struct{}
+	gone    chan api.RequestID
+}
+
+func newHoldingNode() *holdingNode {
+	return &holdingNode{arrived: make(chan struct{}), gone: make(chan api.RequestID, 10)}
 }
 
 func (n *holdingNode) Step(_ time.Time, ev event.Event) []event.Action {
@@ -46,6 +51,8 @@
 			out = append(out, answer(id))
 		}
 		n.held = nil
+	case event.CallerGone:
+		n.gone <- ev.Request
 	case event.ShutdownStarted:
 		n.leaving = true
 	}
@@ -71,7 +78,7 @@
 	s.Shutdown = settings.Shutdown{AcceptFor: settings.Duration(acceptFor), TotalLimit: settings.Duration(limit)}
 	log := telemetry.NewLogger(io.Discard, "info")
 	t.Cleanup(log.Close)
-	n := &holdingNode{arrived: make(chan struct{})}
+	n := newHoldingNode()
 	e, err := Start(s, Options{Log: log, Store: noStore{}, NewNode: func(node.Settings) driver.Node { return n }})
 	if err != nil {
 		t.Fatal(err)
@@ -157,7 +164,7 @@
 	other, _ := start(t, time.Millisecond, time.Minute)
 	s := *other.settings
 	s.Limits.ReadTimeout = settings.Duration(20 * time.Millisecond)
-	n := &holdingNode{arrived: make(chan struct{})}
+	n := newHoldingNode()
 	e, err := Start(&s, Options{Log: other.log, Store: noStore{}, NewNode: func(node.Settings) driver.Node { return n }})
 	if err != nil {
 		t.Fatal(err)
@@ -175,6 +182,26 @@
 	group.Wait()
 }
 
+// A caller that hangs up must be noticed, or the node works for nobody.
+func TestCallerThatHangsUpIsReported(t *testing.T) {
+	e, n := start(t, time.Millisecond, time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.CallersAddress()+"/v1/search", strings.NewReader(slow))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		if r, err := http.DefaultClient.Do(r); err == nil {
+			r.Body.Close()
+		}
+	})
+	<-n.arrived
+	cancel()
+	group.Wait()
+	<-n.gone
+}
+
 func TestListenerInUseIsAnError(t *testing.T) {
 	e, _ := start(t, time.Millisecond, time.Minute)
 	s := *e.settings
