--- a/entry/callerhttp/server.go
+++ b/entry/callerhttp/server.go
@@ -31,8 +31,6 @@
 	Requests Requests
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
-	// ReadTimeout bounds the reading of a body; 0 sets no bound.
-	ReadTimeout time.Duration
 	// MaxConcurrent bounds the requests that are served at once.
 	MaxConcurrent int
 	Counts        *telemetry.Counts
@@ -119,9 +117,7 @@
 		s.malformed(ctx, err)
 		return
 	}
-	readDone := s.boundReading(ctx)
 	search, deadline, err := decodeSearch(s.body(ctx), time.Now())
-	readDone()
 	if err != nil {
 		s.malformed(ctx, err)
 		return
@@ -138,9 +134,7 @@
 		s.malformed(ctx, err)
 		return
 	}
-	readDone := s.boundReading(ctx)
 	work, deadline, err := decodeWork(s.body(ctx), ctx.GetHeader("Idempotency-Key"), time.Now())
-	readDone()
 	if err != nil {
 		s.malformed(ctx, err)
 		return
@@ -155,19 +149,6 @@
 	return http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, s.MaxBodyBytes)
 }
 
-// boundReading limits the time for reading the body; the returned function
-// lifts the limit. http.Server.ReadTimeout would stay in force while the request
-// runs, and end its context as if the caller had gone.
-func (s *server) boundReading(ctx iris.Context) (done func()) {
-	if s.ReadTimeout == 0 {
-		return func() {}
-	}
-	control := http.NewResponseController(ctx.ResponseWriter().Naive())
-	// Only test recorders have no deadlines.
-	_ = control.SetReadDeadline(time.Now().Add(s.ReadTimeout))
-	return func() { _ = control.SetReadDeadline(time.Time{}) }
-}
-
 // callerOf identifies the caller by header X-Caller, or by its IP address.
 func callerOf(r *http.Request) (api.CallerID, error) {
 	if name := r.Header.Get("X-Caller"); name != "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -138,7 +138,6 @@
 	callers, err := callerhttp.New(callerhttp.Config{
 		Requests:      e.driver,
 		MaxBodyBytes:  int64(s.Limits.MaxRequestBytes),
-		ReadTimeout:   s.Limits.ReadTimeout.Std(),
 		MaxConcurrent: int(s.Limits.MaxConcurrentRequests),
 		Counts:        e.counts,
 		Panicked:      func(v any) { e.log.Error("panic", "value", fmt.Sprint(v)) },
@@ -151,7 +150,6 @@
 		Node:         e.driver,
 		Metrics:      e.metrics.Handler(),
 		MaxBodyBytes: int64(s.Limits.MaxRequestBytes),
-		ReadTimeout:  s.Limits.ReadTimeout.Std(),
 	}))
 	e.peerServer = peer.NewServer(e.driver, e.counts, peer.DefaultMaxMessageBytes)
 	return nil
@@ -193,10 +191,11 @@
 
 func (e *Entry) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: e.settings.Limits.ReadTimeout.Std(),
-		MaxHeaderBytes:    int(e.settings.Limits.MaxHeaderBytes),
-		IdleTimeout:       idleTimeout,
+		Handler: handler,
+		// It bounds header and body; net/http lifts it while the request runs.
+		ReadTimeout:    e.settings.Limits.ReadTimeout.Std(),
+		MaxHeaderBytes: int(e.settings.Limits.MaxHeaderBytes),
+		IdleTimeout:    idleTimeout,
 	}
 }
 
--- a/entry/operatorhttp/server.go
+++ b/entry/operatorhttp/server.go
@@ -31,8 +31,6 @@
 	Metrics http.Handler
 	// MaxBodyBytes bounds a request with statements.
 	MaxBodyBytes int64
-	// ReadTimeout bounds the reading of a body; 0 sets no bound.
-	ReadTimeout time.Duration
 }
 
 type server struct{ Config }
@@ -66,10 +64,6 @@
 		reply(w, http.StatusUnsupportedMediaType, invalid("Content-Type must be application/json"))
 		return
 	}
-	control := http.NewResponseController(w)
-	if s.ReadTimeout > 0 {
-		_ = control.SetReadDeadline(time.Now().Add(s.ReadTimeout))
-	}
 	var request Request
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
 	decoder.DisallowUnknownFields()
@@ -79,9 +73,6 @@
 			err = errors.New("more data after the JSON object")
 		}
 	}
-	if s.ReadTimeout > 0 {
-		_ = control.SetReadDeadline(time.Time{})
-	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
