--- a/cmd/baobabd/main.go
+++ b/cmd/baobabd/main.go
@@ -1,4 +1,100 @@
 // Command baobabd runs one entry node.
+//
+// Exit codes: 0 after a complete shutdown, 1 if the node could not start or a
+// shutdown reached its limit with requests in flight, 2 for wrong arguments or
+// settings. A second SIGTERM or SIGINT ends the process at once.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/baobabsail/baobabsail/cmd/internal/program"
+	"github.com/baobabsail/baobabsail/entry"
+	"github.com/baobabsail/baobabsail/entry/settings"
+	"github.com/baobabsail/baobabsail/entry/telemetry"
+)
+
+type arguments struct {
+	Run           runCommand       `cmd:"" help:"Run an entry node until SIGTERM."`
+	CheckSettings checkCommand     `cmd:"" help:"Check a settings file and report every problem."`
+	Version       kong.VersionFlag `help:"Print the version."`
+}
+
+type runCommand struct {
+	File string `arg:"" help:"Settings file; see docs/settings.md."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Settings file; see docs/settings.md."`
+}
+
+func main() {
+	ctx, stop := program.Context()
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run executes a command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := kong.New(&a, kong.Name("baobabd"), kong.Description("Runs one entry node of the query tier."),
+		kong.Writers(stdout, stderr), kong.Vars{"version": version()})
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return program.ExitUsage
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "baobabd: %v\n", err)
+		return program.ExitUsage
+	}
+	file := a.Run.File
+	check := parsed.Command() == "check-settings <file>"
+	if check {
+		file = a.CheckSettings.File
+	}
+	s, problems := settings.Load(file)
+	for _, p := range problems {
+		_, _ = fmt.Fprintln(stderr, p)
+	}
+	switch {
+	case len(problems) > 0:
+		return program.ExitUsage
+	case check:
+		_, _ = fmt.Fprintf(stdout, "%s: no problems\n", file)
+		return program.ExitOK
+	}
+	return serve(ctx, s, stderr)
+}
+
+// serve runs a node until ctx ends, and shuts it down.
+func serve(ctx context.Context, s *settings.Settings, logTo io.Writer) int {
+	log := telemetry.NewLogger(logTo, string(s.LogLevel))
+	defer log.Close()
+	node, err := entry.Start(s, entry.Options{Log: log})
+	if err != nil {
+		log.Error("start_failed", "error", err.Error())
+		return program.ExitFailed
+	}
+	<-ctx.Done()
+	if err := node.Shutdown(); err != nil {
+		log.Error("shutdown_failed", "error", err.Error())
+		return program.ExitFailed
+	}
+	return program.ExitOK
+}
+
+// version returns the module version that the program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
