--- a/core/api/request.go
+++ b/core/api/request.go
@@ -75,8 +75,14 @@
 	Fields []Field
 }
 
+// KeyField is the field name that stands for the row key.
+const KeyField = "key"
+
 // Value returns the value of the named field and whether the row has it.
-func (r Row) Value(name string) (string, bool) {
+func (r *Row) Value(name string) (string, bool) {
+	if name == KeyField {
+		return r.Key, true
+	}
 	for _, f := range r.Fields {
 		if f.Name == name {
 			return f.Value, true
--- a/standin/target/data.go
+++ b/standin/target/data.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -124,73 +123,19 @@
 			found = append(found, row)
 		}
 	}
-	slices.SortFunc(found, func(a, b api.Row) int { return compareRows(a, b, q) })
+	slices.SortFunc(found, func(a, b api.Row) int { return api.CompareRows(&q, &a, &b) })
 	if q.Limit > 0 && len(found) > q.Limit {
 		return found[:q.Limit], true
 	}
 	return found, false
 }
 
-func compareRows(a, b api.Row, q api.Query) int {
-	order := 0
-	if q.OrderBy != "" {
-		x, _ := a.Value(q.OrderBy)
-		y, _ := b.Value(q.OrderBy)
-		order = compareValues(x, y)
-	}
-	order = cmp.Or(order, cmp.Compare(a.Key, b.Key))
-	if q.Descending {
-		return -order
-	}
-	return order
-}
-
-// Matches reports whether all conditions hold for a row. A row without the
-// field fulfils only NotEqual.
+// Matches reports whether all conditions hold for a row.
 func Matches(row api.Row, conditions []api.Condition) bool {
 	for _, c := range conditions {
-		value, ok := row.Value(c.Field)
-		if c.Field == "key" {
-			value, ok = row.Key, true
-		}
-		if !ok && c.Operator != api.NotEqual {
-			return false
-		}
-		if !holds(value, c.Operator, c.Value) {
+		if !c.Matches(&row) {
 			return false
 		}
 	}
 	return true
 }
-
-func holds(value string, op api.Operator, want string) bool {
-	order := compareValues(value, want)
-	switch op {
-	case api.Equal:
-		return order == 0
-	case api.NotEqual:
-		return order != 0
-	case api.Less:
-		return order < 0
-	case api.LessOrEqual:
-		return order <= 0
-	case api.Greater:
-		return order > 0
-	case api.GreaterOrEqual:
-		return order >= 0
-	case api.Contains:
-		return strings.Contains(value, want)
-	}
-	return false
-}
-
-// compareValues compares as numbers if both sides parse as numbers, else as
-// strings, as api.Operator documents.
-func compareValues(a, b string) int {
-	x, errX := strconv.ParseFloat(a, 64)
-	y, errY := strconv.ParseFloat(b, 64)
-	if errX == nil && errY == nil {
-		return cmp.Compare(x, y)
-	}
-	return cmp.Compare(a, b)
-}
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -365,7 +365,7 @@
 	for i := 1; i < len(whole); i++ {
 		a, _ := whole[i-1].Value("reading")
 		b, _ := whole[i].Value("reading")
-		if compareValues(a, b) < 0 {
+		if api.CompareValues(a, b) < 0 {
 			t.Fatalf("rows out of order: %s before %s", a, b)
 		}
 	}
