--- a/entry/targetclient/client.go
+++ b/entry/targetclient/client.go
@@ -168,7 +168,7 @@
 			return nil, err
 		}
 		decoded, err := convert.SearchReplyFromProto(reply)
-		return event.SearchReplied{Conn: a.Conn, Reply: decoded}, err
+		return event.SearchReplied{Conn: a.Conn, Attempt: a.Request.Attempt, Reply: decoded}, err
 	})
 }
 
@@ -182,7 +182,7 @@
 			return nil, err
 		}
 		decoded, err := convert.WorkReplyFromProto(reply)
-		return event.WorkReplied{Conn: a.Conn, Reply: decoded}, err
+		return event.WorkReplied{Conn: a.Conn, Attempt: a.Request.Attempt, Reply: decoded}, err
 	})
 }
 
--- a/entry/targetclient/client_test.go
+++ b/entry/targetclient/client_test.go
@@ -18,7 +18,9 @@
 // fakeTarget answers searches at once and lets a test decide about Execute.
 type fakeTarget struct {
 	targetpb.UnimplementedTargetServer
-	execute  func(context.Context) error
+	execute func(context.Context) error
+	// echo is the attempt in search replies; nil echoes that of the request.
+	echo     *targetpb.AttemptID
 	executes atomic.Int32
 	rowBytes int
 }
@@ -28,8 +30,12 @@
 }
 
 func (f *fakeTarget) Search(_ context.Context, r *targetpb.SearchRequest) (*targetpb.SearchReply, error) {
+	attempt := r.Attempt
+	if f.echo != nil {
+		attempt = f.echo
+	}
 	return &targetpb.SearchReply{
-		Attempt: r.Attempt, Shard: r.Shard, Snapshot: r.Snapshot, Outcome: targetpb.Outcome_SHED,
+		Attempt: attempt, Shard: r.Shard, Snapshot: r.Snapshot, Outcome: targetpb.Outcome_SHED,
 		Load: &targetpb.Load{}, Rows: []*targetpb.Row{{Key: string(make([]byte, f.rowBytes))}},
 	}, nil
 }
@@ -229,7 +235,7 @@
 	go s.GracefulStop()
 	c.lookup(1).waitNotReady()
 	close(release)
-	if e, ok := (<-events).(event.WorkReplied); !ok {
+	if e, ok := (<-events).(event.WorkReplied); !ok || e.Attempt != first {
 		t.Fatalf("got %+v, want WorkReplied", e)
 	}
 	expectEnd(t, events, event.ConnClosed)
@@ -248,6 +254,18 @@
 	}
 }
 
+// The core detects a reply to another request by comparing the echoed attempt
+// with the one that the call was made for.
+func TestReplyNamesTheAttemptOfItsCall(t *testing.T) {
+	l, _ := serve(t, &fakeTarget{echo: &targetpb.AttemptID{Life: 9, Seq: 9}})
+	c, events := newClient(t, Config{})
+	open(t, c, events, l)
+	c.SendSearch(event.SendSearch{Conn: 1, Request: api.SearchRequest{Attempt: first, Shard: "a"}})
+	if e, ok := (<-events).(event.SearchReplied); !ok || e.Attempt != first || e.Reply.Attempt.Seq != 9 {
+		t.Fatalf("got %+v", e)
+	}
+}
+
 func TestOversizeReplyFailsTheAttempt(t *testing.T) {
 	l, _ := serve(t, &fakeTarget{rowBytes: 2000})
 	c, events := newClient(t, Config{MaxMessageBytes: 1000})
