--- a/entry/callerhttp/callerhttp_test.go
+++ b/entry/callerhttp/callerhttp_test.go
@@ -183,8 +183,16 @@
 	if w := post(h, "/v1/statements", "", `{}`); w.Code != 404 || !strings.Contains(w.Body.String(), `"not_run"`) {
 		t.Errorf("got %d %s, want 404", w.Code, w.Body)
 	}
-	if n := counts.Get(count.Refused, api.ReasonMalformed); n != 2 {
-		t.Errorf("%d refusals counted, want 2", n)
+	if w := post(h, "/v1/search/", "", `{}`); w.Code != 404 {
+		t.Errorf("got %d with a trailing slash, want 404 and no redirect", w.Code)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/work", nil))
+	if w.Code != 405 || !strings.Contains(w.Body.String(), `"not_run"`) {
+		t.Errorf("got %d %s, want 405", w.Code, w.Body)
+	}
+	if n := counts.Get(count.Refused, api.ReasonMalformed); n != 4 {
+		t.Errorf("%d refusals counted, want 4", n)
 	}
 }
 
--- a/entry/callerhttp/server.go
+++ b/entry/callerhttp/server.go
@@ -48,7 +48,8 @@
 	s := &server{Config: c, slots: make(chan struct{}, c.MaxConcurrent)}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	// A redirect would make callers send a request twice.
+	app.Configure(iris.WithoutStartupLog, iris.WithoutPathCorrection, iris.WithFireMethodNotAllowed)
 	app.Post("/v1/search", s.limited(s.search))
 	app.Post("/v1/work", s.limited(s.work))
 	app.Get("/healthz", func(ctx iris.Context) { ctx.StatusCode(http.StatusOK) })
--- a/entry/targetclient/client.go
+++ b/entry/targetclient/client.go
@@ -29,6 +29,10 @@
 	// probeTimeout ends a Probe call that nobody waits for any more: the core
 	// closes a silent connection after at most 2 s.
 	probeTimeout = 5 * time.Second
+	// lateWorkReply is how long the reply to a work order is awaited after its
+	// deadline. The target runs a started work order to its end, and the core
+	// records a late result for callers that send the key again.
+	lateWorkReply = 30 * time.Second
 )
 
 // Config configures a Client. Zero values take the defaults.
@@ -141,7 +145,7 @@
 // ProbeReplied if the target answers.
 func (c *Client) Probe(id api.ConnID) {
 	cn := c.lookup(id)
-	if cn == nil {
+	if cn == nil || !cn.isOpen() {
 		return
 	}
 	c.goIfOpen(func() {
@@ -176,7 +180,11 @@
 // AttemptFailed.
 func (c *Client) SendWork(a event.SendWork) {
 	request := convert.WorkRequestToProto(a.Request, c.config.Now())
-	c.send(a.Conn, a.Request.Attempt, a.Request.Deadline, func(ctx context.Context, cn *conn, once *sendOnce) (event.Event, error) {
+	until := a.Request.Deadline
+	if !until.IsZero() {
+		until = until.Add(lateWorkReply)
+	}
+	c.send(a.Conn, a.Request.Attempt, until, func(ctx context.Context, cn *conn, once *sendOnce) (event.Event, error) {
 		reply, err := cn.client.Execute(ctx, request, once.option())
 		if err != nil {
 			return nil, err
@@ -189,12 +197,13 @@
 // call performs one RPC and returns the event for its reply.
 type call func(ctx context.Context, cn *conn, once *sendOnce) (event.Event, error)
 
-// send runs one RPC in a goroutine of its own and reports how it ended.
-func (c *Client) send(id api.ConnID, attemptID api.AttemptID, deadline time.Time, rpc call) {
+// send runs one RPC in a goroutine of its own and reports how it ended. The RPC
+// fails at the given time; a zero time sets no limit.
+func (c *Client) send(id api.ConnID, attemptID api.AttemptID, until time.Time, rpc call) {
 	ctx, cancel := context.WithCancel(context.Background())
-	if !deadline.IsZero() {
+	if !until.IsZero() {
 		cancel()
-		ctx, cancel = context.WithDeadline(context.Background(), deadline)
+		ctx, cancel = context.WithDeadline(context.Background(), until)
 	}
 	at := &attempt{cancel: cancel}
 	var cn *conn
--- a/entry/targetclient/client_test.go
+++ b/entry/targetclient/client_test.go
@@ -154,6 +154,27 @@
 	expectEnd(t, events, event.ConnRefused)
 }
 
+// An address that grpc cannot use must end the connection, and an action on it
+// must not fail otherwise.
+func TestUnusableAddress(t *testing.T) {
+	c, events := newClient(t, Config{})
+	c.Open(event.OpenConn{Conn: 1, Address: "%zz"})
+	c.Probe(1)
+	c.SendWork(work())
+	for ended := false; !ended; {
+		switch e := (<-events).(type) {
+		case event.AttemptFailed:
+			if !e.NeverSent {
+				t.Error("a request on a connection that never opened counts as sent")
+			}
+		case event.ConnEnded:
+			ended = true
+		default:
+			t.Errorf("got %+v", e)
+		}
+	}
+}
+
 func TestAcceptedAndClosedAtOnceIsLimited(t *testing.T) {
 	l := listen(t)
 	go func() {
@@ -266,6 +287,24 @@
 	}
 }
 
+// A work order that finishes after its deadline must still be reported: its
+// outcome is recorded for callers that ask again.
+func TestLateWorkReplyIsReported(t *testing.T) {
+	started, release, execute := blocked()
+	l, _ := serve(t, &fakeTarget{execute: execute})
+	c, events := newClient(t, Config{})
+	open(t, c, events, l)
+	late := work()
+	late.Request.Deadline = time.Now().Add(time.Millisecond)
+	c.SendWork(late)
+	<-started
+	time.Sleep(time.Until(late.Request.Deadline.Add(20 * time.Millisecond)))
+	close(release)
+	if e, ok := (<-events).(event.WorkReplied); !ok {
+		t.Fatalf("got %+v, want WorkReplied", e)
+	}
+}
+
 func TestOversizeReplyFailsTheAttempt(t *testing.T) {
 	l, _ := serve(t, &fakeTarget{rowBytes: 2000})
 	c, events := newClient(t, Config{MaxMessageBytes: 1000})
--- a/entry/targetclient/conn.go
+++ b/entry/targetclient/conn.go
@@ -238,6 +238,13 @@
 	return c, c.opened && !c.ending
 }
 
+// isOpen reports whether the connection was opened and new RPCs may start.
+func (c *conn) isOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened && !c.ending
+}
+
 // finish unregisters an RPC after its report was delivered.
 func (c *conn) finish() {
 	c.mu.Lock()
