--- a/entry/callerhttp/body.go
+++ b/entry/callerhttp/body.go
@@ -1,11 +1,13 @@
 package callerhttp
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
@@ -55,10 +57,14 @@
 	DeadlineMillis *int64 `json:"deadline_ms"`
 }
 
-// decodeStrict reads exactly one JSON object into out. Unknown fields are an
-// error that names the field.
+// decodeStrict reads exactly one JSON object into out. An unknown field, a field
+// given twice and a name in other letter case are errors that name the field.
 func decodeStrict(r io.Reader, out any) error {
-	decoder := json.NewDecoder(r)
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
 		return err
@@ -66,6 +72,53 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("more data after the JSON object")
 	}
+	return checkNames(json.NewDecoder(bytes.NewReader(text)))
+}
+
+// fieldNameLetters are the characters of the names of all fields.
+const fieldNameLetters = "abcdefghijklmnopqrstuvwxyz_"
+
+// checkNames reports a field that is given twice or in other letters than its
+// name: encoding/json accepts both, and folds case by Unicode's rules. The text
+// is valid JSON with known fields.
+func checkNames(decoder *json.Decoder) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	delimiter, nested := token.(json.Delim)
+	if !nested {
+		return nil
+	}
+	seen := make(map[string]bool)
+	for decoder.More() {
+		if delimiter == '{' {
+			if err := checkName(decoder, seen); err != nil {
+				return err
+			}
+		}
+		if err := checkNames(decoder); err != nil {
+			return err
+		}
+	}
+	_, err = decoder.Token()
+	return err
+}
+
+// checkName checks the name of the next field of an object.
+func checkName(decoder *json.Decoder, seen map[string]bool) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	name, _ := token.(string)
+	if strings.Trim(name, fieldNameLetters) != "" {
+		return fmt.Errorf("unknown field %q", name)
+	}
+	if seen[name] {
+		return fmt.Errorf("field %q is given twice", name)
+	}
+	seen[name] = true
 	return nil
 }
 
--- a/entry/callerhttp/callerhttp_test.go
+++ b/entry/callerhttp/callerhttp_test.go
@@ -152,6 +152,10 @@
 		{"/v1/search", "", `{"service":"s","limt":5}`, `unknown field \"limt\"`},
 		{"/v1/search", "", `{"service":"s","conditions":[{"field":"f","operator":"~","value":""}]}`, "conditions[0].operator"},
 		{"/v1/search", "", `{"service":"s","conditions":[{"operator":"="}]}`, "conditions[0].field"},
+		{"/v1/search", "", `{"service":"s","Limit":5}`, `unknown field \"Limit\"`},
+		{"/v1/search", "", `{"ſervice":"s"}`, "unknown field"}, // U+017F folds to s.
+		{"/v1/search", "", `{"service":"s","limit":5,"limit":6}`, `field \"limit\" is given twice`},
+		{"/v1/search", "", `{"service":"s","conditions":[{"field":"f","operator":"=","field":"g"}]}`, "given twice"},
 		{"/v1/search", "", `{"service":"s"} {}`, "more data"},
 		{"/v1/search", "", `null`, "service is missing"},
 		{"/v1/search", "", ``, "EOF"},
