--- a/core/once/once.go
+++ b/core/once/once.go
@@ -37,6 +37,10 @@
 	// outageFailures is the number of store calls failed in a row after which
 	// only one call at a time probes the store.
 	outageFailures = 3
+	// trustAfter is the age at which a record that is still current shows that
+	// no other node writes the partition at present. It is longer than a claim
+	// and its outcome are usually apart.
+	trustAfter = time.Second
 	// retryBusy is the retry-after for keys that another request holds.
 	retryBusy = time.Second
 	// retryFull is the retry-after for a full record.
--- a/core/once/partition.go
+++ b/core/once/partition.go
@@ -57,14 +57,19 @@
 	revision int64
 	asOf     uint64
 	mustRead bool // rec is known or suspected to be out of date
-	claims   []*claim
-	marks    []mark
-	op       api.OpID
-	opStep   uint64
-	opEnds   time.Time
-	writing  *write // nil while op is a read
-	failures int
-	retryAt  time.Time
+	// learnedAt is when rec was learned. After a conflict on an older record the
+	// cache is distrusted: while other nodes write the partition, a read before
+	// the write costs less than a conflict.
+	learnedAt time.Time
+	distrust  bool
+	claims    []*claim
+	marks     []mark
+	op        api.OpID
+	opStep    uint64
+	opEnds    time.Time
+	writing   *write // nil while op is a read
+	failures  int
+	retryAt   time.Time
 	// conflicts counts writes lost to another node since the last success.
 	conflicts int
 }
@@ -140,11 +145,15 @@
 		return
 	}
 	c.storeAnswered(p)
-	p.learn(rec, ev.Revision)
+	if !p.mustRead && ev.Revision == p.revision && now.Sub(p.learnedAt) > trustAfter {
+		p.distrust = false
+	}
+	p.learn(now, rec, ev.Revision)
 	c.grantFound(now, p)
 }
 
-func (p *partition) learn(rec *record, revision int64) {
+func (p *partition) learn(now time.Time, rec *record, revision int64) {
+	p.learnedAt = now
 	p.rec, p.revision, p.asOf = rec, revision, p.opStep
 	p.mustRead = false
 	p.settle()
@@ -167,13 +176,14 @@
 	case event.WriteApplied:
 		c.storeAnswered(p)
 		p.conflicts = 0
-		p.learn(w.next, ev.Revision)
+		p.learn(now, w.next, ev.Revision)
 		c.grantFound(now, p)
 	case event.WriteConflict:
 		c.counts.Inc(count.Store, "claims_conflict")
 		c.storeAnswered(p)
 		p.conflicts++
 		p.mustRead = true
+		p.distrust = true
 	default:
 		c.storeFailed(now, p)
 	}
@@ -241,7 +251,7 @@
 	if p.op != 0 || !p.wanted(now) || now.Before(p.retryAt) || c.outage(now) > 0 {
 		return
 	}
-	if p.rec == nil || p.mustRead {
+	if p.rec == nil || p.mustRead || p.distrust && p.learnedAt.Before(now) {
 		c.read(now, p)
 		return
 	}
