--- a/core/confsync/store.go
+++ b/core/confsync/store.go
@@ -205,8 +205,10 @@
 }
 
 // sameLine reports whether a document that is not older continues the adopted
-// one: same change at the adopted position, as far as its history shows. A
+// one: the same change at the adopted revision, as far as its history shows. A
 // document of a newer generation always does, because an operator decided so.
+// The comparison is by revision alone: two recoveries of different copies give
+// the same generation to different lines.
 func (s *Syncer) sameLine(doc *config.Document) bool {
 	if s.doc == nil || doc.Generation > s.doc.Generation {
 		return true
@@ -215,11 +217,12 @@
 	if head == nil {
 		return true
 	}
-	c := doc.ChangeAt(s.doc.Position())
-	if c == nil {
-		return doc.Revision > s.doc.Revision
+	for i := range doc.History {
+		if c := &doc.History[i]; c.Revision == head.Revision {
+			return c.Position() == head.Position() && c.ID == head.ID && c.Digest == head.Digest
+		}
 	}
-	return c.ID == head.ID && c.Digest == head.Digest
+	return doc.Revision > s.doc.Revision
 }
 
 // adopt moves to a newer document. Documents at or before the adopted position
--- a/core/confsync/watch.go
+++ b/core/confsync/watch.go
@@ -66,9 +66,9 @@
 	s.emit(event.WatchStore{Op: s.watch.id, Key: Key, After: after})
 }
 
-func (s *Syncer) closeWatch() {
+func (s *Syncer) closeWatch(now time.Time) {
 	s.emit(event.CancelWatch{Op: s.watch.id})
-	s.forget(s.watch)
+	s.watch.deadline = now // remembered for late news, see expireOps
 	s.watch = nil
 }
 
@@ -81,12 +81,12 @@
 		return
 	}
 	if !s.watcher {
-		s.closeWatch()
+		s.closeWatch(now)
 		return
 	}
 	if now.Sub(s.watchHeard) >= WatchSilence {
 		s.counts.Inc(count.Store, countWatchSilent)
-		s.closeWatch()
+		s.closeWatch(now)
 		if s.polling == nil {
 			s.nextPoll = now
 		}
