Let settings choose how searches treat slow parts

The measurements need baselines in the same program: wait for all parts, a fixed time-out with one retry, and a hedge at a fixed delay without a budget. Ruled out: forks of the code per baseline.

--- a/core/fanout/plan.go
+++ b/core/fanout/plan.go
@@ -49,6 +49,19 @@
 	return 2
 }
 
+// SlowParts says what a search does about a part that is not answered within the
+// hedge delay. All but HedgeSlow are baselines to measure against.
+type SlowParts uint8
+
+const (
+	// HedgeSlow sends a second attempt and takes the first answer.
+	HedgeSlow SlowParts = iota
+	// WaitForSlow waits until the deadline.
+	WaitForSlow
+	// ReplaceSlow gives the attempt up and sends another one, once.
+	ReplaceSlow
+)
+
 // Plan fixes what a search runs with.
 type Plan struct {
 	Request     api.RequestID
@@ -66,6 +79,7 @@
 	// Deadline is when the answer must leave the node.
 	Deadline   time.Time
 	HedgeDelay time.Duration
+	SlowParts  SlowParts
 	Mode       CanaryMode
 	// Canaries are the candidates in order; empty with NoCanary.
 	Canaries []Canary
--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -205,6 +205,9 @@
 // hedge sends a second attempt for a part whose only attempt is slow.
 func (q *Query) hedge(now time.Time, i int) {
 	p := &q.parts[i]
+	if q.SlowParts == WaitForSlow {
+		return
+	}
 	if p.hedged || len(p.live) != 1 || p.sent >= maxAttempts {
 		return
 	}
@@ -227,7 +230,10 @@
 		return
 	}
 	p.hedged = true
-	q.env.Count(count.Hedged, api.ReasonNone)
+	q.env.Count(count.Hedged, "slow")
+	if q.SlowParts == ReplaceSlow {
+		q.cancelPart(p)
+	}
 	q.started(now, i, sent, false)
 }
 
--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -201,7 +201,7 @@
 
 // SpendExtra implements fanout.Env.
 func (n *Node) SpendExtra(now time.Time, service api.ServiceName) bool {
-	return n.budget.Spend(now, service)
+	return n.settings.Policy.NoBudget || n.budget.Spend(now, service)
 }
 
 // Count implements fanout.Env.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/baobabsail/baobabsail/core/connhealth"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/fanout"
 	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/limit"
 	"github.com/baobabsail/baobabsail/core/once"
@@ -37,6 +38,17 @@
 	VM         api.VMName
 	Peers      []Peer
 	Seed       uint64
+	Policy     Policy
+}
+
+// Policy says how searches treat slow parts. The zero value is the design's;
+// the others serve as baselines for measurements.
+type Policy struct {
+	SlowParts fanout.SlowParts
+	// HedgeDelay replaces the delay from the latency quantile if not 0.
+	HedgeDelay time.Duration
+	// NoBudget sends retries and hedges without a bound.
+	NoBudget bool
 }
 
 // Node is one entry node.
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -108,7 +108,7 @@
 	}
 	plan := Plan{
 		Deadline:     rule.Deadline,
-		HedgeDelay:   n.delay.Hedge(name, rule.Deadline),
+		HedgeDelay:   n.hedgeDelay(name, rule.Deadline),
 		BudgetTokens: n.budget.Tokens(name),
 		Canary:       rule.Canary && !n.quarantine.Known(s.fingerprint),
 	}
--- a/core/node/search.go
+++ b/core/node/search.go
@@ -216,7 +216,8 @@
 		Limit:       s.limit(),
 		Start:       now,
 		Deadline:    s.deadline.Add(-min(left/answerMargin, answerMarginMost)),
-		HedgeDelay:  n.delay.Hedge(s.service(), left),
+		HedgeDelay:  n.hedgeDelay(s.service(), left),
+		SlowParts:   n.settings.Policy.SlowParts,
 	}
 	if s.arrived.Search.EarlyReturn != nil {
 		p.EarlyReturn = *s.arrived.Search.EarlyReturn
@@ -234,6 +235,13 @@
 	return p
 }
 
+func (n *Node) hedgeDelay(service api.ServiceName, left time.Duration) time.Duration {
+	if fixed := n.settings.Policy.HedgeDelay; fixed > 0 {
+		return fixed
+	}
+	return n.delay.Hedge(service, left)
+}
+
 func (s *search) limit() int {
 	asked := s.arrived.Search.Query.Limit
 	if asked <= 0 || asked > s.rule.MaxRows {
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -249,7 +249,7 @@
 func (n *Node) workRefused(now time.Time, w *work, reply *api.WorkReply) {
 	w.state = workReady
 	w.reason = reply.Outcome.Reason()
-	if w.probation || w.sent >= maxWorkAttempts || !n.budget.Spend(now, w.arrived.Work.Service) {
+	if w.probation || w.sent >= maxWorkAttempts || !n.SpendExtra(now, w.arrived.Work.Service) {
 		n.giveUpWork(now, w, w.reason, max(reply.RetryAfter, comeBackAfter))
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/fanout"
 	"github.com/baobabsail/baobabsail/core/node"
 	"github.com/baobabsail/baobabsail/entry/callerhttp"
 	"github.com/baobabsail/baobabsail/entry/driver"
@@ -162,6 +163,12 @@
 	return func(s node.Settings) driver.Node { return node.New(s) }
 }
 
+var slowParts = map[settings.SlowParts]fanout.SlowParts{
+	"hedge":   fanout.HedgeSlow,
+	"wait":    fanout.WaitForSlow,
+	"replace": fanout.ReplaceSlow,
+}
+
 func nodeSettings(s *settings.Settings, address string) node.Settings {
 	out := node.Settings{
 		Name:       api.EntryName(s.Name),
@@ -170,6 +177,11 @@
 		DataCentre: api.DataCentre(s.DataCentre),
 		VM:         api.VMName(s.VM),
 		Seed:       s.Seed,
+		Policy: node.Policy{
+			SlowParts:  slowParts[s.Policy.SlowParts],
+			HedgeDelay: s.Policy.HedgeDelay.Std(),
+			NoBudget:   s.Policy.Budget == "unbounded",
+		},
 	}
 	if out.Seed == 0 {
 		out.Seed = randomNumber()
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -23,6 +23,7 @@
 	Limits     Limits    `json:"limits"`
 	Shutdown   Shutdown  `json:"shutdown"`
 	Telemetry  Telemetry `json:"telemetry"`
+	Policy     Policy    `json:"policy"`
 	LogLevel   LogLevel  `json:"log_level"`
 	// Seed makes the node's random choices repeatable; 0 draws one at start.
 	Seed uint64 `json:"seed"`
@@ -75,6 +76,16 @@
 	CounterLogInterval Duration `json:"counter_log_interval"`
 }
 
+// Policy says how searches treat slow parts. Other values than the defaults are
+// baselines for measurements.
+type Policy struct {
+	SlowParts SlowParts `json:"slow_parts"`
+	// HedgeDelay replaces the delay from the latency quantile if not 0.
+	HedgeDelay Duration `json:"hedge_delay"`
+	// Budget bounds retries and hedges.
+	Budget Budget `json:"budget"`
+}
+
 // Defaults returns the settings that a file overrides.
 func Defaults() *Settings {
 	return &Settings{
@@ -92,6 +103,7 @@
 			TotalLimit: Duration(60 * time.Second),
 		},
 		Telemetry: Telemetry{CounterLogInterval: Duration(time.Minute)},
+		Policy:    Policy{SlowParts: "hedge", Budget: "bounded"},
 		LogLevel:  "info",
 	}
 }
--- a/entry/settings/values.go
+++ b/entry/settings/values.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/units"
@@ -75,12 +77,31 @@
 type LogLevel string
 
 func (l *LogLevel) parse(text string) error {
-	switch text {
-	case "debug", "info", "warn", "error":
-		*l = LogLevel(text)
+	*l = LogLevel(text)
+	return oneOf(text, "debug", "info", "warn", "error")
+}
+
+// SlowParts is hedge, wait or replace.
+type SlowParts string
+
+func (p *SlowParts) parse(text string) error {
+	*p = SlowParts(text)
+	return oneOf(text, "hedge", "wait", "replace")
+}
+
+// Budget is bounded or unbounded.
+type Budget string
+
+func (b *Budget) parse(text string) error {
+	*b = Budget(text)
+	return oneOf(text, "bounded", "unbounded")
+}
+
+func oneOf(text string, allowed ...string) error {
+	if slices.Contains(allowed, text) {
 		return nil
 	}
-	return fmt.Errorf("%q is not one of debug, info, warn, error", text)
+	return fmt.Errorf("%q is not one of %s", text, strings.Join(allowed, ", "))
 }
 
 // ListenAddress is the IP:port of a listener; port 0 lets the kernel choose.
