gossip: members, notices and the periodic exchange

Small groups list every member in each message, and a silent one is dropped after 5 s. At 570 members 4 KB/s do not carry a heartbeat of each within 5 s (114 refreshes/s of 20 bytes, several times over), so messages carry life and heartbeat of the members heard last, and the time after which a member is dropped grows with the group: 5 s up to 22 members, 124 s at 570. New members and notices are told first, a node without members gets the whole list, and one whose list stays incomplete asks for it.

A fault found by TestStateful: a node that answered before its first Tick sent heartbeat 0, and a list entry of its earlier life then displaced it for good. Trials without a mechanism, all rejected by the tests: contact with lost addresses, memory of ended lives, repeated notices, dropping of silent members.

--- a/core/gossip/exchange.go
+++ b/core/gossip/exchange.go
@@ -37,16 +37,37 @@
 	messageBudget = 440
 	// noticeBudget is the part of messageBudget that notices may take.
 	noticeBudget = 200
+	// coldBudget is the part of noticeBudget for notices that are not new.
+	coldBudget = 70
 	// hotRounds is how many periodic rounds repeat a new notice first.
 	hotRounds = 8
 	// noticeLimit bounds the notices held.
 	noticeLimit = 4_096
+	// joinBudget bounds the bytes of a periodic message that newly joined members
+	// take beyond messageBudget. It is used for seconds after a join only; a
+	// whole fleet that starts at once needs it to be known within a minute.
+	joinBudget = 4_096
+	// joinRounds is how many messages of each node tell a new member.
+	joinRounds = 8
+	// bulkEntries is the length above which a received list is a welcome, whose
+	// members are not news for others.
+	bulkEntries = 100
+	// incomplete is how long refreshes of members that are not listed are seen
+	// before the whole list is asked for. A new member is usually known
+	// everywhere sooner.
+	incomplete = 5 * time.Second
+	// welcomeNotices bounds the notices in the answer to a node that knows no
+	// members yet, which holds the whole list.
+	welcomeNotices = 16_384
+	// sampleSize is the number of members of which a message takes those heard
+	// last.
+	sampleSize = 40
 	// fullEntries is the number of complete member entries that a message to a
 	// large group carries; the rest are refreshes of life and heartbeat only.
-	fullEntries = 2
+	fullEntries = 1
 	// sightings is how many refreshes of each member a node should receive
 	// within the time after which it drops a silent one.
-	sightings = 12
+	sightings = 14
 )
 
 // Seed is an address to try when no member is known.
@@ -80,25 +101,29 @@
 // Exchange keeps the member list and the notices of one node. It is not safe
 // for concurrent use.
 type Exchange struct {
-	self    Member
-	seeds   []Seed
-	rng     *rand.Rand
-	counts  *count.Set
-	peers   map[api.EntryName]*peer
-	names   []api.EntryName // keys of peers in ascending order
-	byLife  map[api.Life]api.EntryName
-	lost    []lostPeer
-	buried  map[api.Life]burial
-	notices notices
-	next    time.Time // next periodic exchange
-	round   uint64
-	cursor  int // next member to list
-	leaving map[api.EntryName]bool
+	self      Member
+	seeds     []Seed
+	rng       *rand.Rand
+	counts    *count.Set
+	peers     map[api.EntryName]*peer
+	names     []api.EntryName // keys of peers in ascending order
+	byLife    map[api.Life]api.EntryName
+	byAddress map[string]api.EntryName
+	lost      []lostPeer
+	buried    map[api.Life]burial
+	notices   notices
+	next      time.Time // next periodic exchange
+	round     uint64
+	leaving   map[api.EntryName]bool
+	// unknownFirst and unknownLast are the first and last time of a series of
+	// refreshes of members that are not listed.
+	unknownFirst, unknownLast time.Time
 }
 
 type peer struct {
 	Member
 	heard time.Time // when the heartbeat last grew
+	hot   int       // messages that still tell it as a newly joined member
 }
 
 type lostPeer struct {
@@ -119,11 +144,12 @@
 func New(self Member, seeds []Seed, rng *rand.Rand, counts *count.Set) *Exchange {
 	return &Exchange{
 		self: self, seeds: slices.Clone(seeds), rng: rng, counts: counts,
-		peers:   make(map[api.EntryName]*peer),
-		byLife:  make(map[api.Life]api.EntryName),
-		buried:  make(map[api.Life]burial),
-		notices: newNotices(),
-		leaving: make(map[api.EntryName]bool),
+		peers:     make(map[api.EntryName]*peer),
+		byLife:    make(map[api.Life]api.EntryName),
+		byAddress: make(map[string]api.EntryName),
+		buried:    make(map[api.Life]burial),
+		notices:   newNotices(),
+		leaving:   make(map[api.EntryName]bool),
 	}
 }
 
@@ -134,6 +160,14 @@
 	x.self.Heartbeat = max(x.self.Heartbeat+1, uint64(max(now.UnixMilli(), 0)))
 }
 
+// ensureBeat sets the heartbeat of a node that answers before its first Tick. A
+// heartbeat of 0 would lose against an entry of an earlier life.
+func (x *Exchange) ensureBeat(now time.Time) {
+	if x.self.Heartbeat == 0 {
+		x.beat(now)
+	}
+}
+
 // Tick runs the periodic exchange when it is due.
 func (x *Exchange) Tick(now time.Time) []Send {
 	if now.Before(x.next) {
@@ -166,7 +200,10 @@
 
 // pick returns up to n random live peers other than except.
 func (x *Exchange) pick(n int, except api.EntryName) []api.EntryName {
-	pool := slices.DeleteFunc(slices.Clone(x.names), func(name api.EntryName) bool { return name == except })
+	pool := slices.Clone(x.names)
+	if i, found := slices.BinarySearch(pool, except); found {
+		pool = slices.Delete(pool, i, i+1)
+	}
 	n = min(n, len(pool))
 	for i := range n {
 		j := i + x.rng.IntN(len(pool)-i)
@@ -182,6 +219,9 @@
 		return Send{}, false
 	}
 	x.lost = slices.DeleteFunc(x.lost, func(l lostPeer) bool { return now.Sub(l.since) > lostTime })
+	if len(x.seeds) == 0 && len(x.lost) == 0 {
+		return Send{}, false
+	}
 	live := map[string]bool{x.self.Address: true}
 	for _, name := range x.names {
 		live[x.peers[name].Address] = true
@@ -207,6 +247,7 @@
 // Publish takes new notices of this node and pushes them. Notices that are not
 // new are ignored.
 func (x *Exchange) Publish(now time.Time, ns ...Notice) []Send {
+	x.ensureBeat(now)
 	var fresh []Notice
 	for _, n := range ns {
 		if x.notices.add(now, n) {
@@ -234,7 +275,9 @@
 	}
 	var sends []Send
 	for _, name := range x.pick(n, except) {
-		sends = append(sends, x.send(name, x.peers[name].Address, Message{From: x.self, Notices: slices.Clone(fresh)}))
+		m := x.direct(x.peers[name])
+		m.Notices = slices.Clone(fresh)
+		sends = append(sends, x.send(name, x.peers[name].Address, m))
 	}
 	return sends
 }
@@ -246,9 +289,14 @@
 		return out
 	}
 	x.counts.Inc(count.Peer, "received")
-	out.MembersChanged = x.hear(now, m.From)
+	x.ensureBeat(now)
+	out.MembersChanged = x.hear(now, m.From, joinRounds, true)
+	hot := joinRounds
+	if len(m.Members) > bulkEntries {
+		hot = 0
+	}
 	for _, member := range m.Members {
-		if x.hear(now, x.complete(member)) {
+		if x.hear(now, x.complete(now, member), hot, false) {
 			out.MembersChanged = true
 		}
 	}
@@ -258,6 +306,12 @@
 		}
 	}
 	out.Sends = x.push(out.Fresh, m.From.Name)
+	if len(m.Members) == 0 {
+		out.Sends = append(out.Sends, x.welcome(now, m.From)...)
+	}
+	if x.asksForList(now) {
+		out.Sends = append(out.Sends, x.send(m.From.Name, m.From.Address, Message{From: x.self}))
+	}
 	if out.MembersChanged {
 		x.notices.heatAll()
 	}
@@ -280,7 +334,7 @@
 	}
 	var sends []Send
 	for _, name := range x.pick(n, "") {
-		sends = append(sends, x.send(name, x.peers[name].Address, Message{From: x.self}))
+		sends = append(sends, x.send(name, x.peers[name].Address, x.direct(x.peers[name])))
 	}
 	return sends
 }
--- a/core/gossip/members.go
+++ b/core/gossip/members.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,15 +47,17 @@
 // the traffic bound limits the refreshes per second, and the time grows with
 // the number of members so that each is still expected sightings times.
 func (x *Exchange) dropAfter() time.Duration {
-	perMessage := (messageBudget - noticeBudget - sizeOfMember(x.self)) / refreshSize
+	perMessage := (messageBudget - coldBudget - sizeOfMember(x.self)) / refreshSize
 	perSecond := float64(exchangePeers*(perMessage+1)) / Interval.Seconds()
 	need := time.Duration(sightings * float64(len(x.names)) / perSecond * float64(time.Second))
 	return max(silence, need)
 }
 
 // hear takes what a message says about a member and reports whether the list
-// changed in more than a heartbeat.
-func (x *Exchange) hear(now time.Time, m Member) bool {
+// changed in more than a heartbeat. hot is the number of messages that pass a
+// new member on. A life replaced by one that spoke itself is gone for good; one
+// replaced by an entry of a list, which may be old, can return.
+func (x *Exchange) hear(now time.Time, m Member, hot int, direct bool) bool {
 	if m.Name == "" || m.Address == "" || m.Life == x.self.Life {
 		return false
 	}
@@ -65,6 +68,8 @@
 		return false
 	}
 	if known := x.peers[m.Name]; known != nil && known.Life == m.Life {
+		delete(x.byAddress, known.Address)
+		x.byAddress[m.Address] = m.Name
 		return known.refresh(now, m)
 	}
 	for _, old := range x.rivals(m) {
@@ -73,11 +78,12 @@
 		}
 	}
 	for _, old := range x.rivals(m) {
-		x.bury(now, old, true)
+		x.bury(now, old, direct)
 	}
 	delete(x.buried, m.Life)
-	x.peers[m.Name] = &peer{Member: m, heard: now}
+	x.peers[m.Name] = &peer{Member: m, heard: now, hot: hot}
 	x.byLife[m.Life] = m.Name
+	x.byAddress[m.Address] = m.Name
 	i, _ := slices.BinarySearch(x.names, m.Name)
 	x.names = slices.Insert(x.names, i, m.Name)
 	x.counts.Inc(count.Peer, "joined")
@@ -87,10 +93,11 @@
 // rivals returns the live members that have the name or the address of m.
 func (x *Exchange) rivals(m Member) []*peer {
 	var out []*peer
-	for _, name := range x.names {
-		if p := x.peers[name]; name == m.Name || p.Address == m.Address {
-			out = append(out, p)
-		}
+	if p := x.peers[m.Name]; p != nil {
+		out = append(out, p)
+	}
+	if p := x.peers[x.byAddress[m.Address]]; p != nil && p.Name != m.Name {
+		out = append(out, p)
 	}
 	return out
 }
@@ -111,6 +118,7 @@
 	x.names = slices.Delete(x.names, i, i+1)
 	delete(x.peers, p.Name)
 	delete(x.byLife, p.Life)
+	delete(x.byAddress, p.Address)
 	x.buried[p.Life] = burial{heartbeat: p.Heartbeat, replaced: replaced, at: now}
 	if !replaced {
 		x.lost = slices.DeleteFunc(x.lost, func(l lostPeer) bool { return l.address == p.Address })
@@ -135,12 +143,13 @@
 }
 
 // complete fills in a refresh, which has only a life and a heartbeat.
-func (x *Exchange) complete(m Member) Member {
+func (x *Exchange) complete(now time.Time, m Member) Member {
 	if m.Name != "" {
 		return m
 	}
 	name, ok := x.byLife[m.Life]
 	if !ok {
+		x.missing(now, m)
 		return Member{}
 	}
 	full := x.peers[name].Member
@@ -149,18 +158,51 @@
 	return full
 }
 
-// periodic returns the message of the periodic exchange, within messageBudget.
+// missing notes a refresh of a member that is not listed.
+func (x *Exchange) missing(now time.Time, m Member) {
+	b, gone := x.buried[m.Life]
+	if m.Life == x.self.Life || gone && (b.replaced || m.Heartbeat <= b.heartbeat) {
+		return
+	}
+	if now.Sub(x.unknownLast) > max(incomplete, x.dropAfter()/4) {
+		x.unknownFirst = now
+	}
+	x.unknownLast = now
+}
+
+// asksForList reports whether the list has been incomplete for a while. It does
+// so once for each series of refreshes.
+func (x *Exchange) asksForList(now time.Time) bool {
+	if x.unknownLast.IsZero() || x.unknownLast.Sub(x.unknownFirst) < incomplete {
+		return false
+	}
+	x.unknownFirst, x.unknownLast = time.Time{}, time.Time{}
+	return true
+}
+
+// periodic returns the message of the periodic exchange. Members that joined
+// lately come first and complete, within joinBudget; the rest stays within
+// messageBudget.
 func (x *Exchange) periodic(now time.Time) Message {
 	m := Message{From: x.self}
+	m.Notices = x.notices.choose(now, noticeBudget, coldBudget, x.rng)
+	m.Members = x.joined()
 	size := sizeOfMember(x.self)
-	m.Notices = x.notices.choose(now, noticeBudget, x.rng)
 	for _, n := range m.Notices {
 		size += sizeOfNotice(n)
 	}
-	for i := range x.names {
-		p := x.peers[x.names[(x.cursor+i)%len(x.names)]]
+	// What was heard last is the most likely to be news for the receiver.
+	pool := make([]*peer, 0, sampleSize)
+	for _, name := range x.pick(sampleSize, "") {
+		if p := x.peers[name]; p.hot == 0 {
+			pool = append(pool, p)
+		}
+	}
+	slices.SortStableFunc(pool, func(a, b *peer) int { return b.heard.Compare(a.heard) })
+	full := fullEntries
+	for _, p := range pool {
 		entry := p.Member
-		if i >= fullEntries && size+sizeOfMember(entry)+(len(x.names)-i-1)*refreshSize > messageBudget {
+		if full--; full < 0 {
 			entry = Member{Life: p.Life, Heartbeat: p.Heartbeat, Leaving: p.Leaving}
 		}
 		if size += sizeOfMember(entry); size > messageBudget {
@@ -168,13 +210,51 @@
 		}
 		m.Members = append(m.Members, entry)
 	}
-	if n := len(x.names); n > 0 {
-		// A random step keeps two nodes from listing the same members in step.
-		x.cursor = (x.cursor + max(1, len(m.Members)) + x.rng.IntN(2)) % n
-	}
 	return m
 }
 
+// joined returns members that joined lately, those told least often first.
+func (x *Exchange) joined() []Member {
+	var pool []*peer
+	for _, name := range x.names {
+		if p := x.peers[name]; p.hot > 0 {
+			pool = append(pool, p)
+		}
+	}
+	x.rng.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	slices.SortStableFunc(pool, func(a, b *peer) int { return cmp.Compare(b.hot, a.hot) })
+	var out []Member
+	size := 0
+	for _, p := range pool {
+		if size += sizeOfMember(p.Member); size > joinBudget {
+			break
+		}
+		p.hot--
+		out = append(out, p.Member)
+	}
+	return out
+}
+
+// welcome returns the whole list for a node that knows no members yet.
+func (x *Exchange) welcome(now time.Time, to Member) []Send {
+	m := Message{From: x.self, Notices: x.notices.choose(now, welcomeNotices, welcomeNotices, x.rng)}
+	for _, name := range x.names {
+		if p := x.peers[name]; name != to.Name {
+			m.Members = append(m.Members, p.Member)
+		}
+	}
+	if len(m.Members) == 0 {
+		return nil
+	}
+	return []Send{x.send(to.Name, to.Address, m)}
+}
+
+// direct returns a message outside the periodic exchange. It names its receiver
+// as a member, since an empty list asks for a welcome.
+func (x *Exchange) direct(to *peer) Message {
+	return Message{From: x.self, Members: []Member{{Life: to.Life, Heartbeat: to.Heartbeat}}}
+}
+
 // Sizes of the protobuf encoding in bytes: tags, lengths and fixed-width
 // fields. Varints are counted at the width that real values have.
 const (
--- a/core/gossip/notices.go
+++ b/core/gossip/notices.go
@@ -132,8 +132,8 @@
 }
 
 // choose returns notices within a budget of bytes: those with the most rounds
-// left first, random ones among equals.
-func (h *notices) choose(now time.Time, budget int, rng *rand.Rand) []Notice {
+// left first, random ones among equals, and not new ones within cold bytes.
+func (h *notices) choose(now time.Time, budget, cold int, rng *rand.Rand) []Notice {
 	pool := make([]*held, 0, len(h.order))
 	for _, s := range h.order {
 		if e := h.bySubject[s]; now.Before(e.until) {
@@ -146,6 +146,10 @@
 	for _, e := range pool {
 		n := e.notice
 		n.TimeToLive = e.until.Sub(now)
+		if e.rounds == 0 {
+			budget = min(budget, cold)
+			cold -= sizeOfNotice(n)
+		}
 		if budget -= sizeOfNotice(n); budget < 0 {
 			break
 		}
