--- a/core/node/control.go
+++ b/core/node/control.go
@@ -124,10 +124,19 @@
 		panic("an adopted change cannot be encoded: " + err.Error())
 	}
 	for _, m := range n.pushTargets(now) {
-		n.sendPeer(m.Name, m.Address, gossip.Message{From: n.peers.Self(), Changes: [][]byte{change}})
+		message := n.ownMessage()
+		message.Changes = [][]byte{change}
+		n.sendPeer(m.Name, m.Address, message)
 	}
 }
 
+// ownMessage returns a message that is not part of the member exchange. It lists
+// this node as a member, because an empty list asks the receiver for all members.
+func (n *Node) ownMessage() gossip.Message {
+	self := n.peers.Self()
+	return gossip.Message{From: self, Members: []gossip.Member{self}}
+}
+
 // pushTargets returns the peers that news is pushed to.
 func (n *Node) pushTargets(now time.Time) []gossip.Member {
 	var others []gossip.Member
@@ -189,9 +198,9 @@
 	if reply.Want == nil && len(reply.Changes) == 0 && len(reply.Document) == 0 {
 		return
 	}
-	n.sendPeer(m.From.Name, m.From.Address, gossip.Message{
-		From: n.peers.Self(), Changes: reply.Changes, Document: reply.Document, WantAfter: reply.Want,
-	})
+	message := n.ownMessage()
+	message.Changes, message.Document, message.WantAfter = reply.Changes, reply.Document, reply.Want
+	n.sendPeer(m.From.Name, m.From.Address, message)
 }
 
 // learnNotice acts on a notice of a peer.
