Report readiness only when the connections to targets are open

Cause: a fresh node with a configuration counted as ready although it had no connection yet, so the first searches after a replacement were refused with no_connection. Ruled out: waiting without a bound; targets that are down would keep every node out of service, so the wait ends after 2 s.

--- a/core/node/control.go
+++ b/core/node/control.go
@@ -68,6 +68,9 @@
 		return
 	}
 	before := n.document
+	if before == nil {
+		n.configuredAt = now
+	}
 	n.document = doc
 	n.replicas.Configure(now, doc)
 	n.concurrent.Configure(doc)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -97,6 +97,9 @@
 
 	refreshAt time.Time // when the notices of the quarantine are refreshed next
 
+	configuredAt time.Time // when the first document was adopted
+	ready        bool
+
 	started  bool
 	shutdown shutdown
 }
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -21,6 +21,18 @@
 	return zero, false
 }
 
+// Guards against a balancer that sends to a node without configuration.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	n := New(Settings{Name: "e1", Life: 1, Seed: 1})
+	if got := n.NotReady(start); got != api.ReasonNoConfiguration {
+		t.Fatalf("not ready because of %q", got)
+	}
+	n.Step(start, event.ShutdownStarted{})
+	if got := n.NotReady(start); got != api.ReasonShuttingDown {
+		t.Fatalf("not ready because of %q", got)
+	}
+}
+
 // Guards against a request that hangs at a node without configuration.
 func TestRequestsBeforeConfigurationAreRefusedAtOnce(t *testing.T) {
 	n := New(Settings{Name: "e1", Life: 1, Seed: 1})
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -11,6 +11,38 @@
 	"github.com/baobabsail/baobabsail/core/quarantine"
 )
 
+// readyAfter is how long a node with a configuration waits for its connections
+// before it counts as ready all the same: targets that are down must not keep
+// every node out of service.
+const readyAfter = 2 * time.Second
+
+// NotReady returns why the balancer should not send requests to this node yet,
+// or ReasonNone. Once ready, a node stays so until its shutdown.
+func (n *Node) NotReady(now time.Time) api.Reason {
+	switch {
+	case n.shutdown.started:
+		return api.ReasonShuttingDown
+	case n.ready:
+		return api.ReasonNone
+	case n.document == nil:
+		return api.ReasonNoConfiguration
+	case now.Sub(n.configuredAt) < readyAfter && !n.connected():
+		return api.ReasonNoConnection
+	}
+	n.ready = true
+	return api.ReasonNone
+}
+
+// connected reports whether each replica has a connection.
+func (n *Node) connected() bool {
+	for name := range n.document.Replicas {
+		if n.conns.Open(name) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // ReplicaStatus is what a node knows about one replica.
 type ReplicaStatus struct {
 	Name        api.ReplicaName
--- a/entry/callerhttp/callerhttp_test.go
+++ b/entry/callerhttp/callerhttp_test.go
@@ -40,8 +40,16 @@
 	f.caller = c
 	return f.work
 }
-func (f *fakeRequests) Configured() bool   { return !f.empty }
 func (f *fakeRequests) ShuttingDown() bool { return f.leaving }
+func (f *fakeRequests) NotReady() api.Reason {
+	switch {
+	case f.leaving:
+		return api.ReasonShuttingDown
+	case f.empty:
+		return api.ReasonNoConfiguration
+	}
+	return api.ReasonNone
+}
 
 func handler(t testing.TB, f *fakeRequests, counts *telemetry.Counts) http.Handler {
 	t.Helper()
--- a/entry/callerhttp/server.go
+++ b/entry/callerhttp/server.go
@@ -21,8 +21,8 @@
 type Requests interface {
 	Search(ctx context.Context, caller api.CallerID, search api.Search, deadline time.Time) api.SearchAnswer
 	Work(ctx context.Context, caller api.CallerID, work api.Work, deadline time.Time) api.WorkAnswer
-	// Configured reports whether the node has a configuration document.
-	Configured() bool
+	// NotReady returns why the balancer should not send requests, or ReasonNone.
+	NotReady() api.Reason
 	ShuttingDown() bool
 }
 
@@ -97,17 +97,11 @@
 }
 
 func (s *server) ready(ctx iris.Context) {
-	switch {
-	case s.Requests.ShuttingDown():
-		s.notReady(ctx, api.ReasonShuttingDown)
-	case !s.Requests.Configured():
-		s.notReady(ctx, api.ReasonNoConfiguration)
-	default:
+	reason := s.Requests.NotReady()
+	if reason == api.ReasonNone {
 		ctx.StatusCode(http.StatusOK)
+		return
 	}
-}
-
-func (s *server) notReady(ctx iris.Context, reason api.Reason) {
 	ctx.StatusCode(http.StatusServiceUnavailable)
 	_, _ = ctx.WriteString(string(reason))
 }
--- a/entry/driver/driver.go
+++ b/entry/driver/driver.go
@@ -39,6 +39,7 @@
 	Wake() time.Time
 	Counts() *count.Set
 	Document() *config.Document
+	NotReady(now time.Time) api.Reason
 	Status(now time.Time) node.Status
 	Explain(now time.Time, search api.Search) node.Plan
 }
@@ -104,7 +105,7 @@
 	stopped chan struct{} // closed on the node's Stopped action
 	nextID  atomic.Uint64
 
-	configured   atomic.Bool
+	notReady     atomic.Value // api.Reason
 	shuttingDown atomic.Bool
 	stopOnce     sync.Once
 
@@ -136,6 +137,7 @@
 		pending: make(map[api.RequestID]func(event.Action)),
 		watches: make(map[api.OpID]context.CancelFunc),
 	}
+	d.notReady.Store(api.ReasonNoConfiguration)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -190,7 +192,7 @@
 	for _, a := range actions {
 		d.execute(a)
 	}
-	d.configured.Store(d.config.Node.Document() != nil)
+	d.notReady.Store(d.config.Node.NotReady(time.Now()))
 }
 
 // Report delivers an event to the node and waits for room in the inbox. After
@@ -217,8 +219,13 @@
 	}
 }
 
-// Configured reports whether the node has a configuration document.
-func (d *Driver) Configured() bool { return d.configured.Load() }
+// NotReady returns why the balancer should not send requests, or ReasonNone.
+func (d *Driver) NotReady() api.Reason {
+	if d.shuttingDown.Load() {
+		return api.ReasonShuttingDown
+	}
+	return d.notReady.Load().(api.Reason)
+}
 
 // ShuttingDown reports whether Shutdown was called.
 func (d *Driver) ShuttingDown() bool { return d.shuttingDown.Load() }
--- a/entry/driver/driver_test.go
+++ b/entry/driver/driver_test.go
@@ -27,6 +27,7 @@
 func (f *fakeNode) Wake() time.Time                             { return f.wake }
 func (f *fakeNode) Counts() *count.Set                          { return count.NewSet() }
 func (f *fakeNode) Document() *config.Document                  { return &config.Document{Revision: 7} }
+func (f *fakeNode) NotReady(time.Time) api.Reason               { return api.ReasonNone }
 func (f *fakeNode) Status(time.Time) node.Status                { return node.Status{} }
 func (f *fakeNode) Explain(time.Time, api.Search) (p node.Plan) { return p }
 
@@ -85,8 +86,8 @@
 		})
 	}
 	both.Wait()
-	if !d.Configured() {
-		t.Error("the document is not seen")
+	if got := d.NotReady(); got != api.ReasonNone {
+		t.Errorf("not ready because of %q", got)
 	}
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -64,6 +64,7 @@
 func (n *holdingNode) Wake() time.Time                             { return time.Time{} }
 func (n *holdingNode) Counts() *count.Set                          { return count.NewSet() }
 func (n *holdingNode) Document() *config.Document                  { return &config.Document{} }
+func (n *holdingNode) NotReady(time.Time) api.Reason               { return api.ReasonNone }
 func (n *holdingNode) Status(time.Time) node.Status                { return node.Status{} }
 func (n *holdingNode) Explain(time.Time, api.Search) (p node.Plan) { return p }
 
--- a/entry/operatorhttp/operatorhttp_test.go
+++ b/entry/operatorhttp/operatorhttp_test.go
@@ -41,6 +41,7 @@
 func (f *fakeNode) Wake() time.Time                            { return time.Time{} }
 func (f *fakeNode) Counts() *count.Set                         { return count.NewSet() }
 func (f *fakeNode) Document() *config.Document                 { return f.doc }
+func (f *fakeNode) NotReady(time.Time) api.Reason              { return api.ReasonNone }
 func (f *fakeNode) Status(time.Time) node.Status {
 	return node.Status{Name: "n", Replicas: []node.ReplicaStatus{{Name: "r1", Usable: true, Latency: time.Millisecond}}}
 }
