--- a/standin/target/settings.go
+++ b/standin/target/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -22,6 +23,35 @@
 	Versions []uint64 `json:"versions,omitempty"`
 }
 
+// EvenShards divides the hash range into Count shards of equal size, named s000,
+// s001 and so on. The target holds those from From up to but not including To;
+// To 0 stands for Count.
+type EvenShards struct {
+	Epoch uint64 `json:"epoch"`
+	Count int    `json:"count"`
+	From  int    `json:"from"`
+	To    int    `json:"to"`
+}
+
+// shards returns the shards held.
+func (e *EvenShards) shards() []Shard {
+	const hashes = 1 << 32
+	end := func(i int) uint64 { return uint64(i) * hashes / uint64(e.Count) }
+	var out []Shard
+	for i := e.From; i < e.To; i++ {
+		out = append(out, Shard{Epoch: e.Epoch, Name: fmt.Sprintf("s%03d", i), First: uint32(end(i)), Last: uint32(end(i+1) - 1)})
+	}
+	return out
+}
+
+// allShards returns the listed shards and the evenly divided ones.
+func (s *Settings) allShards() []Shard {
+	if s.EvenShards == nil {
+		return s.Shards
+	}
+	return append(slices.Clone(s.Shards), s.EvenShards.shards()...)
+}
+
 // ServiceTime describes how long a request occupies a slot: log-normal, with a
 // share of stragglers that take longer by a factor.
 type ServiceTime struct {
@@ -49,6 +79,8 @@
 	// Rows is the row count of the whole service.
 	Rows   int     `json:"rows"`
 	Shards []Shard `json:"shards"`
+	// EvenShards adds shards of an evenly divided hash range; nil adds none.
+	EvenShards *EvenShards `json:"even_shards,omitempty"`
 	// Versions holds the index versions at the start, ascending.
 	Versions []uint64 `json:"versions"`
 	// KeepVersions is how many versions remain after an advance.
@@ -121,6 +153,9 @@
 	if len(s.Versions) == 0 {
 		s.Versions = []uint64{1}
 	}
+	if e := s.EvenShards; e != nil && e.To == 0 {
+		e.To = e.Count
+	}
 }
 
 func (s *Settings) validate() error {
@@ -138,6 +173,9 @@
 	check(!slices.Contains(s.Versions, 0), "version 0 is reserved for the newest version")
 	check(validTime(s.ServiceTime), "service_time must not be negative and straggler_share must be at most 1")
 	check(s.ConnectDelayMS >= 0 && s.RestartDelayMS >= 0 && s.ColdStart.DurationMS >= 0, "delays must not be negative")
+	if e := s.EvenShards; e != nil {
+		check(e.Epoch > 0 && 0 <= e.From && e.From < e.To && e.To <= e.Count, "even_shards needs an epoch above 0 and 0 <= from < to <= count")
+	}
 	for _, shard := range s.Shards {
 		check(shard.Name != "" && shard.Epoch > 0, "a shard needs a name and an epoch above 0")
 		check(shard.First <= shard.Last, "shard "+shard.Name+" has its first hash after its last")
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -86,7 +86,7 @@
 		address:     s.Listen,
 		heldChanges: 1,
 	}
-	t.held = t.withVersions(s.Shards)
+	t.held = t.withVersions(s.allShards())
 	return t, nil
 }
 
