cmd/baobabctl: print idempotency keys, cut long table cells

Work orders need a UUID version 7, which few shells can make. The text of a change that creates a partition map has many KB and made the table of show history unreadable; the JSON form still has all of it.

--- a/cmd/baobabctl/main.go
+++ b/cmd/baobabctl/main.go
@@ -1,5 +1,6 @@
 // Command baobabctl sends statements of the query and command language to the
-// operator listener of an entry node and prints the results.
+// operator listener of an entry node and prints the results. It also makes
+// idempotency keys for work orders.
 //
 // Exit codes: 0 if every statement was carried out; 1 if one was refused,
 // invalid, in conflict or failed; 2 for wrong arguments; 3 if the node could
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/google/uuid"
 
 	"github.com/baobabsail/baobabsail/entry/operatorhttp"
 )
@@ -31,6 +33,7 @@
 
 type arguments struct {
 	Exec execCommand `cmd:"" help:"Run statements given as an argument, in a file, or on standard input."`
+	Key  struct{}    `cmd:"" help:"Print a new idempotency key for a work order (a UUID version 7)."`
 }
 
 type execCommand struct {
@@ -58,9 +61,14 @@
 	if err != nil {
 		return usage(stderr, err)
 	}
-	if _, err := parser.Parse(args); err != nil {
+	parsed, err := parser.Parse(args)
+	if err != nil {
 		return usage(stderr, err)
 	}
+	if parsed.Command() == "key" {
+		_, _ = fmt.Fprintln(stdout, uuid.Must(uuid.NewV7()))
+		return exitOK
+	}
 	text, err := a.Exec.text(stdin)
 	if err != nil {
 		return usage(stderr, err)
--- a/cmd/baobabctl/print.go
+++ b/cmd/baobabctl/print.go
@@ -13,6 +13,10 @@
 // columnGap is the number of spaces between the columns of a table.
 const columnGap = 2
 
+// maxCellRunes bounds the length of a table's cell: the text of a change that
+// creates a partition map has many KB.
+const maxCellRunes = 120
+
 // print writes the answer in the chosen form.
 func (c *execCommand) print(w io.Writer, answer operatorhttp.Answer) error {
 	if c.Output == "json" {
@@ -84,13 +88,22 @@
 		cells := make([]string, len(line))
 		for i, cell := range line {
 			// A tab or line break inside a value would break the table.
-			cells[i] = strings.Join(strings.Fields(cell), " ")
+			cells[i] = shorten(strings.Join(strings.Fields(cell), " "))
 		}
 		_, _ = fmt.Fprintln(table, strings.Join(cells, "\t"))
 	}
 	return table.Flush()
 }
 
+// shorten cuts a long cell; the JSON form has the whole text.
+func shorten(cell string) string {
+	runes := []rune(cell)
+	if len(runes) <= maxCellRunes {
+		return cell
+	}
+	return string(runes[:maxCellRunes]) + " ..."
+}
+
 func printCoverage(w io.Writer, c *operatorhttp.Coverage, limitReached bool) {
 	_, _ = fmt.Fprintf(w, "coverage %g%%: %d shards of epoch %d at version %d\n", c.SharePercent, c.CoveredShards, c.Epoch, c.Version)
 	for _, m := range c.Missing {
