--- /dev/null
+++ b/core/testbed/oracle.go
@@ -0,0 +1,500 @@
+package testbed
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/event"
+)
+
+const (
+	// answerSlack is how much later than its deadline a final answer may come.
+	answerSlack = 50 * time.Millisecond
+	drainBound  = 3 * time.Second
+	changeBound = 6 * time.Second
+	// maxVictims is the number of targets that one request may crash.
+	maxVictims = 2
+	// budgetFloor and budgetShare bound the extra attempts of one node.
+	budgetFloor = 3
+	budgetShare = 0.05
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	At         time.Time
+	Outcome    api.Outcome
+	Reason     api.Reason
+	RetryAfter time.Duration
+	Result     []byte
+	Replayed   bool
+	Search     *api.SearchAnswer
+}
+
+// Request is one request as its caller saw it. Tag identifies its content; for
+// a work order, service and key.
+type Request struct {
+	ID       int
+	Host     int
+	Life     api.Life
+	Tag      string
+	Work     bool
+	Key      api.IdempotencyKey
+	Payload  string
+	Query    api.Query
+	At       time.Time
+	Deadline time.Time
+	Answers  []Answer
+	// Excused is set if the node was killed or paused meanwhile.
+	Excused bool
+	Gone    bool
+	// Must names the promise that is broken if the request is not answered in full.
+	Must string
+	// Refused names the promise that is broken if the request is not refused.
+	Refused string
+
+	host  *Host
+	local api.RequestID
+}
+
+// Run is one request as a target saw it.
+type Run struct {
+	Replica     api.ReplicaName
+	Incarnation api.Incarnation
+	Host        int
+	Life        api.Life
+	Attempt     api.AttemptID
+	Tag         string
+	Work        bool
+	Shard       api.ShardName
+	Snapshot    api.Snapshot
+	Received    time.Time
+	Started     time.Time // zero if it was refused before running
+	Crashed     bool
+}
+
+// Change is one change as its operator saw it.
+type Change struct {
+	Host       int
+	Life       api.Life
+	At         time.Time
+	Answered   time.Time
+	Outcome    event.ChangeOutcome
+	Reason     api.Reason
+	ID         config.ChangeID
+	Revision   uint64
+	RetryAfter time.Duration
+	Excused    bool
+}
+
+// Adoption is a document that a node took into force.
+type Adoption struct {
+	At       time.Time
+	Host     int
+	Life     api.Life
+	Position config.Position
+}
+
+// ModeChange is a change in the behaviour of the store.
+type ModeChange struct {
+	At   time.Time
+	Mode StoreMode
+}
+
+// Stored is a document written to the store.
+type Stored struct {
+	At  time.Time
+	Doc *config.Document
+}
+
+// Signal is the first sign of a drain that any node got.
+type Signal struct {
+	Replica     api.ReplicaName
+	Incarnation api.Incarnation
+	At          time.Time
+}
+
+// Disturbance is a change in a host's ability to take part: a start, a kill, a
+// pause or its end, a cut or its end.
+type Disturbance struct {
+	At   time.Time
+	Host int
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise string
+	Detail  string
+}
+
+// Trace is what callers, operators, targets and the store saw.
+type Trace struct {
+	Requests   []*Request
+	Runs       []*Run
+	Changes    []*Change
+	Adoptions  []Adoption
+	Documents  []Stored
+	Signals    []Signal
+	Disturbed  []Disturbance
+	StoreModes []ModeChange
+	Restored   time.Time
+	End        time.Time
+	Hosts      int
+	Stops      int
+	// Broken holds violations that the fakes noticed themselves.
+	Broken []Violation
+}
+
+func (t *Trace) broke(promise, format string, args ...any) {
+	t.Broken = append(t.Broken, Violation{promise, fmt.Sprintf(format, args...)})
+}
+
+func (t *Trace) stored(at time.Time, doc *config.Document) {
+	t.Documents = append(t.Documents, Stored{at, doc})
+}
+
+func (t *Trace) disturb(at time.Time, h *Host) {
+	t.Disturbed = append(t.Disturbed, Disturbance{at, h.index})
+}
+
+func (t *Trace) signal(at time.Time, replica api.ReplicaName, incarnation api.Incarnation) {
+	same := func(s Signal) bool { return s.Replica == replica && s.Incarnation == incarnation }
+	if !slices.ContainsFunc(t.Signals, same) {
+		t.Signals = append(t.Signals, Signal{replica, incarnation, at})
+	}
+}
+
+// checker gathers violations.
+type checker struct {
+	*Trace
+	found []Violation
+}
+
+func (c *checker) fail(promise, format string, args ...any) {
+	c.found = append(c.found, Violation{promise, fmt.Sprintf(format, args...)})
+}
+
+// Check returns the promises that a trace breaks.
+func Check(t *Trace) []Violation {
+	c := &checker{Trace: t, found: slices.Clone(t.Broken)}
+	for _, r := range t.Requests {
+		c.final(r)
+		if len(r.Answers) > 0 && r.Answers[0].Search != nil && r.Answers[0].Outcome == api.Answered {
+			c.searchAnswer(r, r.Answers[0].Search)
+		}
+	}
+	c.notRun()
+	c.onceEach()
+	c.drains()
+	c.configuration()
+	c.victims()
+	c.extra()
+	return c.found
+}
+
+// finalReasons are refusals that a later resend cannot change.
+var finalReasons = []api.Reason{
+	api.ReasonMalformed, api.ReasonUnknownService, api.ReasonWrongKind, api.ReasonKeyReused, api.ReasonKeyExpired, api.ReasonKeyFromFuture,
+}
+
+// final checks that a request has one answer in time, and what refusals carry.
+func (c *checker) final(r *Request) {
+	if len(r.Answers) > 1 {
+		c.fail("P3", "request %d (%s) has %d answers", r.ID, r.Tag, len(r.Answers))
+	}
+	if len(r.Answers) == 0 {
+		if !r.Excused && !r.Gone && c.End.After(r.Deadline.Add(answerSlack)) {
+			c.fail("final", "request %d (%s) has no answer", r.ID, r.Tag)
+		}
+		return
+	}
+	a := r.Answers[0]
+	if late := a.At.Sub(r.Deadline); late > answerSlack && !r.Excused {
+		c.fail("final", "request %d (%s) is answered %v after its deadline", r.ID, r.Tag, late)
+	}
+	if a.Outcome == api.NotRun && a.RetryAfter <= 0 && !slices.Contains(finalReasons, a.Reason) {
+		c.fail("final", "request %d (%s) is refused (%s) without a retry time", r.ID, r.Tag, a.Reason)
+	}
+	full := a.Outcome == api.Answered && (a.Search == nil || a.Search.Coverage.Share == api.Whole)
+	if r.Must != "" && !full {
+		share := api.PPM(0)
+		if a.Search != nil {
+			share = a.Search.Coverage.Share
+		}
+		c.fail(r.Must, "request %d (%s) at node %d is not answered in full: %s, %q, share %d", r.ID, r.Tag, r.Host, a.Outcome, a.Reason, share)
+	}
+	if r.Refused != "" && (a.Outcome != api.NotRun || a.Reason != api.ReasonQuarantined) {
+		c.fail(r.Refused, "request %d (%s) at node %d should be refused: %s, %q", r.ID, r.Tag, r.Host, a.Outcome, a.Reason)
+	}
+	if want := "done " + r.Tag; r.Work && a.Outcome == api.Answered && string(a.Result) != want {
+		c.fail("P3", "work order %d (%s) got the result %q", r.ID, r.Tag, a.Result)
+	}
+}
+
+// searchAnswer checks an answer against its own statement of coverage.
+func (c *checker) searchAnswer(r *Request, a *api.SearchAnswer) {
+	at := a.Coverage.Snapshot
+	epoch, version := strconv.FormatUint(at.Epoch, 10), strconv.FormatUint(at.Version, 10)
+	for i := range a.Rows {
+		e, _ := a.Rows[i].Value("epoch")
+		v, _ := a.Rows[i].Value("version")
+		if e != epoch || v != version {
+			c.fail("P1", "request %d: row %s is of %s/%s, the answer of %s/%s", r.ID, a.Rows[i].Key, e, v, epoch, version)
+		}
+		if tag, _ := a.Rows[i].Value("tag"); tag != r.Tag {
+			c.fail("P3", "request %d (%s) got a row of %s", r.ID, r.Tag, tag)
+		}
+	}
+	m := c.partitionMap(r.Query.Service, at.Epoch)
+	if m == nil {
+		c.fail("P2", "request %d: epoch %d does not exist", r.ID, at.Epoch)
+		return
+	}
+	c.coverage(r, a, m)
+	rows, more := answerRows(r.Query, a.Coverage.Covered, at)
+	if !sameRows(rows, a.Rows) {
+		c.fail("P3", "request %d: the rows are not the first %d of the shards %v: %d rows", r.ID, r.Query.Limit, a.Coverage.Covered, len(a.Rows))
+	}
+	if more != a.LimitReached {
+		c.fail("P3", "request %d: limit reached is %v, expected %v", r.ID, a.LimitReached, more)
+	}
+}
+
+func sameRows(a, b []api.Row) bool {
+	return slices.EqualFunc(a, b, func(x, y api.Row) bool { return reflect.DeepEqual(x, y) })
+}
+
+func (c *checker) coverage(r *Request, a *api.SearchAnswer, m *config.PartitionMap) {
+	var all []api.ShardName
+	var part, total uint64
+	for i := range m.Shards {
+		total += m.Shards[i].Width()
+		all = append(all, m.Shards[i].Name)
+		if slices.Contains(a.Coverage.Covered, m.Shards[i].Name) {
+			part += m.Shards[i].Width()
+		}
+	}
+	stated := slices.Clone(a.Coverage.Covered)
+	for _, missing := range a.Coverage.Missing {
+		stated = append(stated, missing.Shard)
+		if missing.Reason == api.ReasonNone {
+			c.fail("P2", "request %d: shard %s is missing without a reason", r.ID, missing.Shard)
+		}
+	}
+	slices.Sort(stated)
+	slices.Sort(all)
+	if !slices.Equal(stated, all) {
+		c.fail("P2", "request %d names the shards %v, epoch %d has %v", r.ID, stated, m.Epoch, all)
+	}
+	if share := api.Share(part, total); share != a.Coverage.Share {
+		c.fail("P2", "request %d states a share of %d, it is %d", r.ID, a.Coverage.Share, share)
+	}
+}
+
+func (c *checker) partitionMap(service api.ServiceName, epoch uint64) *config.PartitionMap {
+	for _, d := range c.Documents {
+		if s := d.Doc.Services[service]; s != nil {
+			if m := s.Map(epoch); m != nil {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// notRun checks that each start is explained by a request at the same node
+// that was not answered "not run".
+func (c *checker) notRun() {
+	type origin struct {
+		life api.Life
+		tag  string
+	}
+	by := make(map[origin][]*Request)
+	for _, r := range c.Requests {
+		by[origin{r.Life, r.Tag}] = append(by[origin{r.Life, r.Tag}], r)
+	}
+	for _, run := range c.Runs {
+		if run.Started.IsZero() {
+			continue
+		}
+		explained := false
+		refused := -1
+		for _, r := range by[origin{run.Life, run.Tag}] {
+			if r.At.After(run.Received) {
+				continue
+			}
+			if len(r.Answers) == 0 || r.Answers[0].Outcome != api.NotRun {
+				explained = true
+			} else {
+				refused = r.ID
+			}
+		}
+		switch {
+		case explained:
+		case refused >= 0:
+			c.fail("P4", "request %d (%s) is answered not_run and runs at %s", refused, run.Tag, run.Replica)
+		default:
+			c.fail("P4", "%s runs %s, which nobody asked of node %d", run.Replica, run.Tag, run.Host)
+		}
+	}
+}
+
+func (c *checker) onceEach() {
+	first := make(map[string]*Run)
+	for _, run := range c.Runs {
+		if !run.Work || run.Started.IsZero() {
+			continue
+		}
+		if before := first[run.Tag]; before != nil {
+			c.fail("P5", "work order %s runs at %s for node %d and at %s for node %d", run.Tag, before.Replica, before.Host, run.Replica, run.Host)
+		}
+		first[run.Tag] = run
+	}
+}
+
+// undisturbed reports whether nothing changed at a host in an interval.
+func (c *checker) undisturbed(host int, from, to time.Time) bool {
+	return !slices.ContainsFunc(c.Disturbed, func(d Disturbance) bool {
+		return d.Host == host && d.At.After(from) && !d.At.After(to)
+	})
+}
+
+func (c *checker) drains() {
+	for _, s := range c.Signals {
+		for _, run := range c.Runs {
+			if run.Replica != s.Replica || run.Incarnation != s.Incarnation || run.Received.Sub(s.At) <= drainBound {
+				continue
+			}
+			if c.undisturbed(run.Host, s.At.Add(-drainBound), run.Received) {
+				c.fail("P6", "node %d sends %s to %s %v after the first sign of its drain", run.Host, run.Tag, run.Replica, run.Received.Sub(s.At))
+			}
+		}
+	}
+}
+
+func (c *checker) configuration() {
+	type life struct {
+		host int
+		life api.Life
+	}
+	at := make(map[life]config.Position)
+	for _, a := range c.Adoptions {
+		k := life{a.Host, a.Life}
+		if a.Position.Compare(at[k]) < 0 {
+			c.fail("P8", "node %d goes from %v back to %v", a.Host, at[k], a.Position)
+		}
+		at[k] = a.Position
+	}
+	for _, ch := range c.Changes {
+		if ch.Outcome == 0 && !ch.Excused && c.End.Sub(ch.At) > changeBound && c.undisturbed(ch.Host, ch.At, ch.At.Add(changeBound)) {
+			c.fail("final", "the change at node %d has no answer", ch.Host)
+		}
+		if ch.Outcome == event.ChangeAccepted {
+			c.accepted(ch)
+		}
+	}
+}
+
+// accepted checks that an accepted change stays, and where it is in force in time.
+func (c *checker) accepted(ch *Change) {
+	if n := len(c.Documents); n == 0 || c.Documents[n-1].Doc.FindChange(ch.ID) == nil {
+		c.fail("P8", "the accepted change %s is not in the store's newest document", ch.ID)
+	}
+	until := ch.Answered.Add(changeBound)
+	if c.End.Before(until) || !c.storeUp(ch.Answered, until) {
+		return
+	}
+	for host := range c.Hosts {
+		if !c.undisturbed(host, ch.Answered.Add(-time.Second), until) {
+			continue
+		}
+		inForce := slices.ContainsFunc(c.Adoptions, func(a Adoption) bool {
+			return a.Host == host && a.Position.Revision >= ch.Revision && !a.At.After(until)
+		})
+		up := slices.ContainsFunc(c.Adoptions, func(a Adoption) bool { return a.Host == host })
+		if up && !inForce {
+			c.fail("P8", "change %s (revision %d) is not in force at node %d after %v", ch.ID, ch.Revision, host, changeBound)
+		}
+	}
+}
+
+// storeUp reports whether the store worked during an interval.
+func (c *checker) storeUp(from, to time.Time) bool {
+	mode := StoreUp
+	for _, m := range c.StoreModes {
+		if m.At.After(to) {
+			break
+		}
+		if m.At.After(from) && m.Mode != StoreUp {
+			return false
+		}
+		if !m.At.After(from) {
+			mode = m.Mode
+		}
+	}
+	return mode == StoreUp
+}
+
+func (c *checker) victims() {
+	type victim struct {
+		replica     api.ReplicaName
+		incarnation api.Incarnation
+	}
+	payload := make(map[string]string)
+	for _, r := range c.Requests {
+		payload[r.Tag] = r.Tag
+		if r.Work {
+			payload[r.Tag] = r.Payload
+		}
+	}
+	crashed := make(map[string][]victim)
+	for _, run := range c.Runs {
+		if run.Crashed {
+			key := payload[run.Tag]
+			crashed[key] = append(crashed[key], victim{run.Replica, run.Incarnation})
+			if len(crashed[key]) == maxVictims+1 {
+				c.fail("P9", "%s takes down %v", key, crashed[key])
+			}
+		}
+	}
+}
+
+// extra counts the attempts of each node beyond one for each request, shard
+// and snapshot.
+func (c *checker) extra() {
+	type part struct {
+		life  api.Life
+		tag   string
+		shard api.ShardName
+		at    api.Snapshot
+	}
+	requests := make(map[part]int)
+	for _, r := range c.Requests {
+		requests[part{life: r.Life, tag: r.Tag}]++
+	}
+	parts := make(map[part]int)
+	first, more := make(map[api.Life]int), make(map[api.Life]int)
+	for _, run := range c.Runs {
+		if run.Work {
+			continue
+		}
+		p := part{run.Life, run.Tag, run.Shard, run.Snapshot}
+		parts[p]++
+		if parts[p] > requests[part{life: run.Life, tag: run.Tag}] {
+			more[run.Life]++
+		} else {
+			first[run.Life]++
+		}
+	}
+	for _, life := range slices.Sorted(maps.Keys(more)) {
+		n := more[life]
+		if most := budgetFloor + budgetShare*float64(first[life]); float64(n) > most+1 {
+			c.fail("P11", "life %d makes %d extra attempts, at most %.1f are allowed for %d first ones", life, n, most, first[life])
+		}
+	}
+}
--- /dev/null
+++ b/core/testbed/target.go
@@ -0,0 +1,551 @@
+package testbed
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/event"
+)
+
+const (
+	rowsPerShard = 3
+	maxQueue     = 12
+	// serviceTime is the shortest time that a target needs for a request, and
+	// serviceSpread the random addition.
+	serviceTime   = 2 * time.Millisecond
+	serviceSpread = 2 * time.Millisecond
+	// stopAfter is how long a draining target accepts requests before it exits.
+	stopAfter = 4 * time.Second
+)
+
+// ReplyFault changes replies on their way to a node.
+type ReplyFault uint8
+
+// Faults of replies.
+const (
+	ReplyLate ReplyFault = iota + 1
+	ReplyDuplicate
+	ReplyCrossed // carries the reply of an earlier request
+	ReplyTruncated
+	ReplyWrongVersion // rows of another version than asked for
+)
+
+type heldKey struct {
+	epoch uint64
+	shard api.ShardName
+}
+
+// Target is a fake back-end server process.
+type Target struct {
+	Name     api.ReplicaName
+	Draining bool
+	Slow     time.Duration // added to the service time
+	Shed     bool
+	Lie      bool // reports a load that is not true
+	Frozen   bool // answers nothing, keeps its connections
+	Limit    int  // connections accepted
+
+	w           *World
+	service     api.ServiceName
+	vm          api.VMName
+	incarnation api.Incarnation
+	up          bool
+	coldUntil   time.Time
+	slots       int
+	running     []*call
+	queued      []*call
+	conns       []*conn
+	newest      uint64
+	held        map[heldKey][]uint64
+	heldVersion int
+	fault       ReplyFault
+	faults      int // replies that the fault still changes
+	last        *event.SearchReplied
+	lastWork    *event.WorkReplied
+}
+
+// conn is a connection between a host and a target.
+type conn struct {
+	id     api.ConnID
+	host   *Host
+	life   api.Life
+	target *Target
+	open   bool
+	ended  bool
+	silent bool
+	calls  []*call
+	told   int // the heldVersion that the host was told
+}
+
+// call is a request on its way to a target, at it, or on its way back.
+type call struct {
+	host      *Host
+	life      api.Life
+	conn      *conn
+	connID    api.ConnID
+	attempt   api.AttemptID
+	search    *api.SearchRequest
+	work      *api.WorkRequest
+	cancelled bool
+	ended     bool // the driver no longer waits
+	run       *Run
+}
+
+func newTarget(w *World, name api.ReplicaName, r *config.Replica, i int) *Target {
+	t := &Target{
+		Name: name, w: w, service: r.Service, vm: r.VM, slots: r.Slots, Limit: r.Connections,
+		incarnation: api.Incarnation(100 * (i + 1)), up: true, newest: 1,
+	}
+	return t
+}
+
+// configureTargets lets each target serve the shards that a document gives it.
+// Shards of earlier maps stay for a while.
+func (w *World) configureTargets(doc *config.Document) {
+	for _, t := range w.Targets {
+		t.hold(doc)
+	}
+}
+
+func (t *Target) hold(doc *config.Document) {
+	service := doc.Services[t.service]
+	if service == nil {
+		return
+	}
+	next := make(map[heldKey][]uint64)
+	for i := range service.Maps {
+		m := &service.Maps[i]
+		for j := range m.Shards {
+			if slices.Contains(m.Shards[j].Replicas, t.Name) {
+				next[heldKey{m.Epoch, m.Shards[j].Name}] = []uint64{t.newest}
+			}
+		}
+	}
+	t.held = next
+	t.heldVersion++
+}
+
+// Advance gives the target the next index version; keep retains the one before.
+func (t *Target) Advance(keep bool) {
+	t.newest++
+	for k := range t.held {
+		t.held[k] = []uint64{t.newest}
+		if keep {
+			t.held[k] = []uint64{t.newest - 1, t.newest}
+		}
+	}
+	t.heldVersion++
+}
+
+func (t *Target) load(c *conn) api.TargetLoad {
+	l := api.TargetLoad{
+		Incarnation: t.incarnation, Slots: t.slots, Running: len(t.running), Queued: len(t.queued), Draining: t.Draining,
+	}
+	if t.Lie {
+		l.Running, l.Queued = 0, 0
+		if t.w.rng.IntN(2) == 0 {
+			l.Running, l.Queued = t.slots, 500
+		}
+	}
+	if c.told != t.heldVersion {
+		c.told = t.heldVersion
+		for k, v := range t.held {
+			l.Held = append(l.Held, api.ShardVersions{Epoch: k.epoch, Shard: k.shard, Versions: slices.Clone(v)})
+		}
+		slices.SortFunc(l.Held, func(a, b api.ShardVersions) int {
+			return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Shard, b.Shard))
+		})
+	}
+	return l
+}
+
+func (h *Host) open(a event.OpenConn) {
+	w := h.w
+	i := slices.IndexFunc(w.Targets, func(t *Target) bool { return t.Name == a.Replica })
+	if i < 0 {
+		h.later(w.hop(), event.ConnEnded{Conn: a.Conn, End: event.ConnTimedOut})
+		return
+	}
+	t := w.Targets[i]
+	c := &conn{id: a.Conn, host: h, life: h.life, target: t}
+	h.conns[a.Conn] = c
+	w.After(3*w.hop(), func() { t.accept(c) })
+}
+
+func (t *Target) accept(c *conn) {
+	switch {
+	case c.ended || c.host.life != c.life:
+	case !t.up:
+		c.end(event.ConnRefused)
+	case t.Frozen:
+		t.w.After(openTimeout, func() { c.end(event.ConnTimedOut) })
+	case len(t.conns) >= t.Limit:
+		c.end(event.ConnLimited)
+	default:
+		c.open = true
+		t.conns = append(t.conns, c)
+		c.host.laterOn(c, t.w.hop(), func() event.Event { return event.ConnOpened{Conn: c.id, Load: t.load(c)} })
+	}
+}
+
+// laterOn feeds an event that arrives on a connection, unless that ends before.
+func (h *Host) laterOn(c *conn, d time.Duration, ev func() event.Event) {
+	if c.silent {
+		return
+	}
+	e := ev()
+	h.w.After(d, func() {
+		if h.life == c.life && !c.ended && !c.silent {
+			h.feed(e)
+		}
+	})
+}
+
+// end closes a connection and tells its host, in the order that the driver
+// keeps: failed attempts first.
+func (c *conn) end(how event.ConnEnd) {
+	if c.ended {
+		return
+	}
+	c.ended, c.open = true, false
+	t, h := c.target, c.host
+	t.conns = slices.DeleteFunc(t.conns, func(o *conn) bool { return o == c })
+	t.queued = slices.DeleteFunc(t.queued, func(o *call) bool { return o.conn == c })
+	if h.life != c.life {
+		return
+	}
+	life := h.life
+	calls := c.calls
+	h.w.After(h.w.hop(), func() {
+		for _, k := range calls {
+			if h.life == life && !k.ended {
+				k.ended = true
+				h.feed(event.AttemptFailed{Attempt: k.attempt, Conn: c.id})
+			}
+		}
+		if h.life == life {
+			h.feed(event.ConnEnded{Conn: c.id, End: how})
+		}
+	})
+}
+
+// send hands a request to its connection.
+func (h *Host) send(k *call) {
+	c := k.conn
+	if c == nil || !c.open {
+		h.later(0, event.AttemptFailed{Attempt: k.attempt, Conn: k.connID, NeverSent: true})
+		return
+	}
+	h.calls[k.attempt] = k
+	c.calls = append(slices.DeleteFunc(c.calls, func(o *call) bool { return o.ended }), k)
+	if c.silent {
+		return
+	}
+	h.w.After(h.w.hop(), func() {
+		if c.open && !c.silent {
+			c.target.receive(k)
+		}
+	})
+}
+
+func (h *Host) cancel(id api.AttemptID) {
+	k := h.calls[id]
+	if k == nil {
+		return
+	}
+	delete(h.calls, id)
+	k.ended = true
+	h.w.After(h.w.hop(), func() { k.cancelled = true })
+}
+
+func (h *Host) probe(id api.ConnID) {
+	c := h.conns[id]
+	if c == nil || !c.open || c.silent {
+		return
+	}
+	h.w.After(h.w.hop(), func() {
+		if c.open && !c.target.Frozen {
+			h.laterOn(c, h.w.hop(), func() event.Event { return event.ProbeReplied{Conn: c.id, Load: c.target.load(c)} })
+		}
+	})
+}
+
+// dropHost forgets the connections of a host that is gone.
+func (t *Target) dropHost(h *Host) {
+	for _, c := range slices.Clone(t.conns) {
+		if c.host == h {
+			c.end(event.ConnReset)
+		}
+	}
+}
+
+// receive takes a request off the network.
+func (t *Target) receive(k *call) {
+	w := t.w
+	k.run = &Run{Replica: t.Name, Incarnation: t.incarnation, Host: k.host.index, Life: k.life, Attempt: k.attempt, Received: w.now}
+	if k.search != nil {
+		k.run.Tag, k.run.Shard, k.run.Snapshot = tagOf(k.search.Query), k.search.Shard, k.search.Snapshot
+	} else {
+		k.run.Tag, k.run.Work = workTag(k.work.Service, k.work.Key), true
+	}
+	w.Trace.Runs = append(w.Trace.Runs, k.run)
+	switch {
+	case t.Shed || len(t.queued) >= maxQueue:
+		t.refuse(k, api.TargetShed)
+	case k.search != nil && !t.holds(k.search):
+		t.refuse(k, t.whyNotHeld(k.search))
+	default:
+		t.queued = append(t.queued, k)
+		t.dispatch()
+	}
+}
+
+func (t *Target) holds(r *api.SearchRequest) bool {
+	return slices.Contains(t.held[heldKey{r.Snapshot.Epoch, r.Shard}], r.Snapshot.Version)
+}
+
+func (t *Target) whyNotHeld(r *api.SearchRequest) api.TargetOutcome {
+	versions, ok := t.held[heldKey{r.Snapshot.Epoch, r.Shard}]
+	switch {
+	case !ok:
+		return api.TargetWrongEpoch
+	case len(versions) > 0 && versions[0] > r.Snapshot.Version:
+		return api.TargetVersionGone
+	}
+	return api.TargetVersionNotYet
+}
+
+func (t *Target) refuse(k *call, outcome api.TargetOutcome) {
+	if k.search != nil {
+		t.reply(k, &event.SearchReplied{Reply: api.SearchReply{Shard: k.search.Shard, Snapshot: k.search.Snapshot, Outcome: outcome}})
+		return
+	}
+	t.replyWork(k, &event.WorkReplied{Reply: api.WorkReply{Outcome: outcome}})
+}
+
+// dispatch starts queued requests on free slots.
+func (t *Target) dispatch() {
+	for t.up && !t.Frozen && len(t.running) < t.slots && len(t.queued) > 0 {
+		k := t.queued[0]
+		t.queued = t.queued[1:]
+		deadline := time.Time{}
+		if k.search != nil {
+			deadline = k.search.Deadline
+		} else {
+			deadline = k.work.Deadline
+		}
+		switch {
+		case k.cancelled && k.search != nil:
+		case !t.w.now.Before(deadline):
+			t.refuse(k, api.TargetExpired)
+		default:
+			t.start(k)
+		}
+	}
+}
+
+func (t *Target) start(k *call) {
+	w := t.w
+	k.run.Started = w.now
+	if w.crash[k.run.Tag] || k.work != nil && w.crash[string(k.work.Payload)] {
+		k.run.Crashed = true
+		t.Crash(time.Second)
+		return
+	}
+	t.running = append(t.running, k)
+	took := serviceTime + time.Duration(w.rng.Int64N(int64(serviceSpread))) + t.Slow
+	if w.now.Before(t.coldUntil) {
+		took *= 3
+	}
+	incarnation := t.incarnation
+	w.After(took, func() {
+		if t.incarnation == incarnation && t.up {
+			t.finish(k)
+		}
+	})
+}
+
+func (t *Target) finish(k *call) {
+	if t.Frozen {
+		t.w.After(50*time.Millisecond, func() {
+			if slices.Contains(t.running, k) {
+				t.finish(k)
+			}
+		})
+		return
+	}
+	t.running = slices.DeleteFunc(t.running, func(o *call) bool { return o == k })
+	if k.search != nil {
+		rows, more := answerRows(k.search.Query, []api.ShardName{k.search.Shard}, k.search.Snapshot)
+		t.reply(k, &event.SearchReplied{Reply: api.SearchReply{
+			Shard: k.search.Shard, Snapshot: k.search.Snapshot, Outcome: api.TargetOK, RowCount: len(rows), Rows: rows, LimitReached: more,
+		}})
+	} else {
+		t.replyWork(k, &event.WorkReplied{Reply: api.WorkReply{Outcome: api.TargetOK, Result: []byte("done " + k.run.Tag)}})
+	}
+	t.dispatch()
+}
+
+// reply sends a search reply back, changed by the fault that is armed.
+func (t *Target) reply(k *call, ev *event.SearchReplied) {
+	ev.Conn, ev.Attempt, ev.Reply.Attempt = k.conn.id, k.attempt, k.attempt
+	fault := t.armed()
+	own := *ev
+	own.Reply.Rows = slices.Clone(ev.Reply.Rows)
+	switch fault {
+	case ReplyCrossed:
+		if t.last != nil {
+			ev.Reply = t.last.Reply
+		}
+	case ReplyTruncated:
+		if n := len(ev.Reply.Rows); n > 0 {
+			ev.Reply.Rows = ev.Reply.Rows[:n-1]
+		}
+	case ReplyWrongVersion:
+		ev.Reply.Snapshot.Version++
+		ev.Reply.Rows, _ = answerRows(k.search.Query, []api.ShardName{ev.Reply.Shard}, ev.Reply.Snapshot)
+		ev.Reply.RowCount = len(ev.Reply.Rows)
+	}
+	t.last = &own
+	ev.Reply.Load = t.load(k.conn)
+	t.deliver(k, fault, *ev)
+}
+
+func (t *Target) replyWork(k *call, ev *event.WorkReplied) {
+	ev.Conn, ev.Attempt, ev.Reply.Attempt = k.conn.id, k.attempt, k.attempt
+	fault := t.armed()
+	own := *ev
+	if fault == ReplyCrossed && t.lastWork != nil {
+		ev.Reply = t.lastWork.Reply
+	}
+	t.lastWork = &own
+	ev.Reply.Load = t.load(k.conn)
+	t.deliver(k, fault, *ev)
+}
+
+// Arm changes the next n replies of the target, for half a second at most.
+func (t *Target) Arm(f ReplyFault, n int) {
+	t.fault, t.faults = f, n
+	t.w.After(500*time.Millisecond, func() { t.faults = 0 })
+}
+
+func (t *Target) armed() ReplyFault {
+	if t.faults == 0 {
+		return 0
+	}
+	t.faults--
+	return t.fault
+}
+
+func (t *Target) deliver(k *call, fault ReplyFault, ev event.Event) {
+	w, c := t.w, k.conn
+	delays := []time.Duration{w.hop()}
+	switch fault {
+	case ReplyLate:
+		delays[0] += 900 * time.Millisecond
+	case ReplyDuplicate:
+		delays = append(delays, 3*w.hop())
+	}
+	for i, d := range delays {
+		w.After(d, func() {
+			if c.ended || c.silent || k.host.life != k.life || (i == 0 && k.ended && fault == 0) {
+				return
+			}
+			k.ended = true
+			delete(k.host.calls, k.attempt)
+			k.host.feed(ev)
+		})
+	}
+}
+
+// Crash ends the process of the target; it is back as a new one after a time.
+func (t *Target) Crash(back time.Duration) {
+	t.exit(event.ConnReset)
+	t.w.After(back, t.Boot)
+}
+
+func (t *Target) exit(how event.ConnEnd) {
+	if !t.up {
+		return
+	}
+	t.up = false
+	t.running, t.queued = nil, nil
+	for _, c := range slices.Clone(t.conns) {
+		c.end(how)
+	}
+}
+
+// Boot starts a new process, which is slow at first.
+func (t *Target) Boot() {
+	if t.up {
+		return
+	}
+	t.up, t.Draining, t.Frozen = true, false, false
+	t.incarnation++
+	t.coldUntil = t.w.now.Add(time.Second)
+	if doc := t.w.Store.document(); doc != nil {
+		t.hold(doc)
+	}
+}
+
+// Drain announces that the target leaves; it exits when it is idle.
+func (t *Target) Drain(back time.Duration) {
+	if !t.up || t.Draining {
+		return
+	}
+	t.Draining = true
+	incarnation := t.incarnation
+	t.w.After(stopAfter, func() {
+		if t.incarnation != incarnation || !t.up {
+			return
+		}
+		if n := len(t.running) + len(t.queued); n > 0 {
+			t.w.Trace.broke("P7", "target %s leaves with %d requests in flight", t.Name, n)
+		}
+		t.exit(event.ConnClosed)
+		t.w.After(back, t.Boot)
+	})
+}
+
+// ---- content of the fake index ----
+
+func tagOf(q api.Query) string {
+	if len(q.Conditions) == 0 {
+		return ""
+	}
+	return q.Conditions[0].Value
+}
+
+func workTag(service api.ServiceName, key api.IdempotencyKey) string {
+	return fmt.Sprintf("%s/%x", service, key)
+}
+
+// answerRows returns the rows of some shards for a query, and whether more
+// match. Each row names its epoch, version and query.
+func answerRows(q api.Query, shards []api.ShardName, at api.Snapshot) ([]api.Row, bool) {
+	var rows []api.Row
+	for _, shard := range shards {
+		for i := range rowsPerShard {
+			key := fmt.Sprintf("%s/%d", shard, i)
+			n := xxhash.Sum64String(fmt.Sprintf("%s@%d", key, at.Version)) % 100
+			rows = append(rows, api.Row{Key: key, Fields: []api.Field{
+				{Name: "n", Value: strconv.FormatUint(n, 10)},
+				{Name: "epoch", Value: strconv.FormatUint(at.Epoch, 10)},
+				{Name: "version", Value: strconv.FormatUint(at.Version, 10)},
+				{Name: "tag", Value: tagOf(q)},
+			}})
+		}
+	}
+	slices.SortFunc(rows, func(a, b api.Row) int { return api.CompareRows(&q, &a, &b) })
+	if q.Limit > 0 && len(rows) > q.Limit {
+		return rows[:q.Limit], true
+	}
+	return rows, false
+}
--- /dev/null
+++ b/core/testbed/world.go
@@ -0,0 +1,428 @@
+// Package testbed drives several nodes in one process through the interface of
+// event.Event and event.Action, with virtual time and fakes of everything
+// around them: targets, the store, peer links, the VM list, callers and
+// operators. The same seed and the same faults give the same run. A Trace
+// records what callers, targets and the store saw; Check judges it.
+package testbed
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/node"
+)
+
+// Start is the virtual time at which each run begins.
+var Start = time.UnixMilli(1_800_000_000_000).UTC()
+
+const (
+	// hop is the shortest one-way delay between two processes; hopSpread is the
+	// random addition.
+	hop       = 400 * time.Microsecond
+	hopSpread = 300 * time.Microsecond
+	// openTimeout is how long a driver waits for a connection to open.
+	openTimeout = time.Second
+	// balancerLag is how late the load balancer notices that a host is ready.
+	balancerLag = 500 * time.Millisecond
+	// spinLimit is the number of timers at one instant that counts as a busy loop.
+	spinLimit = 200
+)
+
+// World is one run.
+type World struct {
+	Trace   Trace
+	Hosts   []*Host
+	Targets []*Target
+	Store   *Store
+	// Position counts the events executed.
+	Position int
+	// Hashing adds each action to Hash; it is slow.
+	Hashing bool
+
+	now    time.Time
+	rng    *rand.Rand
+	queue  queue
+	seq    uint64
+	hash   *xxhash.Digest
+	lives  uint64
+	turn   int // next host of the load balancer
+	crash  map[string]bool
+	vms    []event.VM
+	tags   int
+	lagged bool // the balancer still sends to hosts that are gone
+}
+
+type item struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type queue []item
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(item)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	it := (*q)[last]
+	(*q)[last] = item{}
+	*q = (*q)[:last]
+	return it
+}
+
+// New returns a world of some hosts over the given document, with the targets
+// that the document names.
+func New(seed uint64, hosts int, doc *config.Document) *World {
+	w := &World{
+		now: Start, rng: rand.New(rand.NewPCG(seed, 1)), hash: xxhash.New(),
+		crash: make(map[string]bool),
+	}
+	w.Store = newStore(w, doc)
+	for i, name := range doc.ReplicaNames() {
+		w.Targets = append(w.Targets, newTarget(w, name, doc.Replicas[name], i))
+	}
+	w.configureTargets(doc)
+	for i := range hosts {
+		h := &Host{w: w, index: i, name: api.EntryName(fmt.Sprintf("e%d", i)), address: fmt.Sprintf("10.0.0.%d:7000", i+1)}
+		w.Hosts = append(w.Hosts, h)
+	}
+	for _, h := range w.Hosts {
+		h.Boot()
+	}
+	return w
+}
+
+// Now returns the virtual time.
+func (w *World) Now() time.Time { return w.now }
+
+// Hash identifies the actions of the run so far.
+func (w *World) Hash() uint64 { return w.hash.Sum64() }
+
+// After runs f after a delay.
+func (w *World) After(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, item{at: w.now.Add(d), seq: w.seq, run: f})
+}
+
+// Step executes the next event.
+func (w *World) Step() {
+	it := heap.Pop(&w.queue).(item)
+	w.now = it.at
+	w.Position++
+	it.run()
+}
+
+// RunUntil executes the events up to a time and moves the clock to it.
+func (w *World) RunUntil(t time.Time) {
+	for len(w.queue) > 0 && !w.queue[0].at.After(t) {
+		w.Step()
+	}
+	w.now = t
+}
+
+func (w *World) hop() time.Duration { return hop + time.Duration(w.rng.Int64N(int64(hopSpread))) }
+
+func (w *World) record(h *Host, a event.Action) {
+	if w.Hashing {
+		text, err := json.Marshal(a) // follows pointers, unlike %v
+		if err != nil {
+			panic("an action cannot be encoded: " + err.Error())
+		}
+		_, _ = fmt.Fprintf(w.hash, "%d %d %T %s\n", w.now.UnixNano(), h.index, a, text)
+	}
+}
+
+// Host is one VM of the tier with the driver of its node.
+type Host struct {
+	w        *World
+	index    int
+	name     api.EntryName
+	address  string
+	life     api.Life
+	node     *node.Node
+	up       bool
+	paused   bool
+	leaving  bool // a graceful shutdown has begun
+	ready    bool // the balancer sends to the host
+	CutPeers bool
+	CutStore bool
+	backlog  []event.Event
+	wakeAt   time.Time
+	spins    int
+	nextID   api.RequestID
+	requests map[api.RequestID]*Request
+	changes  map[api.RequestID]*Change
+	conns    map[api.ConnID]*conn
+	calls    map[api.AttemptID]*call
+}
+
+// Boot starts a new life of the host's process.
+func (h *Host) Boot() {
+	w := h.w
+	w.lives++
+	h.life = api.Life(w.lives*1_000 + uint64(h.index))
+	h.up, h.paused, h.leaving, h.ready = true, false, false, false
+	h.backlog, h.wakeAt = nil, time.Time{}
+	h.requests, h.changes = make(map[api.RequestID]*Request), make(map[api.RequestID]*Change)
+	h.conns, h.calls = make(map[api.ConnID]*conn), make(map[api.AttemptID]*call)
+	s := node.Settings{
+		Name: h.name, Life: h.life, Address: h.address, VM: api.VMName(h.name),
+		DataCentre: api.DataCentre(fmt.Sprintf("dc%d", h.index%2+1)), Seed: w.lives,
+	}
+	for _, other := range w.Hosts {
+		if other != h {
+			s.Peers = append(s.Peers, node.Peer{Name: other.name, Address: other.address})
+		}
+	}
+	h.node = node.New(s)
+	w.Trace.disturb(w.now, h)
+	h.feed(event.Timer{})
+}
+
+// Kill ends the process at once.
+func (h *Host) Kill() {
+	if !h.up {
+		return
+	}
+	w := h.w
+	h.up = false
+	h.life = 0
+	for _, r := range w.Trace.Requests {
+		if r.host == h && len(r.Answers) == 0 {
+			r.Excused = true
+		}
+	}
+	w.Trace.disturb(w.now, h)
+	for _, t := range w.Targets {
+		t.dropHost(h)
+	}
+	w.Store.dropHost(h)
+}
+
+// Pause stops the process, which still believes that it runs.
+func (h *Host) Pause(d time.Duration) {
+	if !h.up || h.paused {
+		return
+	}
+	h.paused = true
+	life := h.life
+	h.w.Trace.disturb(h.w.now, h)
+	for _, r := range h.requests {
+		r.Excused = true
+	}
+	h.w.After(d, func() {
+		if h.life != life {
+			return
+		}
+		h.paused = false
+		h.w.Trace.disturb(h.w.now, h)
+		backlog := h.backlog
+		h.backlog = nil
+		for _, ev := range backlog {
+			h.feed(ev)
+		}
+		h.feed(event.Timer{})
+	})
+}
+
+// Leave begins a graceful shutdown; the balancer follows with a lag.
+func (h *Host) Leave() {
+	if !h.up || h.leaving {
+		return
+	}
+	h.leaving = true
+	h.feed(event.ShutdownStarted{AcceptFor: 300 * time.Millisecond})
+}
+
+// later feeds an event to the present life of the host after a delay.
+func (h *Host) later(d time.Duration, ev event.Event) {
+	life := h.life
+	h.w.After(d, func() {
+		if h.life == life {
+			h.feed(ev)
+		}
+	})
+}
+
+func (h *Host) feed(ev event.Event) {
+	if !h.up {
+		return
+	}
+	if h.paused {
+		if _, timer := ev.(event.Timer); !timer {
+			h.backlog = append(h.backlog, ev)
+		}
+		return
+	}
+	h.noteSignal(ev)
+	for _, a := range h.node.Step(h.w.now, ev) {
+		h.w.record(h, a)
+		h.act(a)
+	}
+	if h.up {
+		h.setTimer()
+	}
+}
+
+// setTimer schedules the Timer event that the node asks for.
+func (h *Host) setTimer() {
+	w := h.w
+	at := h.node.Wake()
+	if at.IsZero() {
+		return
+	}
+	if at.After(w.now) {
+		h.spins = 0
+	} else {
+		at = w.now
+		if h.spins++; h.spins > spinLimit {
+			w.Trace.broke("final", "node %s asks for a timer at once for the %dth time", h.name, h.spins)
+			at = w.now.Add(time.Millisecond)
+		}
+	}
+	if !h.wakeAt.IsZero() && !at.Before(h.wakeAt) {
+		return
+	}
+	h.wakeAt = at
+	life := h.life
+	w.After(at.Sub(w.now), func() {
+		if h.life == life && h.wakeAt.Equal(at) {
+			h.wakeAt = time.Time{}
+			h.feed(event.Timer{})
+		}
+	})
+}
+
+// noteSignal records the first sign of a drain that any host gets.
+func (h *Host) noteSignal(ev event.Event) {
+	var conn api.ConnID
+	var load api.TargetLoad
+	switch ev := ev.(type) {
+	case event.SearchReplied:
+		conn, load = ev.Conn, ev.Reply.Load
+	case event.WorkReplied:
+		conn, load = ev.Conn, ev.Reply.Load
+	case event.ConnOpened:
+		conn, load = ev.Conn, ev.Load
+	case event.ProbeReplied:
+		conn, load = ev.Conn, ev.Load
+	case event.VMListRead:
+		h.noteVMs(ev.VMs)
+		return
+	}
+	if c := h.conns[conn]; c != nil && load.Draining {
+		h.w.Trace.signal(h.w.now, c.target.Name, load.Incarnation)
+	}
+}
+
+func (h *Host) noteVMs(vms []event.VM) {
+	for _, t := range h.w.Targets {
+		if slices.Contains(vms, event.VM{Name: t.vm, Leaving: true}) && t.Draining {
+			h.w.Trace.signal(h.w.now, t.Name, t.incarnation)
+		}
+	}
+}
+
+// act carries out one action.
+func (h *Host) act(a event.Action) {
+	switch a := a.(type) {
+	case event.SendSearch:
+		h.send(&call{host: h, life: h.life, conn: h.conns[a.Conn], connID: a.Conn, attempt: a.Request.Attempt, search: &a.Request})
+	case event.SendWork:
+		h.send(&call{host: h, life: h.life, conn: h.conns[a.Conn], connID: a.Conn, attempt: a.Request.Attempt, work: &a.Request})
+	case event.CancelAttempt:
+		h.cancel(a.Attempt)
+	case event.AnswerSearch:
+		h.answer(a.Request, Answer{Outcome: a.Answer.Outcome, Reason: a.Answer.Reason, RetryAfter: a.Answer.RetryAfter, Search: &a.Answer})
+	case event.AnswerWork:
+		h.answer(a.Request, Answer{Outcome: a.Answer.Outcome, Reason: a.Answer.Reason, RetryAfter: a.Answer.RetryAfter, Result: a.Answer.Result, Replayed: a.Answer.Replayed})
+	case event.AnswerChange:
+		h.answerChange(a)
+	case event.OpenConn:
+		h.open(a)
+	case event.CloseConn:
+		if c := h.conns[a.Conn]; c != nil {
+			c.end(event.ConnClosed)
+		}
+	case event.Probe:
+		h.probe(a.Conn)
+	case event.SendPeer:
+		h.sendPeer(a)
+	case event.ReadStore:
+		h.w.Store.read(h, a)
+	case event.WriteStore:
+		h.w.Store.write(h, a)
+	case event.WatchStore:
+		h.w.Store.watch(h, a)
+	case event.CancelWatch:
+		h.w.Store.cancelWatch(h, a.Op)
+	case event.Log:
+		h.logged(a)
+	case event.Stopped:
+		h.stopped()
+	}
+}
+
+func (h *Host) sendPeer(a event.SendPeer) {
+	for _, to := range h.w.Hosts {
+		if to.address != a.Address {
+			continue
+		}
+		if h.CutPeers || to.CutPeers || !to.up {
+			h.later(2*h.w.hop(), event.PeerFailed{Peer: a.Peer})
+			return
+		}
+		to.later(h.w.hop(), event.PeerReceived{Message: a.Message})
+	}
+}
+
+// logged takes the position of an adopted document from the log line of the
+// core, which is how an operator would see it.
+func (h *Host) logged(a event.Log) {
+	if a.Event != "config_adopted" {
+		return
+	}
+	if life := h.life; !h.ready { // the balancer polls the readiness of hosts
+		h.w.After(balancerLag, func() { h.ready = h.ready || h.life == life })
+	}
+	var at config.Position
+	for _, f := range a.Fields {
+		switch f.Name {
+		case "generation":
+			_, _ = fmt.Sscan(f.Value, &at.Generation)
+		case "revision":
+			_, _ = fmt.Sscan(f.Value, &at.Revision)
+		}
+	}
+	h.w.Trace.Adoptions = append(h.w.Trace.Adoptions, Adoption{At: h.w.now, Host: h.index, Life: h.life, Position: at})
+}
+
+func (h *Host) stopped() {
+	for _, r := range h.requests {
+		if len(r.Answers) == 0 {
+			h.w.Trace.broke("P7", "node %s stopped with request %d in flight", h.name, r.ID)
+		}
+	}
+	h.w.Trace.Stops++
+	h.Kill()
+}
