node: ask for no timer in the past during a shutdown

Cause: shutdown.wake returned the end of the accepting time until the node was idle, also after that time had passed. A node with a request in flight then asked for a timer at once, again and again, up to the request's deadline. Found by the fault matrix (store down, then a graceful stop: 200 timers at one instant). Ruled out: a timer of the request itself, since the wake time was exactly the end of the accepting time. Change: once new requests are refused, only the requests in flight wake the node. Before: TestShutdownWaitsWithoutSpinning fails (timer 50 ms ago). After: it passes.

--- /dev/null
+++ b/core/node/faults_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/event"
+)
+
+// rig drives one node with a search service and a work service, on one replica
+// each, until it is connected to both.
+type rig struct {
+	t     *testing.T
+	n     *Node
+	now   time.Time
+	conns map[api.ReplicaName]api.ConnID
+	acts  []event.Action // of the newest step
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, n: New(Settings{Name: "e1", Life: 1, Seed: 1}), now: start, conns: map[api.ReplicaName]api.ConnID{}}
+	replica := func(service api.ServiceName, address string) *config.Replica {
+		return &config.Replica{Service: service, Address: address, DataCentre: "dc", VM: "vm", Slots: 2, Connections: 8}
+	}
+	doc := config.Empty(start)
+	ops := []config.Op{
+		{CreateService: &config.CreateService{Name: "s", Kind: config.KindSearch}},
+		{CreateService: &config.CreateService{Name: "w", Kind: config.KindWork}},
+		{CreateReplica: &config.CreateReplica{Name: "rs", Replica: *replica("s", "10.0.0.1:1")}},
+		{CreateReplica: &config.CreateReplica{Name: "rw", Replica: *replica("w", "10.0.0.2:1")}},
+		{CreateShard: &config.CreateShard{Service: "s", Shard: config.Shard{Name: "a", Last: 1<<32 - 1, Replicas: []api.ReplicaName{"rs"}}}},
+	}
+	doc, err := config.Apply(doc, config.Change{ID: "c", Who: "o", Why: "t", When: start, Text: "t", Ops: ops})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := config.Encode(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := start.Add(2 * time.Second); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
+		r.step(event.Timer{})
+		for _, a := range r.acts {
+			switch a := a.(type) {
+			case event.ReadStore:
+				r.step(event.StoreRead{Op: a.Op, Result: event.ReadFound, Value: value, Revision: 1})
+			case event.OpenConn:
+				r.conns[a.Replica] = a.Conn
+				r.step(event.ConnOpened{Conn: a.Conn, Load: r.load(1)})
+			}
+		}
+	}
+	if len(r.conns) != 2 {
+		t.Fatalf("connected to %v", r.conns)
+	}
+	return r
+}
+
+func (r *rig) load(version uint64) api.TargetLoad {
+	return api.TargetLoad{Incarnation: 5, Slots: 2, Held: []api.ShardVersions{{Epoch: 1, Shard: "a", Versions: []uint64{version}}}}
+}
+
+func (r *rig) step(ev event.Event) {
+	r.acts = append([]event.Action(nil), r.n.Step(r.now, ev)...)
+}
+
+func (r *rig) search(id api.RequestID) (event.SendSearch, bool) {
+	r.step(event.SearchArrived{Request: id, Search: api.Search{Query: api.Query{Service: "s"}}})
+	return find[event.SendSearch](r.acts)
+}
+
+// Guards against a node that asks for a timer in the past, and so keeps a core
+// busy, while it waits for the last requests of a shutdown.
+func TestShutdownWaitsWithoutSpinning(t *testing.T) {
+	r := newRig(t)
+	if _, ok := r.search(1); !ok {
+		t.Fatal("nothing sent")
+	}
+	r.step(event.ShutdownStarted{AcceptFor: 100 * time.Millisecond})
+	r.now = r.now.Add(150 * time.Millisecond)
+	r.step(event.Timer{})
+	if _, stopped := find[event.Stopped](r.acts); stopped {
+		t.Fatal("stopped with a search in flight")
+	}
+	if wake := r.n.Wake(); !wake.After(r.now) {
+		t.Fatalf("the node asks for a timer %v ago", r.now.Sub(wake))
+	}
+}
--- a/core/node/lifecycle.go
+++ b/core/node/lifecycle.go
@@ -14,8 +14,11 @@
 type shutdown struct {
 	started     bool
 	acceptUntil time.Time
-	idleSince   time.Time
-	done        bool
+	// closed is set once new requests are refused. From then on the requests in
+	// flight wake the node, until the last of them has ended.
+	closed    bool
+	idleSince time.Time
+	done      bool
 }
 
 // refuses reports whether new requests are refused.
@@ -27,8 +30,10 @@
 	switch {
 	case !s.started || s.done:
 		return time.Time{}
-	case s.idleSince.IsZero():
+	case !s.closed:
 		return s.acceptUntil
+	case s.idleSince.IsZero():
+		return time.Time{}
 	}
 	return s.idleSince.Add(recordWait)
 }
@@ -46,7 +51,11 @@
 // finishShutdown reports Stopped once nothing is in flight.
 func (n *Node) finishShutdown(now time.Time) {
 	s := &n.shutdown
-	if s.done || !s.refuses(now) || len(n.searches) > 0 || n.openWorks() > 0 {
+	if s.done || !s.refuses(now) {
+		return
+	}
+	s.closed = true
+	if len(n.searches) > 0 || n.openWorks() > 0 {
 		return
 	}
 	if s.idleSince.IsZero() {
