node: ask replicas for the versions they hold if none is known

Cause: a target announces a change of its versions once, with its next answer on a connection. If that answer is cancelled, or the node sends nothing to the replica meanwhile, the node believes in old versions, sends the replica nothing that it could answer, and never learns the new ones while the connection lasts. Ruled out: the targets, which held the versions and answered the other nodes.

--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -214,6 +214,7 @@
 		return snapshot.Choice{}, nil, false
 	}
 	choice, ok := n.choose(now, s)
+	n.askHoldings(now, s.service(), choice, s.wanted())
 	if !ok {
 		return choice, nil, false
 	}
--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -88,3 +88,27 @@
 		t.Fatalf("the node asks for a timer %v ago", r.now.Sub(wake))
 	}
 }
+
+// Guards against a node that never learns which versions a replica holds,
+// because it believes that the replica holds none that it could be asked for.
+func TestReplicaWithoutKnownVersionIsAsked(t *testing.T) {
+	r := newRig(t)
+	send, ok := r.search(1)
+	if !ok {
+		t.Fatal("nothing sent")
+	}
+	r.step(event.SearchReplied{Conn: send.Conn, Attempt: send.Request.Attempt, Reply: api.SearchReply{
+		Attempt: send.Request.Attempt, Shard: "a", Snapshot: send.Request.Snapshot, Outcome: api.TargetVersionGone,
+		Load: api.TargetLoad{Incarnation: 5, Slots: 2}, // the answer that named the new version was lost
+	}})
+	r.now = r.now.Add(time.Second)
+	r.search(2)
+	probe, ok := find[event.Probe](r.acts)
+	if !ok || probe.Conn != r.conns["rs"] {
+		t.Fatalf("the replica is not asked: %v", r.acts)
+	}
+	r.step(event.ProbeReplied{Conn: probe.Conn, Load: r.load(2)})
+	if send, ok = r.search(3); !ok || send.Request.Snapshot.Version != 2 {
+		t.Fatalf("the version learned is not used: %+v", r.acts)
+	}
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -83,6 +83,9 @@
 	// unresolved lists, per replica, lost attempts whose cause is not yet known.
 	unresolved map[api.ReplicaName][]lostAttempt
 
+	// askedAt is when a replica was last asked which versions it holds.
+	askedAt map[api.ReplicaName]time.Time
+
 	refreshAt time.Time // when the notices of the quarantine are refreshed next
 
 	started  bool
@@ -106,6 +109,7 @@
 		waiting:     make(map[api.ReplicaName][]waitingPart),
 		onProbation: make(map[api.Fingerprint][]api.RequestID),
 		unresolved:  make(map[api.ReplicaName][]lostAttempt),
+		askedAt:     make(map[api.ReplicaName]time.Time),
 	}
 	n.replicas = balance.New(n.rng, settings.DataCentre)
 	n.admission = limit.NewAdmission(n.rng)
--- a/core/node/search.go
+++ b/core/node/search.go
@@ -126,6 +126,7 @@
 // false if the search was refused.
 func (n *Node) startSearch(now time.Time, s *search, kind quarantine.Kind) bool {
 	choice, shards, ok := n.chooseSnapshot(now, s)
+	n.askHoldings(now, s.service(), choice, s.wanted())
 	if !ok {
 		n.dropSearch(s, n.whyNothingHeld(now, s.service()), comeBackAfter)
 		return false
