node: ask the quarantine again before a claimed work order is sent

Cause: a work order was admitted, waited up to a second for its claim, and was sent although the node had learned meanwhile that it had been convicted, or had become suspect. With a slow store a crashing work order took down a third target. Ruled out: a late notice; the conviction had arrived 70 ms before the sending. Change: the verdict is asked again when the claim is granted; a refused work order is given up, and its claim released. Before: TestConvictedWorkOrderIsNotSentAfterItsClaim fails. After: it passes.

--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -7,6 +7,8 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/config"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quarantine"
 )
 
 // rig drives one node with a search service and a work service, on one replica
@@ -112,3 +114,37 @@
 		t.Fatalf("the version learned is not used: %+v", r.acts)
 	}
 }
+
+// Guards against a work order that is sent although another node found out,
+// while it waited for its claim, that it crashes targets.
+func TestConvictedWorkOrderIsNotSentAfterItsClaim(t *testing.T) {
+	r := newRig(t)
+	work := api.Work{Service: "w", Key: api.IdempotencyKey{6: 0x70, 8: 0x80}, Payload: []byte("p")}
+	for i, ms := 0, r.now.UnixMilli(); i < 6; i++ {
+		work.Key[i] = byte(ms >> (40 - 8*i))
+	}
+	r.step(event.WorkArrived{Request: 1, Work: work})
+	read, ok := find[event.ReadStore](r.acts)
+	if !ok {
+		t.Fatalf("no read: %v", r.acts)
+	}
+	r.step(event.StoreRead{Op: read.Op, Result: event.ReadAbsent})
+	write, ok := find[event.WriteStore](r.acts)
+	if !ok {
+		t.Fatalf("no claim: %v", r.acts)
+	}
+	r.step(event.PeerReceived{Message: gossip.Message{
+		From: gossip.Member{Name: "e2", Life: 2, Address: "10.0.0.9:1", Heartbeat: 1},
+		Notices: []gossip.Notice{{
+			Kind: gossip.NoticeConvicted, Fingerprint: quarantine.WorkFingerprint(work), Crashes: 2, Version: 9, TimeToLive: time.Hour,
+		}},
+	}})
+	r.step(event.StoreWritten{Op: write.Op, Result: event.WriteApplied, Revision: 1})
+	if _, sent := find[event.SendWork](r.acts); sent {
+		t.Fatal("a convicted work order is sent")
+	}
+	a, ok := find[event.AnswerWork](r.acts)
+	if !ok || a.Answer.Outcome != api.NotRun || a.Answer.Reason != api.ReasonQuarantined || a.Answer.RetryAfter == 0 {
+		t.Fatalf("answer %+v", a)
+	}
+}
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -153,6 +153,9 @@
 		n.giveUpWork(now, w, api.ReasonDeadline, comeBackAfter)
 		return
 	}
+	if !n.stillAdmitted(now, w) {
+		return
+	}
 	all := n.document.ReplicasOf(w.arrived.Work.Service)
 	candidates, reason := n.candidates(now, all, w.tried, "", api.Snapshot{}, "")
 	if reason != api.ReasonNone {
@@ -170,6 +173,24 @@
 	n.dispatchWork(now, w, replica, conn)
 }
 
+// stillAdmitted asks the quarantine again before a work order is sent: while it
+// waited for its claim, another node may have found that it crashes targets. A
+// refused one is given up.
+func (n *Node) stillAdmitted(now time.Time, w *work) bool {
+	verdict := n.quarantine.Admit(now, w.fingerprint, quarantine.Options{Work: true})
+	switch {
+	case verdict.Kind == quarantine.RunAlone:
+		w.probation = true
+	case verdict.Kind == quarantine.Refuse:
+		n.giveUpWork(now, w, api.ReasonQuarantined, verdict.RetryAfter)
+		return false
+	case verdict.Kind == quarantine.Wait && !w.probation:
+		n.giveUpWork(now, w, api.ReasonQuarantined, comeBackAfter)
+		return false
+	}
+	return true
+}
+
 // workReason prefers what a target said over what kept the next attempt back.
 func workReason(w *work, reason api.Reason) api.Reason {
 	if w.reason != api.ReasonNone {
