node, once: give refusals for a passed deadline a retry time

Cause: requests that arrived after, or whose claim came after, their deadline were refused not_run with a retry time of 0, which stands for a final answer.

--- a/core/node/search.go
+++ b/core/node/search.go
@@ -58,7 +58,7 @@
 		deadline:    earliest(ev.Deadline, now.Add(rule.Deadline)),
 	}
 	if !now.Before(s.deadline) {
-		n.refuseSearch(ev.Request, api.ReasonDeadline, 0)
+		n.refuseSearch(ev.Request, api.ReasonDeadline, comeBackAfter)
 		return
 	}
 	n.searches[ev.Request] = s
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -66,7 +66,7 @@
 		deadline:    earliest(ev.Deadline, now.Add(rule.Deadline)),
 	}
 	if !now.Before(w.deadline) {
-		n.refuseWork(ev.Request, api.ReasonDeadline, 0)
+		n.refuseWork(ev.Request, api.ReasonDeadline, comeBackAfter)
 		return
 	}
 	if admitted, retryAfter := n.admission.Admit(now, ev.Work.Service, 1, w.deadline); !admitted {
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -181,7 +181,7 @@
 	case key.CreatedMillis() > now.Add(futureLimit).UnixMilli():
 		return notRun(api.ReasonKeyFromFuture, 0), true
 	case !now.Before(who.Deadline):
-		return notRun(api.ReasonDeadline, 0), true
+		return notRun(api.ReasonDeadline, retryBusy), true
 	}
 	return api.WorkAnswer{}, false
 }
--- a/core/once/partition.go
+++ b/core/once/partition.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		if !now.Before(cl.deadline) {
-			c.refuse(now, cl, notRun(api.ReasonDeadline, 0))
+			c.refuse(now, cl, notRun(api.ReasonDeadline, retryBusy))
 			continue
 		}
 		p.drop(cl)
@@ -225,7 +225,7 @@
 	for _, cl := range slices.Clone(p.claims) {
 		switch {
 		case !now.Before(cl.deadline):
-			c.refuse(now, cl, notRun(api.ReasonDeadline, 0))
+			c.refuse(now, cl, notRun(api.ReasonDeadline, retryBusy))
 		case !now.Before(cl.giveUp) && p.conflicts > 0 && p.failures == 0:
 			c.refuse(now, cl, notRun(api.ReasonConflict, retryBusy))
 		case !now.Before(cl.giveUp):
