connhealth: tell a crash from a cut without delay

Cause: after a reset with requests in flight the next connection, which shows whether the target crashed, waited for the backoff of earlier failures (up to 5 s), for the rate of the replica, or for a connection that was being opened before the reset and hung. Found by the fault matrix: two crashing searches; two crashing work orders; a crashing work order and a frozen target. Ruled out: lost notices; the suspicion had reached all nodes. Change: a pending reset sets the next connection to within 20 ms, may use one reconnect per second beside the two of the replica, and does not wait for a connection asked for before the reset. The quota and the rate of the node hold. Before: TestResetIsExplainedAtOnce fails in both cases.

--- a/core/connhealth/connhealth.go
+++ b/core/connhealth/connhealth.go
@@ -127,6 +127,10 @@
 	// reconnects tells a reconnect from the first connection.
 	reconnects bool
 	recent     window
+	// checks bounds the reconnects that tell a crash from a cut, one in any
+	// second beside those of recent. If earlier reconnects to a restarting target
+	// delayed this one, another node could run the same request meanwhile.
+	checks window
 	// pending is a reset that is not yet known to be a crash or a cut.
 	pending *pendingReset
 }
@@ -202,7 +206,7 @@
 	for name, c := range doc.Replicas {
 		r, ok := m.replicas[name]
 		if !ok {
-			r = &replica{name: name, address: c.Address, recent: newWindow(m.settings.ReplicaReconnects)}
+			r = &replica{name: name, address: c.Address, recent: newWindow(m.settings.ReplicaReconnects), checks: newWindow(1)}
 			m.replicas[name] = r
 			added = append(added, r)
 		}
--- a/core/connhealth/connhealth_test.go
+++ b/core/connhealth/connhealth_test.go
@@ -354,3 +354,43 @@
 		t.Error("two runs differ")
 	}
 }
+
+// Guards against a crash that is recognised late, so that other nodes run the
+// request that caused it: the connection that tells a crash from a cut must not
+// wait for the backoff, for the rate of the replica, or for a connection that
+// was being opened before.
+func TestResetIsExplainedAtOnce(t *testing.T) {
+	const soon = 2 * firstJitter
+	restarted := func(reply func(*rig) func(event.OpenConn)) *rig {
+		r := connected(t, 25)
+		id, _ := r.send(1)
+		r.do(r.Ended(r.now, event.ConnEnded{Conn: id, End: event.ConnReset}))
+		r.run(900*time.Millisecond, r.refuse(event.ConnRefused))
+		for len(r.crashes) == 0 || r.Open(name(0)) == 0 {
+			r.run(100*time.Millisecond, reply(r))
+		}
+		r.crashes = nil
+		return r
+	}
+	accept := func(r *rig) func(event.OpenConn) { return r.accept(8) }
+	for what, prepare := range map[string]func() (*rig, api.ConnID){
+		"after failures": func() (*rig, api.ConnID) {
+			r := restarted(accept)
+			id, _ := r.send(2)
+			return r, id
+		},
+		"with a hanging connection": func() (*rig, api.ConnID) {
+			r := connected(t, 25)
+			id, _ := r.send(2)
+			r.run(time.Second, nil) // probed; its replacement hangs
+			return r, id
+		},
+	} {
+		r, id := prepare()
+		r.do(r.Ended(r.now, event.ConnEnded{Conn: id, End: event.ConnReset}))
+		r.run(soon, r.refuse(event.ConnRefused))
+		if len(r.crashes) != 1 {
+			t.Errorf("%s: %d crashes found in %v", what, len(r.crashes), soon)
+		}
+	}
+}
--- a/core/connhealth/lifecycle.go
+++ b/core/connhealth/lifecycle.go
@@ -66,6 +66,11 @@
 			r.failures++
 			m.openAfter(r, now, m.settings.Failed.Delay(m.rng, r.failures))
 		}
+		if r.pending != nil {
+			// Other nodes may run the same request until this reset is known to be
+			// a crash, so that the backoff must not delay the next connection.
+			r.nextOpen = now.Add(m.jitter(firstJitter))
+		}
 	}
 	m.tick(now)
 	return m.take()
@@ -171,18 +176,30 @@
 // wantsConn reports whether a replica needs another connection: it has none that
 // works, or a reset has to be told from a crash.
 func (r *replica) wantsConn() bool {
-	if len(r.conns) >= r.quota || r.isOpening() {
+	if len(r.conns) >= r.quota {
 		return false
 	}
-	working := slices.ContainsFunc(r.conns, func(c *conn) bool { return !c.probed() })
-	return !working || r.pending != nil
+	if r.pending != nil {
+		// A connection that was being opened before the reset may have reached
+		// the process that is gone and hang until it times out.
+		since := func(c *conn) bool { return c.state == opening && !c.askedAt.Before(r.pending.since) }
+		return !slices.ContainsFunc(r.conns, since)
+	}
+	if r.isOpening() {
+		return false
+	}
+	return !slices.ContainsFunc(r.conns, func(c *conn) bool { return !c.probed() })
 }
 
 // open opens a connection within the rates.
 func (m *Manager) open(now time.Time, r *replica) {
 	at := r.nextOpen
+	rate := &r.recent
+	if r.pending != nil && !now.Before(r.checks.freeAt()) {
+		rate = &r.checks
+	}
 	if r.reconnects {
-		at = latest(at, r.recent.freeAt(), m.recent.freeAt())
+		at = latest(at, rate.freeAt(), m.recent.freeAt())
 	}
 	if now.Before(at) {
 		m.wakeBy(at)
@@ -190,7 +207,7 @@
 	}
 	if r.reconnects {
 		m.inc(DetailReconnect)
-		r.recent.add(now)
+		rate.add(now)
 		m.recent.add(now)
 	}
 	r.reconnects = true
