quarantine: keep a conviction that arrives after a later suspicion

Cause: a node that had a suspicion with a higher version ignored a conviction by a node that did not know of that suspicion. In the other order the conviction stood. After a cut between nodes the request ran again. Found by the fault matrix (crashing work order, peers cut). Change: a conviction newer than the last clearing counts for a suspect in either order, and the higher version is kept. Before: TestConvictionCountsInEitherOrder fails. After: it passes.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -353,7 +353,9 @@
 		return true
 	}
 	newer := n.Version > c.version || n.Version == c.version && to > c.state
-	if !newer {
+	// A conviction counts beside a later suspicion by a node that did not know of
+	// it, in whichever order the two arrive.
+	if !newer && (to != convicted || c.state != suspect) {
 		if n.Version == c.version && to == c.state {
 			c.extend(until)
 		}
@@ -367,7 +369,7 @@
 		c.clear(n.Version, until)
 		return true
 	}
-	c.state, c.version = to, n.Version
+	c.state, c.version = to, max(c.version, n.Version)
 	c.until = until
 	c.mergeCrashes(n)
 	return true
