wire/convert: read refreshes in member lists

Cause: entries of a member list that have only life and heartbeat were refused as malformed, and the whole message with them. Each push has such an entry, so that no drain, suspicion or conviction was pushed to another node; with three nodes or more most periodic messages were refused too. A crashing search resent through two nodes took down four targets (cmd/e2e, TestCrashingSearch). Ruled out: the quarantine (both nodes counted no learned notice), the order of canaries (the same at both), lost connections (the peers counted malformed). Change: such an entry is read; one without a life is still refused. Before: TestMessagesOfNodesAreReadable and TestRoundTripKeepsEveryField fail, four targets lost.

--- a/wire/convert/convert_test.go
+++ b/wire/convert/convert_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	counters "github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/wire/peerpb"
 	"github.com/baobabsail/baobabsail/wire/targetpb"
@@ -60,7 +62,7 @@
 
 	member := gossip.Member{Name: "n1", Life: 5, Address: "127.0.0.1:1", DataCentre: "dc1", Heartbeat: 8, Leaving: true}
 	message := gossip.Message{
-		From: member, Members: []gossip.Member{member},
+		From: member, Members: []gossip.Member{member, {Life: 7, Heartbeat: 9, Leaving: true}},
 		Notices:    []gossip.Notice{{Kind: gossip.NoticeConvicted, Replica: "r1", Incarnation: 4, Fingerprint: 6, Crashes: 2, Version: 3, TimeToLive: time.Minute}},
 		Generation: 1, Revision: 2, Changes: [][]byte{{1}}, Document: []byte{2},
 		WantAfter: &gossip.Position{Generation: 1, Revision: 1},
@@ -131,6 +133,37 @@
 	}
 }
 
+// Every message that nodes make must be readable. Entries of member lists are
+// whole or refreshes, and a refused message loses the notices in it.
+func TestMessagesOfNodesAreReadable(t *testing.T) {
+	nodes := map[api.EntryName]*gossip.Exchange{}
+	for i, name := range []api.EntryName{"a", "b", "c", "d"} {
+		self := gossip.Member{Name: name, Life: api.Life(i + 1), Address: string(name) + ":1"}
+		nodes[name] = gossip.New(self, []gossip.Seed{{Name: "a", Address: "a:1"}}, rand.New(rand.NewPCG(1, uint64(i))), counters.NewSet())
+	}
+	learned := 0
+	var deliver func(now time.Time, sends []gossip.Send)
+	deliver = func(now time.Time, sends []gossip.Send) {
+		for _, s := range sends {
+			got, err := MessageFromProto(MessageToProto(s.Message))
+			same(t, s.Message, got, err)
+			received := nodes[s.Peer].Receive(now, got)
+			learned += len(received.Fresh)
+			deliver(now, received.Sends)
+		}
+	}
+	for round := range 20 {
+		at := now.Add(time.Duration(round) * gossip.Interval)
+		for _, name := range []api.EntryName{"a", "b", "c", "d"} {
+			deliver(at, nodes[name].Tick(at))
+		}
+	}
+	deliver(now, nodes["a"].Publish(now, gossip.Notice{Kind: gossip.NoticeCleared, Fingerprint: 6, Version: 3, TimeToLive: time.Minute}))
+	if learned != 3 {
+		t.Errorf("the notice reached %d of 3 peers", learned)
+	}
+}
+
 // A notice kind of a newer version must not make the whole message unreadable.
 func TestUnknownNoticeKindIsSkipped(t *testing.T) {
 	m := MessageToProto(gossip.Message{From: gossip.Member{Name: "n", Address: "a:1"}})
--- a/wire/convert/peer.go
+++ b/wire/convert/peer.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// listedFromProto decodes an entry of a member list: a whole one, or a refresh,
+// which has only life, heartbeat and leaving.
+func listedFromProto(m *peerpb.Member) (gossip.Member, error) {
+	if m.GetName() != "" || m.GetAddress() != "" {
+		return memberFromProto(m)
+	}
+	if m.GetLife() == 0 {
+		return gossip.Member{}, malformed("member.life", "is missing")
+	}
+	return gossip.Member{Life: api.Life(m.Life), Heartbeat: m.Heartbeat, Leaving: m.Leaving}, nil
+}
+
 func memberFromProto(m *peerpb.Member) (gossip.Member, error) {
 	if err := checkName("member.name", m.GetName()); err != nil {
 		return gossip.Member{}, err
@@ -116,7 +128,7 @@
 		Document:   m.Document,
 	}
 	for _, member := range m.Members {
-		decoded, err := memberFromProto(member)
+		decoded, err := listedFromProto(member)
 		if err != nil {
 			return gossip.Message{}, err
 		}
