Pass work orders on to the owner of their claim partition

Ruled out: an owner with a lease, which a paused owner breaks; forwarding only the claim, which costs the same hop and leaves the outcome to a second message. Change: a node passes a work order to the live node with the highest rendezvous score for the partition. If that node does not answer within 1 s, cannot be reached, or shuts down, the node asks for the claim itself. Safety still rests on the claim alone: 'not run' becomes 'unknown' once a peer may have the order.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -50,6 +50,18 @@
 	Deadline time.Time
 }
 
+// ForwardWork passes a work order on to a peer. The driver answers with
+// WorkForwarded.
+type ForwardWork struct {
+	action
+	Op       api.OpID
+	Peer     api.EntryName
+	Address  string
+	Caller   api.CallerID
+	Work     api.Work
+	Deadline time.Time
+}
+
 // AnswerSearch answers a SearchArrived.
 type AnswerSearch struct {
 	action
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -38,6 +38,9 @@
 	Caller   api.CallerID
 	Work     api.Work
 	Deadline time.Time // zero takes the rule's
+	// Forwarded is set if a peer passed the work order on. It is not passed on
+	// again.
+	Forwarded bool
 }
 
 // CallerGone says that the caller of a request no longer waits.
@@ -96,6 +99,26 @@
 	Answer api.SearchAnswer
 }
 
+// ForwardResult says what became of a work order passed on to a peer.
+type ForwardResult uint8
+
+const (
+	// ForwardAnswered means that the peer answered.
+	ForwardAnswered ForwardResult = iota + 1
+	// ForwardNotSent means that the peer certainly did not get the work order.
+	ForwardNotSent
+	// ForwardLost means that the peer may have got the work order and run it.
+	ForwardLost
+)
+
+// WorkForwarded is the result of ForwardWork. Answer is set for ForwardAnswered.
+type WorkForwarded struct {
+	event
+	Op     api.OpID
+	Result ForwardResult
+	Answer api.WorkAnswer
+}
+
 // ConnOpened says that a connection asked for by OpenConn is usable.
 type ConnOpened struct {
 	event
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -80,8 +80,12 @@
 
 	searches map[api.RequestID]*search
 	works    map[api.RequestID]*work
-	attempts map[api.AttemptID]*attempt
-	timers   timerQueue
+	// forwards names the work order of each outstanding ForwardWork.
+	forwards map[api.OpID]api.RequestID
+	// peerPausedUntil says how long nothing is passed on to a peer.
+	peerPausedUntil map[api.EntryName]time.Time
+	attempts        map[api.AttemptID]*attempt
+	timers          timerQueue
 	// waiting lists, per replica, the parts that wait for room at it.
 	waiting map[api.ReplicaName][]waitingPart
 	// resuming is set while the parts that wait for one replica are tried.
@@ -104,20 +108,22 @@
 // New returns a node that has not started; the first Step starts it.
 func New(settings Settings) *Node {
 	n := &Node{
-		settings:    settings,
-		counts:      count.NewSet(),
-		rng:         rand.New(rand.NewPCG(settings.Seed, uint64(settings.Life))),
-		budget:      retry.NewBudget(),
-		delay:       retry.NewDelay(0, 0),
-		holdings:    snapshot.NewTracker(),
-		concurrent:  limit.NewConcurrency(),
-		vmsGone:     make(map[api.VMName]bool),
-		searches:    make(map[api.RequestID]*search),
-		works:       make(map[api.RequestID]*work),
-		attempts:    make(map[api.AttemptID]*attempt),
-		waiting:     make(map[api.ReplicaName][]waitingPart),
-		onProbation: make(map[api.Fingerprint][]api.RequestID),
-		unresolved:  make(map[api.ReplicaName][]lostAttempt),
+		settings:        settings,
+		counts:          count.NewSet(),
+		rng:             rand.New(rand.NewPCG(settings.Seed, uint64(settings.Life))),
+		budget:          retry.NewBudget(),
+		delay:           retry.NewDelay(0, 0),
+		holdings:        snapshot.NewTracker(),
+		concurrent:      limit.NewConcurrency(),
+		vmsGone:         make(map[api.VMName]bool),
+		searches:        make(map[api.RequestID]*search),
+		works:           make(map[api.RequestID]*work),
+		forwards:        make(map[api.OpID]api.RequestID),
+		peerPausedUntil: make(map[api.EntryName]time.Time),
+		attempts:        make(map[api.AttemptID]*attempt),
+		waiting:         make(map[api.ReplicaName][]waitingPart),
+		onProbation:     make(map[api.Fingerprint][]api.RequestID),
+		unresolved:      make(map[api.ReplicaName][]lostAttempt),
 	}
 	n.replicas = balance.New(n.rng, settings.DataCentre)
 	n.admission = limit.NewAdmission(n.rng)
@@ -190,6 +196,8 @@
 		n.workReplied(now, &ev)
 	case event.AttemptFailed:
 		n.attemptFailed(now, ev)
+	case event.WorkForwarded:
+		n.workForwarded(now, ev)
 	case event.PartReplied:
 		n.counts.Inc(count.Discarded, "part_reply")
 	case event.ConnOpened, event.ConnEnded, event.ProbeReplied:
@@ -198,6 +206,7 @@
 		n.peerReceived(now, ev.Message)
 	case event.PeerFailed:
 		n.peers.Failed(now, ev.Peer)
+		n.pausePeer(now, ev.Peer, "undelivered")
 	case event.StoreRead, event.StoreWritten, event.StoreChanged, event.StoreWatchEnded:
 		n.storeEvent(now, ev)
 	case event.VMListRead:
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -16,6 +16,8 @@
 const (
 	// workWaiting waits for the result of a probation run.
 	workWaiting workState = iota
+	// workForwarded waits for the answer of the owner of its claim partition.
+	workForwarded
 	// workClaiming waits for its claim.
 	workClaiming
 	// workReady is claimed and not at any target: never sent, or refused by
@@ -49,6 +51,12 @@
 	reason      api.Reason // why the newest attempt did not run
 	answered    bool       // the caller has its answer
 	forgetAt    time.Time
+
+	forward      forwardState
+	forwardedTo  api.EntryName
+	localAt      time.Time // when this node asks for the claim itself
+	triedLocally bool
+	localAnswer  api.WorkAnswer // what this node was refused with
 }
 
 func (w *work) id() api.RequestID { return w.arrived.Request }
@@ -75,7 +83,9 @@
 	}
 	n.works[ev.Request] = w
 	n.timers.set(timer{at: w.deadline, request: ev.Request})
-	n.admitWork(now, w)
+	if !n.forwardWork(now, w) {
+		n.admitWork(now, w)
+	}
 }
 
 func (n *Node) refuseWork(request api.RequestID, reason api.Reason, retryAfter time.Duration) {
@@ -117,7 +127,7 @@
 func (n *Node) endWork(now time.Time, w *work, answer api.WorkAnswer) {
 	if !w.answered {
 		w.answered = true
-		n.answerWork(w.id(), answer)
+		n.answerWork(w.id(), w.honest(answer))
 	}
 	if n.works[w.id()] != w {
 		return
@@ -139,8 +149,12 @@
 		case w == nil:
 		case d.Granted:
 			w.state = workReady
+			if w.forward == forwardOpen {
+				// The owner has not even claimed the key.
+				n.pausePeer(now, w.forwardedTo, "work_forward_slow")
+			}
 			n.sendWork(now, w)
-		default:
+		case !n.keepWaiting(w, d.Answer):
 			n.endWork(now, w, d.Answer)
 		}
 	}
@@ -285,6 +299,11 @@
 func (n *Node) wakeWork(now time.Time, w *work) {
 	switch {
 	case now.Before(w.deadline):
+		if w.forward == forwardOpen && !now.Before(w.localAt) {
+			n.handleLocally(now, w)
+		}
+	case w.state == workForwarded:
+		n.endWork(now, w, api.WorkAnswer{Outcome: api.Unknown, Reason: api.ReasonDeadline, RetryAfter: resendAfter})
 	case w.state == workWaiting:
 		n.endWork(now, w, api.WorkAnswer{Outcome: api.NotRun, Reason: api.ReasonQuarantined, RetryAfter: comeBackAfter})
 	case w.state == workSent && !w.answered:
@@ -302,7 +321,7 @@
 func (n *Node) workCallerGone(now time.Time, w *work) {
 	w.answered = true
 	switch w.state {
-	case workWaiting:
+	case workWaiting, workForwarded:
 		n.endWork(now, w, api.WorkAnswer{})
 	case workClaiming:
 		n.endWork(now, w, api.WorkAnswer{})
--- a/entry/driver/driver.go
+++ b/entry/driver/driver.go
@@ -58,6 +58,7 @@
 type Peers interface {
 	Send(event.SendPeer)
 	RunPart(event.SendPart)
+	ForwardWork(event.ForwardWork)
 }
 
 // Store is the platform's key-value store. Calls may block until ctx ends. The
--- a/entry/driver/execute.go
+++ b/entry/driver/execute.go
@@ -26,6 +26,8 @@
 		d.config.Targets.Probe(a.Conn)
 	case event.SendPart:
 		d.config.Peers.RunPart(a)
+	case event.ForwardWork:
+		d.config.Peers.ForwardWork(a)
 	case event.SendPeer:
 		d.config.Peers.Send(a)
 	case event.AnswerSearch:
--- a/entry/driver/request.go
+++ b/entry/driver/request.go
@@ -89,8 +89,19 @@
 
 // Work runs a work order and waits for its answer.
 func (d *Driver) Work(ctx context.Context, caller api.CallerID, work api.Work, deadline time.Time) api.WorkAnswer {
+	return d.work(ctx, event.WorkArrived{Caller: caller, Work: work, Deadline: deadline})
+}
+
+// ForwardedWork runs a work order that a peer passed on and waits for its
+// answer.
+func (d *Driver) ForwardedWork(ctx context.Context, caller api.CallerID, work api.Work, deadline time.Time) api.WorkAnswer {
+	return d.work(ctx, event.WorkArrived{Caller: caller, Work: work, Deadline: deadline, Forwarded: true})
+}
+
+func (d *Driver) work(ctx context.Context, arrived event.WorkArrived) api.WorkAnswer {
 	answer, entered, ok := ask[event.AnswerWork](ctx, d, func(id api.RequestID) event.Event {
-		return event.WorkArrived{Request: id, Caller: caller, Work: work, Deadline: deadline}
+		arrived.Request = id
+		return arrived
 	})
 	switch {
 	case ok:
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -26,7 +26,7 @@
 	// DefaultSendTimeout bounds the delivery of one message. It is below the
 	// 3 s within which a drain notice must be everywhere.
 	DefaultSendTimeout = time.Second
-	// maxParts bounds the parts of queries in progress at one peer.
+	// maxParts bounds the parts of queries and work orders in progress at one peer.
 	maxParts = 512
 	// idleTime ends the link to a peer that nothing was sent to: nodes are
 	// replaced, and their links must not accumulate.
@@ -296,6 +296,43 @@
 	return convert.PartReplyFromProto(reply)
 }
 
+// ForwardWork passes a work order on to a peer and reports WorkForwarded.
+func (c *Client) ForwardWork(a event.ForwardWork) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	l := c.linkTo(a.Address)
+	if l == nil || l.parts >= maxParts {
+		c.running.Go(func() { c.config.Report(event.WorkForwarded{Op: a.Op, Result: event.ForwardNotSent}) })
+		return
+	}
+	l.parts++
+	c.running.Go(func() { c.forwardWork(l, a) })
+}
+
+// forwardWork reports every failure as ForwardLost: grpc does not say whether
+// the peer got the request, and the node can ask for the claim itself.
+func (c *Client) forwardWork(l *link, a event.ForwardWork) {
+	result := event.WorkForwarded{Op: a.Op, Result: event.ForwardAnswered}
+	ctx, cancel := context.WithDeadline(c.ctx, a.Deadline)
+	defer cancel()
+	work := convert.Work{Caller: a.Caller, Work: a.Work, Deadline: a.Deadline}
+	reply, err := l.client.RunWork(ctx, convert.WorkToProto(work, time.Now()))
+	if err == nil {
+		result.Answer, err = convert.WorkAnswerFromProto(reply)
+	}
+	if err != nil {
+		c.config.Counts.Inc(count.Peer, detailWorkFailed)
+		result.Result = event.ForwardLost
+	}
+	c.mu.Lock()
+	l.parts--
+	c.mu.Unlock()
+	c.config.Report(result)
+}
+
 // Shutdown ends all calls and waits until every report is delivered.
 func (c *Client) Shutdown() {
 	c.mu.Lock()
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -32,6 +32,10 @@
 	return api.SearchAnswer{Outcome: api.Answered, Coverage: api.Coverage{Snapshot: s.Pin.Snapshot, Covered: s.Pin.Shards}}
 }
 
+func (f *fakeReceiver) ForwardedWork(_ context.Context, caller api.CallerID, w api.Work, _ time.Time) api.WorkAnswer {
+	return api.WorkAnswer{Outcome: api.Answered, Result: append([]byte(caller), w.Payload...)}
+}
+
 func serve(t *testing.T, f *fakeReceiver, counts *telemetry.Counts) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -170,3 +174,28 @@
 		}
 	}
 }
+
+// A work order that was passed on must be answered with the owner's answer, and
+// a failed call must not be reported as never sent.
+func TestForwardWork(t *testing.T) {
+	c, events := newClient(t, Config{Counts: telemetry.NewCounts()})
+	forward := event.ForwardWork{
+		Op: 7, Peer: "p", Address: serve(t, &fakeReceiver{}, nil), Caller: "desk",
+		Work: api.Work{Service: "crews", Payload: []byte(":drain 7")}, Deadline: time.Now().Add(time.Minute),
+	}
+	c.ForwardWork(forward)
+	got := (<-events).(event.WorkForwarded)
+	if got.Op != 7 || got.Result != event.ForwardAnswered || string(got.Answer.Result) != "desk:drain 7" {
+		t.Fatalf("got %+v", got)
+	}
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	forward.Address = gone.Addr().String()
+	_ = gone.Close()
+	c.ForwardWork(forward)
+	if got := (<-events).(event.WorkForwarded); got.Result != event.ForwardLost {
+		t.Fatalf("got %+v", got)
+	}
+}
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -32,6 +32,7 @@
 	detailQueueFull   api.Reason = "queue_full"
 	detailUndelivered api.Reason = "undelivered"
 	detailPartFailed  api.Reason = "part_failed"
+	detailWorkFailed  api.Reason = "work_failed"
 )
 
 // Receiver takes what peers send; a *driver.Driver does.
@@ -39,6 +40,7 @@
 	// TryReport delivers an event if there is room.
 	TryReport(event.Event) bool
 	Search(ctx context.Context, caller api.CallerID, search api.Search, deadline time.Time) api.SearchAnswer
+	ForwardedWork(ctx context.Context, caller api.CallerID, work api.Work, deadline time.Time) api.WorkAnswer
 }
 
 type server struct {
@@ -83,3 +85,15 @@
 	answer := s.receiver.Search(ctx, part.Caller, part.Search, part.Deadline)
 	return convert.PartReplyToProto(answer), nil
 }
+
+// RunWork implements peerpb.PeerServer. The work order is followed to its end
+// even if the asking node goes away, so that its outcome is recorded.
+func (s *server) RunWork(ctx context.Context, m *peerpb.WorkRequest) (*peerpb.WorkReply, error) {
+	work, err := convert.WorkFromProto(m, time.Now())
+	if err != nil {
+		s.counts.Inc(count.Peer, detailMalformed)
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	answer := s.receiver.ForwardedWork(context.WithoutCancel(ctx), work.Caller, work.Work, work.Deadline)
+	return convert.WorkAnswerToProto(answer), nil
+}
--- a/wire/convert/convert_test.go
+++ b/wire/convert/convert_test.go
@@ -85,6 +85,18 @@
 	}
 	gotAnswer, err := PartReplyFromProto(PartReplyToProto(answer))
 	same(t, answer, gotAnswer, err)
+
+	forwarded := Work{
+		Caller: "c", Deadline: deadline,
+		Work: api.Work{Service: "crews", Key: api.IdempotencyKey{1, 2, 3}, Payload: []byte("drain 7")},
+	}
+	gotForwarded, err := WorkFromProto(WorkToProto(forwarded, now), now)
+	same(t, forwarded, gotForwarded, err)
+	workAnswer := api.WorkAnswer{
+		Outcome: api.Failed, Reason: api.ReasonFailed, Result: []byte("r"), Replayed: true, RetryAfter: time.Second,
+	}
+	gotWorkAnswer, err := WorkAnswerFromProto(WorkAnswerToProto(workAnswer))
+	same(t, workAnswer, gotWorkAnswer, err)
 }
 
 // A deadline that has passed must reach the target as 0, not wrap around to a
@@ -156,6 +168,9 @@
 		sr, sp := new(targetpb.SearchRequest), new(targetpb.SearchReply)
 		er, ep := new(targetpb.ExecuteRequest), new(targetpb.ExecuteReply)
 		pm, pr, pp := new(peerpb.Message), new(peerpb.PartRequest), new(peerpb.PartReply)
+		wr, wa := new(peerpb.WorkRequest), new(peerpb.WorkReply)
+		decode(wr, func() { _, _ = WorkFromProto(wr, now) })
+		decode(wa, func() { _, _ = WorkAnswerFromProto(wa) })
 		decode(sr, func() { _, _ = SearchRequestFromProto(sr, now) })
 		decode(sp, func() { _, _ = SearchReplyFromProto(sp) })
 		decode(er, func() { _, _ = WorkRequestFromProto(er, now) })
--- a/wire/convert/peer.go
+++ b/wire/convert/peer.go
@@ -213,9 +213,9 @@
 // over its own partition map. A row count that differs from the number of rows
 // is malformed, because the reply has no other way to state a truncation.
 func PartReplyFromProto(m *peerpb.PartReply) (api.SearchAnswer, error) {
-	outcome := api.Outcome(min(m.GetOutcome(), uint32(api.Unknown)+1))
-	if outcome < api.Answered || outcome > api.Unknown {
-		return api.SearchAnswer{}, malformed("outcome", "is not known")
+	outcome, err := outcomeFrom(m.GetOutcome())
+	if err != nil {
+		return api.SearchAnswer{}, err
 	}
 	if uint64(m.RowCount) != uint64(len(m.Rows)) {
 		return api.SearchAnswer{}, malformed("row_count", "differs from the number of rows")
--- /dev/null
+++ b/wire/convert/work.go
@@ -0,0 +1,83 @@
+package convert
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/wire/peerpb"
+)
+
+// Work is a decoded request of a peer to run a work order.
+type Work struct {
+	Caller   api.CallerID
+	Work     api.Work
+	Deadline time.Time
+}
+
+// WorkToProto encodes a work order for a peer.
+func WorkToProto(w Work, now time.Time) *peerpb.WorkRequest {
+	return &peerpb.WorkRequest{
+		Caller:     string(w.Caller),
+		Service:    string(w.Work.Service),
+		Key:        w.Work.Key[:],
+		Payload:    w.Work.Payload,
+		DeadlineMs: RemainingMillis(w.Deadline, now),
+	}
+}
+
+// WorkFromProto decodes a work order of a peer.
+func WorkFromProto(m *peerpb.WorkRequest, now time.Time) (Work, error) {
+	if err := checkName("service", m.GetService()); err != nil {
+		return Work{}, err
+	}
+	if len(m.Caller) > MaxNameBytes {
+		return Work{}, malformed("caller", "is too long")
+	}
+	var key api.IdempotencyKey
+	if len(m.Key) != len(key) {
+		return Work{}, malformed("key", "has not 16 bytes")
+	}
+	copy(key[:], m.Key)
+	return Work{
+		Caller:   api.CallerID(m.Caller),
+		Work:     api.Work{Service: api.ServiceName(m.Service), Key: key, Payload: m.Payload},
+		Deadline: deadlineFrom(m.DeadlineMs, now),
+	}, nil
+}
+
+// WorkAnswerToProto encodes the answer to a work order for a peer.
+func WorkAnswerToProto(a api.WorkAnswer) *peerpb.WorkReply {
+	return &peerpb.WorkReply{
+		Outcome:      uint32(a.Outcome),
+		Reason:       string(a.Reason),
+		Result:       a.Result,
+		Replayed:     a.Replayed,
+		RetryAfterMs: millisUp(a.RetryAfter),
+	}
+}
+
+// WorkAnswerFromProto decodes a peer's answer to a work order.
+func WorkAnswerFromProto(m *peerpb.WorkReply) (api.WorkAnswer, error) {
+	outcome, err := outcomeFrom(m.GetOutcome())
+	if err != nil {
+		return api.WorkAnswer{}, err
+	}
+	if err := checkReason("reason", m.Reason); err != nil {
+		return api.WorkAnswer{}, err
+	}
+	return api.WorkAnswer{
+		Outcome:    outcome,
+		Reason:     api.Reason(m.Reason),
+		Result:     m.Result,
+		Replayed:   m.Replayed,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+	}, nil
+}
+
+func outcomeFrom(number uint32) (api.Outcome, error) {
+	outcome := api.Outcome(min(number, uint32(api.Unknown)+1))
+	if outcome < api.Answered || outcome > api.Unknown {
+		return 0, malformed("outcome", "is not known")
+	}
+	return outcome, nil
+}
