--- /dev/null
+++ b/core/node/faults_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quarantine"
+)
+
+// rig drives one node with a search service and a work service, on one replica
+// each, until it is connected to both.
+type rig struct {
+	t     *testing.T
+	n     *Node
+	now   time.Time
+	conns map[api.ReplicaName]api.ConnID
+	acts  []event.Action // of the newest step
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, n: New(Settings{Name: "e1", Life: 1, Seed: 1}), now: start, conns: map[api.ReplicaName]api.ConnID{}}
+	replica := func(service api.ServiceName, address string) *config.Replica {
+		return &config.Replica{Service: service, Address: address, DataCentre: "dc", VM: "vm", Slots: 2, Connections: 8}
+	}
+	doc := config.Empty(start)
+	ops := []config.Op{
+		{CreateService: &config.CreateService{Name: "s", Kind: config.KindSearch}},
+		{CreateService: &config.CreateService{Name: "w", Kind: config.KindWork}},
+		{CreateReplica: &config.CreateReplica{Name: "rs", Replica: *replica("s", "10.0.0.1:1")}},
+		{CreateReplica: &config.CreateReplica{Name: "rw", Replica: *replica("w", "10.0.0.2:1")}},
+		{CreateShard: &config.CreateShard{Service: "s", Shard: config.Shard{Name: "a", Last: 1<<32 - 1, Replicas: []api.ReplicaName{"rs"}}}},
+	}
+	doc, err := config.Apply(doc, config.Change{ID: "c", Who: "o", Why: "t", When: start, Text: "t", Ops: ops})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := config.Encode(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := start.Add(2 * time.Second); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
+		r.step(event.Timer{})
+		for _, a := range r.acts {
+			switch a := a.(type) {
+			case event.ReadStore:
+				r.step(event.StoreRead{Op: a.Op, Result: event.ReadFound, Value: value, Revision: 1})
+			case event.OpenConn:
+				r.conns[a.Replica] = a.Conn
+				r.step(event.ConnOpened{Conn: a.Conn, Load: r.load(1)})
+			}
+		}
+	}
+	if len(r.conns) != 2 {
+		t.Fatalf("connected to %v", r.conns)
+	}
+	return r
+}
+
+func (r *rig) load(version uint64) api.TargetLoad {
+	return api.TargetLoad{Incarnation: 5, Slots: 2, Held: []api.ShardVersions{{Epoch: 1, Shard: "a", Versions: []uint64{version}}}}
+}
+
+func (r *rig) step(ev event.Event) {
+	r.acts = append([]event.Action(nil), r.n.Step(r.now, ev)...)
+}
+
+func (r *rig) search(id api.RequestID) (event.SendSearch, bool) {
+	r.step(event.SearchArrived{Request: id, Search: api.Search{Query: api.Query{Service: "s"}}})
+	return find[event.SendSearch](r.acts)
+}
+
+// Guards against a node that asks for a timer in the past, and so keeps a core
+// busy, while it waits for the last requests of a shutdown.
+func TestShutdownWaitsWithoutSpinning(t *testing.T) {
+	r := newRig(t)
+	if _, ok := r.search(1); !ok {
+		t.Fatal("nothing sent")
+	}
+	r.step(event.ShutdownStarted{AcceptFor: 100 * time.Millisecond})
+	r.now = r.now.Add(150 * time.Millisecond)
+	r.step(event.Timer{})
+	if _, stopped := find[event.Stopped](r.acts); stopped {
+		t.Fatal("stopped with a search in flight")
+	}
+	if wake := r.n.Wake(); !wake.After(r.now) {
+		t.Fatalf("the node asks for a timer %v ago", r.now.Sub(wake))
+	}
+}
+
+// Guards against a node that never learns which versions a replica holds,
+// because it believes that the replica holds none that it could be asked for.
+func TestReplicaWithoutKnownVersionIsAsked(t *testing.T) {
+	r := newRig(t)
+	send, ok := r.search(1)
+	if !ok {
+		t.Fatal("nothing sent")
+	}
+	r.step(event.SearchReplied{Conn: send.Conn, Attempt: send.Request.Attempt, Reply: api.SearchReply{
+		Attempt: send.Request.Attempt, Shard: "a", Snapshot: send.Request.Snapshot, Outcome: api.TargetVersionGone,
+		Load: api.TargetLoad{Incarnation: 5, Slots: 2}, // the answer that named the new version was lost
+	}})
+	r.now = r.now.Add(time.Second)
+	r.search(2)
+	probe, ok := find[event.Probe](r.acts)
+	if !ok || probe.Conn != r.conns["rs"] {
+		t.Fatalf("the replica is not asked: %v", r.acts)
+	}
+	r.step(event.ProbeReplied{Conn: probe.Conn, Load: r.load(2)})
+	if send, ok = r.search(3); !ok || send.Request.Snapshot.Version != 2 {
+		t.Fatalf("the version learned is not used: %+v", r.acts)
+	}
+}
+
+// Guards against a work order that is sent although another node found out,
+// while it waited for its claim, that it crashes targets.
+func TestConvictedWorkOrderIsNotSentAfterItsClaim(t *testing.T) {
+	r := newRig(t)
+	work := api.Work{Service: "w", Key: api.IdempotencyKey{6: 0x70, 8: 0x80}, Payload: []byte("p")}
+	for i, ms := 0, r.now.UnixMilli(); i < 6; i++ {
+		work.Key[i] = byte(ms >> (40 - 8*i))
+	}
+	r.step(event.WorkArrived{Request: 1, Work: work})
+	read, ok := find[event.ReadStore](r.acts)
+	if !ok {
+		t.Fatalf("no read: %v", r.acts)
+	}
+	r.step(event.StoreRead{Op: read.Op, Result: event.ReadAbsent})
+	write, ok := find[event.WriteStore](r.acts)
+	if !ok {
+		t.Fatalf("no claim: %v", r.acts)
+	}
+	r.step(event.PeerReceived{Message: gossip.Message{
+		From: gossip.Member{Name: "e2", Life: 2, Address: "10.0.0.9:1", Heartbeat: 1},
+		Notices: []gossip.Notice{{
+			Kind: gossip.NoticeConvicted, Fingerprint: quarantine.WorkFingerprint(work), Crashes: 2, Version: 9, TimeToLive: time.Hour,
+		}},
+	}})
+	r.step(event.StoreWritten{Op: write.Op, Result: event.WriteApplied, Revision: 1})
+	if _, sent := find[event.SendWork](r.acts); sent {
+		t.Fatal("a convicted work order is sent")
+	}
+	a, ok := find[event.AnswerWork](r.acts)
+	if !ok || a.Answer.Outcome != api.NotRun || a.Answer.Reason != api.ReasonQuarantined || a.Answer.RetryAfter == 0 {
+		t.Fatalf("answer %+v", a)
+	}
+}
