quarantine: do not convict a request beside the likely cause

Cause: a popular request, suspect since the first crash, ran in isolation on the target to which another node had sent the request that crashes it. The second crash convicted both, and the popular request was refused for as long as it was sent. Ruled out: an answer that should have cleared it; its isolated run had none. Change: a request that targets had answered before is not convicted by a crash that is held against a request never answered. Not covered: the other node's notice arrives after the conviction. Before: TestInnocentBesideTheCauseIsNotConvicted fails in two of three cases. After: it passes.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -213,7 +214,17 @@
 func (r *Registry) Crashed(now time.Time, replica api.ReplicaName, incarnation api.Incarnation,
 	inFlight []api.Fingerprint) []gossip.Notice {
 	fps := slices.Clone(inFlight)
-	slices.Sort(fps)
+	// Requests that targets have answered before come last, so that the others
+	// are already held against the incarnation.
+	slices.SortFunc(fps, func(a, b api.Fingerprint) int {
+		if good := r.wasGood(a); good != r.wasGood(b) {
+			if good {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a, b)
+	})
 	var out []gossip.Notice
 	for _, fp := range slices.Compact(fps) {
 		if n, changed := r.crashed(now, crash{replica, incarnation}, fp); changed {
@@ -240,7 +251,7 @@
 	c.version = nextVersion(now, c.version)
 	c.state = suspect
 	c.until = now.Add(suspicionTime)
-	if known && c.total() >= 2 && (alone || !c.wasGood) {
+	if known && c.total() >= 2 && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
 		c.state = convicted
 		c.until = now.Add(convictionTime)
 		r.counts.Inc(count.Quarantine, "convicted")
@@ -251,6 +262,26 @@
 	return c.notice(now, fp), true
 }
 
+// wasGood reports whether a target had answered a request before its first crash.
+func (r *Registry) wasGood(fp api.Fingerprint) bool {
+	if c := r.cases[fp]; c != nil {
+		return c.wasGood
+	}
+	return r.good.has(fp)
+}
+
+// suspectsOther reports whether a crash is held against another request, which
+// no target has ever answered. That one ran on the same target, sent by this
+// node or another, and is more likely to be the cause.
+func (r *Registry) suspectsOther(by crash, fp api.Fingerprint) bool {
+	for other, c := range r.cases {
+		if other != fp && !c.wasGood && slices.Contains(c.crashes, by) {
+			return true
+		}
+	}
+	return false
+}
+
 // open starts a case.
 func (r *Registry) open(fp api.Fingerprint) *record {
 	r.makeRoom()
