Check an idle connection before a work order is sent on it

A work order cannot be repeated, so the silence must be found before it is sent. Ruled out: probing every idle connection at an interval; it costs traffic all the time and leaves the interval as a gap. Change: a work order goes out only on a connection with a sign of life within the last second; else a probe goes first, and after 250 ms without an answer another replica is asked. A work order that finds no room at a replica now waits for room until its deadline; it was refused at once.

--- a/core/connhealth/conn.go
+++ b/core/connhealth/conn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/event"
 )
 
 // state is the life cycle of a connection.
@@ -38,6 +39,11 @@
 	probedAt time.Time
 	// answered says that the connection has shown a sign of life after its opening.
 	answered bool
+	// aliveAt is the time of the last sign of life, its opening included.
+	aliveAt time.Time
+	// graceUntil delays the replacement of a connection that was idle when it
+	// was probed: most of them answer at once.
+	graceUntil time.Time
 }
 
 type sentAttempt struct {
@@ -68,6 +74,7 @@
 // alive records a sign of life.
 func (c *conn) alive(now time.Time) {
 	c.answered = true
+	c.aliveAt = now
 	c.replica.failures = 0
 	c.probedAt = time.Time{}
 	c.silentSince = now
@@ -141,6 +148,28 @@
 	c.unanswered = append(c.unanswered, a)
 }
 
+// Fresh reports whether a connection has shown a sign of life so recently that a
+// request which cannot be repeated may be sent on it.
+func (m *Manager) Fresh(now time.Time, id api.ConnID) bool {
+	c, ok := m.conns[id]
+	return ok && !c.probed() && now.Sub(c.aliveAt) <= freshFor
+}
+
+// Check probes a connection that is not fresh. A connection that went silent
+// while it was idle is found out this way before a request is lost on it.
+func (m *Manager) Check(now time.Time, id api.ConnID) []event.Action {
+	c, ok := m.conns[id]
+	if !ok || c.probed() {
+		return nil
+	}
+	c.awaiting = true
+	c.graceUntil = now.Add(checkGrace)
+	m.wakeBy(c.graceUntil)
+	m.sendProbe(now, c)
+	actions, _ := m.take()
+	return actions
+}
+
 // silence is the time without an answer after which a connection is probed.
 func (m *Manager) silence(r *replica) time.Duration {
 	high := time.Duration(m.settings.SilenceFactor) * r.latency.Value(highQuantile)
--- a/core/connhealth/connhealth.go
+++ b/core/connhealth/connhealth.go
@@ -74,6 +74,11 @@
 	firstJitter = 20 * time.Millisecond
 	// openSpreadMost bounds the time over which first connections are spread.
 	openSpreadMost = time.Second
+	// freshFor is how long a sign of life vouches for a connection.
+	freshFor = time.Second
+	// checkGrace is how long a checked connection may take to answer before a
+	// replacement is opened.
+	checkGrace = 50 * time.Millisecond
 	// rememberUnanswered is how long an attempt that ended without an answer is
 	// still suspected of a crash: the driver reports it before the connection's
 	// end, and a cancelled request may still be running.
--- a/core/connhealth/lifecycle.go
+++ b/core/connhealth/lifecycle.go
@@ -28,6 +28,7 @@
 	}
 	r.distance += time.Duration(distanceWeight * float64(took-r.distance))
 	c.incarnation = ev.Load.Incarnation
+	c.aliveAt = now
 	m.resolve(r, ev.Load.Incarnation)
 	m.tick(now)
 	return m.take()
@@ -103,7 +104,7 @@
 	m.due = m.due[:0]
 	for _, r := range m.order {
 		m.check(now, r)
-		if r.wantsConn() {
+		if r.wantsConn(now) {
 			m.due = append(m.due, r)
 		}
 	}
@@ -167,6 +168,10 @@
 		m.wakeBy(due)
 		return
 	}
+	m.sendProbe(now, c)
+}
+
+func (m *Manager) sendProbe(now time.Time, c *conn) {
 	c.probedAt = now
 	m.inc(DetailProbed)
 	m.actions = append(m.actions, event.Probe{Conn: c.id})
@@ -175,7 +180,7 @@
 
 // wantsConn reports whether a replica needs another connection: it has none that
 // works, or a reset has to be told from a crash.
-func (r *replica) wantsConn() bool {
+func (r *replica) wantsConn(now time.Time) bool {
 	if len(r.conns) >= r.quota {
 		return false
 	}
@@ -188,7 +193,8 @@
 	if r.isOpening() {
 		return false
 	}
-	return !slices.ContainsFunc(r.conns, func(c *conn) bool { return !c.probed() })
+	works := func(c *conn) bool { return !c.probed() || now.Before(c.graceUntil) }
+	return !slices.ContainsFunc(r.conns, works)
 }
 
 // open opens a connection within the rates.
--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -85,10 +85,12 @@
 	return "", 0, reason
 }
 
-// waitingPart is a part of a search that waits for room at a replica.
+// waitingPart is a part of a search, or a work order, that waits for room at a
+// replica.
 type waitingPart struct {
 	request api.RequestID
 	part    int
+	work    bool
 }
 
 // waitFor queues a part at each of the candidates, or only at the one whose
@@ -113,14 +115,8 @@
 	for queue := n.waiting[replica]; len(queue) > 0; queue = n.waiting[replica] {
 		w := queue[0]
 		n.waiting[replica] = queue[1:]
-		s := n.searches[w.request]
-		if s == nil || s.query == nil {
-			continue
-		}
 		n.resumingPart = w
-		sent := s.query.ResumePart(now, w.part)
-		n.afterQuery(now, s)
-		if !sent {
+		if !n.resumePart(now, w) {
 			break
 		}
 	}
@@ -130,6 +126,27 @@
 	}
 }
 
+// resumePart sends what waited for a replica. It returns false if that still
+// has to wait.
+func (n *Node) resumePart(now time.Time, w waitingPart) bool {
+	if w.work {
+		order := n.works[w.request]
+		if order == nil || order.state != workQueued {
+			return true
+		}
+		order.state = workReady
+		n.sendWork(now, order)
+		return order.state != workQueued
+	}
+	s := n.searches[w.request]
+	if s == nil || s.query == nil {
+		return true
+	}
+	sent := s.query.ResumePart(now, w.part)
+	n.afterQuery(now, s)
+	return sent
+}
+
 // track records an attempt that is handed to a connection.
 func (n *Node) track(now time.Time, a *attempt) {
 	a.sentAt = now
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -99,6 +99,9 @@
 	// unresolved lists, per replica, lost attempts whose cause is not yet known.
 	unresolved map[api.ReplicaName][]lostAttempt
 
+	// checking lists, per replica, the work orders that wait for a sign of life.
+	checking map[api.ReplicaName][]api.RequestID
+
 	// askedAt is when a replica was last asked which versions it holds.
 	askedAt map[api.ReplicaName]time.Time
 
@@ -130,6 +133,7 @@
 		waiting:         make(map[api.ReplicaName][]waitingPart),
 		onProbation:     make(map[api.Fingerprint][]api.RequestID),
 		unresolved:      make(map[api.ReplicaName][]lostAttempt),
+		checking:        make(map[api.ReplicaName][]api.RequestID),
 		askedAt:         make(map[api.ReplicaName]time.Time),
 	}
 	n.replicas = balance.New(n.rng, settings.DataCentre)
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -55,6 +55,7 @@
 	n.holdings.Invalidate()
 	n.crashed(now, crashes)
 	n.resolve(now, replica)
+	n.checked(now, replica)
 	n.resume(now, replica)
 }
 
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -23,6 +23,11 @@
 	// workReady is claimed and not at any target: never sent, or refused by
 	// each target before running.
 	workReady
+	// workQueued is claimed and waits for room at a replica.
+	workQueued
+	// workChecking is claimed and waits until the connection of a replica has
+	// shown a sign of life.
+	workChecking
 	// workSent was handed to a connection.
 	workSent
 )
@@ -34,6 +39,9 @@
 	// resendAfter is when a caller with an unknown outcome may ask again with
 	// the same key.
 	resendAfter = time.Second
+	// checkWait is how long an idle connection may take to show a sign of life
+	// before the work order goes to another replica.
+	checkWait = 250 * time.Millisecond
 	// lateResultWait bounds the time that a work order is remembered after its
 	// deadline, so that a late result is recorded for resends.
 	lateResultWait = 30 * time.Second
@@ -57,6 +65,9 @@
 	localAt      time.Time // when this node asks for the claim itself
 	triedLocally bool
 	localAnswer  api.WorkAnswer // what this node was refused with
+
+	checkedReplica api.ReplicaName
+	checkUntil     time.Time
 }
 
 func (w *work) id() api.RequestID { return w.arrived.Request }
@@ -180,11 +191,50 @@
 		candidates = quarantine.CanaryOrder(w.fingerprint, candidates)[:1]
 	}
 	replica, conn, reason := n.place(now, candidates)
-	if reason != api.ReasonNone {
+	switch {
+	case reason == api.ReasonOverloaded:
+		w.state = workQueued
+		n.waitFor(candidates, waitingPart{request: w.id(), work: true})
+	case reason != api.ReasonNone:
 		n.giveUpWork(now, w, workReason(w, reason), comeBackAfter)
-		return
+	case !n.conns.Fresh(now, conn):
+		n.checkFirst(now, w, replica, conn)
+	default:
+		n.dispatchWork(now, w, replica, conn)
 	}
-	n.dispatchWork(now, w, replica, conn)
+}
+
+// checkFirst asks for a sign of life on a connection that was idle. Without
+// one, a work order could be sent on a connection that has gone silent, and its
+// outcome would stay unknown.
+func (n *Node) checkFirst(now time.Time, w *work, replica api.ReplicaName, conn api.ConnID) {
+	n.concurrent.Abandon(replica)
+	w.state, w.checkedReplica = workChecking, replica
+	w.checkUntil = now.Add(checkWait)
+	n.timers.set(timer{at: w.checkUntil, request: w.id()})
+	n.checking[replica] = append(n.checking[replica], w.id())
+	n.act(n.conns.Check(now, conn)...)
+}
+
+// checked sends the work orders that waited for news of a replica's
+// connections.
+func (n *Node) checked(now time.Time, replica api.ReplicaName) {
+	queue := n.checking[replica]
+	delete(n.checking, replica)
+	for _, id := range queue {
+		if w := n.works[id]; w != nil && w.state == workChecking && w.checkedReplica == replica {
+			w.state = workReady
+			n.sendWork(now, w)
+		}
+	}
+}
+
+// checkFailed passes over a replica that gave no sign of life in time.
+func (n *Node) checkFailed(now time.Time, w *work) {
+	w.state, w.reason = workReady, api.ReasonNoConnection
+	w.tried = append(w.tried, w.checkedReplica)
+	n.counts.Inc(count.Retried, "silent_connection")
+	n.sendWork(now, w)
 }
 
 // stillAdmitted asks the quarantine again before a work order is sent: while it
@@ -320,11 +370,16 @@
 func (n *Node) wakeWork(now time.Time, w *work) {
 	switch {
 	case now.Before(w.deadline):
+		if w.state == workChecking && !now.Before(w.checkUntil) {
+			n.checkFailed(now, w)
+		}
 		if w.forward == forwardOpen && !now.Before(w.localAt) {
 			n.handleLocally(now, w)
 		}
 	case w.state == workForwarded:
 		n.endWork(now, w, api.WorkAnswer{Outcome: api.Unknown, Reason: api.ReasonDeadline, RetryAfter: resendAfter})
+	case w.state == workQueued || w.state == workChecking:
+		n.sendWork(now, w) // gives it up, since the deadline has passed
 	case w.state == workWaiting:
 		n.endWork(now, w, api.WorkAnswer{Outcome: api.NotRun, Reason: api.ReasonQuarantined, RetryAfter: comeBackAfter})
 	case w.state == workSent && !w.answered:
--- a/core/testbed/oracle.go
+++ b/core/testbed/oracle.go
@@ -144,12 +144,20 @@
 	StoreModes []ModeChange
 	Restored   time.Time
 	End        time.Time
+	Forwards   []Forward
 	Hosts      int
 	Stops      int
 	// Broken holds violations that the fakes noticed themselves.
 	Broken []Violation
 }
 
+// Forward is a work order that one host passed on to another.
+type Forward struct {
+	At       time.Time
+	From, To api.Life
+	Tag      string
+}
+
 func (t *Trace) broke(promise, format string, args ...any) {
 	t.Broken = append(t.Broken, Violation{promise, fmt.Sprintf(format, args...)})
 }
@@ -318,13 +326,24 @@
 	for _, r := range c.Requests {
 		by[origin{r.Life, r.Tag}] = append(by[origin{r.Life, r.Tag}], r)
 	}
+	// A run at the host that a work order was passed on to answers the request
+	// at the host that passed it on.
+	asked := func(run *Run) []*Request {
+		out := slices.Clone(by[origin{run.Life, run.Tag}])
+		for _, f := range c.Forwards {
+			if f.To == run.Life && f.Tag == run.Tag && !f.At.After(run.Received) {
+				out = append(out, by[origin{f.From, f.Tag}]...)
+			}
+		}
+		return out
+	}
 	for _, run := range c.Runs {
 		if run.Started.IsZero() {
 			continue
 		}
 		explained := false
 		refused := -1
-		for _, r := range by[origin{run.Life, run.Tag}] {
+		for _, r := range asked(run) {
 			if r.At.After(run.Received) {
 				continue
 			}
--- a/core/testbed/world.go
+++ b/core/testbed/world.go
@@ -412,6 +412,7 @@
 // forward passes a work order on to another host and its answer back.
 func (h *Host) forward(a event.ForwardWork) {
 	w := h.w
+	from := h.life
 	report := func(result event.ForwardResult, answer api.WorkAnswer) {
 		h.later(w.hop(), event.WorkForwarded{Op: a.Op, Result: result, Answer: answer})
 	}
@@ -427,6 +428,9 @@
 			report(event.ForwardLost, api.WorkAnswer{})
 			return
 		}
+		w.Trace.Forwards = append(w.Trace.Forwards, Forward{
+			At: w.now, From: from, To: to.life, Tag: workTag(a.Work.Service, a.Work.Key),
+		})
 		to.nextID++
 		id := to.nextID
 		to.forwards[id] = func(result event.ForwardResult, answer api.WorkAnswer) {
