wire/convert: accept member refreshes of large groups

Above about ten members, the periodic exchange lists most members by life and heartbeat only. Decoding refused an entry without a name and with it the whole message, so that nodes of a large group would have dropped each other as silent.

--- a/wire/convert/peer.go
+++ b/wire/convert/peer.go
@@ -26,6 +26,15 @@
 	}
 }
 
+// listedFromProto decodes an entry of the member list. Messages to large groups
+// refresh most members by life and heartbeat only, without name and address.
+func listedFromProto(m *peerpb.Member) (gossip.Member, error) {
+	if m.GetName() == "" && m.GetAddress() == "" && m.GetLife() != 0 {
+		return gossip.Member{Life: api.Life(m.Life), Heartbeat: m.Heartbeat, Leaving: m.Leaving}, nil
+	}
+	return memberFromProto(m)
+}
+
 func memberFromProto(m *peerpb.Member) (gossip.Member, error) {
 	if err := checkName("member.name", m.GetName()); err != nil {
 		return gossip.Member{}, err
@@ -116,7 +125,7 @@
 		Document:   m.Document,
 	}
 	for _, member := range m.Members {
-		decoded, err := memberFromProto(member)
+		decoded, err := listedFromProto(member)
 		if err != nil {
 			return gossip.Message{}, err
 		}
