--- a/cmd/baobab-dev/system.go
+++ b/cmd/baobab-dev/system.go
@@ -130,12 +130,15 @@
 
 func targetSettings(service string, i, rows int) target.Settings {
 	return target.Settings{
-		Name: fmt.Sprintf("%s-%d", service, i), Listen: loopback, Service: service, Seed: seed, Rows: rows,
+		Name: targetName(service, i), Listen: loopback, Service: service, Seed: seed, Rows: rows,
 		Versions: []uint64{1}, KeepVersions: 2, Slots: slots, Queue: 64, Connections: connections,
 		ServiceTime: target.ServiceTime{MedianMS: 0.2, Sigma: 0.5},
 	}
 }
 
+// targetName is short: the statements of 620 shards must fit in one change.
+func targetName(service string, i int) string { return fmt.Sprintf("%c%d", service[0], i) }
+
 func shardName(i int) string { return fmt.Sprintf("s%03d", i) }
 
 // shardRange divides the hash range 0..2^32-1 evenly.
@@ -175,8 +178,8 @@
 	}
 	for i := range a.Shards {
 		first, last := shardRange(i, a.Shards)
-		lines = append(lines, fmt.Sprintf("create shard %s of readings range %d to %d on readings-%d, readings-%d",
-			shardName(i), first, last, i%a.Targets, (i+1)%a.Targets))
+		lines = append(lines, fmt.Sprintf("create shard %s of readings range %d to %d on %s, %s",
+			shardName(i), first, last, targetName("readings", i%a.Targets), targetName("readings", (i+1)%a.Targets)))
 	}
 	return strings.Join(lines, ";\n")
 }
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -20,6 +20,9 @@
 	// sent are left out.
 	Kinds    map[Kind]KindReport `json:"kinds"`
 	Coverage *CoverageReport     `json:"coverage,omitempty"`
+	// Seconds counts the searches by the second of their intended start, counted
+	// from the start of the run; it includes the warm-up.
+	Seconds []SecondReport `json:"seconds,omitempty"`
 	// Targets is set if the targets' admin addresses were given.
 	Targets *TargetReport `json:"targets,omitempty"`
 	// Work holds every sending of a work order, for CheckWork.
@@ -28,6 +31,14 @@
 	needed uint64
 }
 
+// SecondReport counts the searches that were due in one second of the run.
+type SecondReport struct {
+	Sent     uint64 `json:"sent"`
+	Answered uint64 `json:"answered"`
+	// Whole counts answers that cover the whole index.
+	Whole uint64 `json:"whole"`
+}
+
 // KindReport describes the requests of one kind.
 type KindReport struct {
 	Sent uint64 `json:"sent"`
@@ -73,7 +84,7 @@
 	defer r.mu.Unlock()
 	out := &Report{
 		Seed: s.Seed, Rate: s.RatePerSecond, ElapsedMS: float64(elapsed.Microseconds()) / 1000,
-		Kinds: make(map[Kind]KindReport), Work: r.records, needed: r.needed,
+		Kinds: make(map[Kind]KindReport), Work: r.records, needed: r.needed, Seconds: r.seconds,
 	}
 	for kind, k := range r.kinds {
 		out.Kinds[kind] = KindReport{
--- a/standin/load/results.go
+++ b/standin/load/results.go
@@ -46,6 +46,9 @@
 	// needed counts the target requests that the answers needed at least. It
 	// includes the warm-up, as the targets' counters do.
 	needed uint64
+	// seconds counts searches by the second of their intended start, warm-up
+	// included.
+	seconds []SecondReport
 }
 
 type kindResults struct {
@@ -116,10 +119,27 @@
 	outcomeFailed   = "failed"
 )
 
-func (r *results) search(latency time.Duration, status int, reported bool, a *SearchAnswer) {
+// second returns the counts of the second of an intended start.
+func (r *results) second(at time.Duration) *SecondReport {
+	i := int(at / time.Second)
+	for len(r.seconds) <= i {
+		r.seconds = append(r.seconds, SecondReport{})
+	}
+	return &r.seconds[i]
+}
+
+func (r *results) search(at, latency time.Duration, status int, reported bool, a *SearchAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	answered := a.Outcome == outcomeAnswered
+	second := r.second(at)
+	second.Sent++
+	if answered {
+		second.Answered++
+	}
+	if answered && whole(a.Coverage) {
+		second.Whole++
+	}
 	if answered {
 		r.needed += uint64(a.Coverage.CoveredShards + len(a.Coverage.Missing))
 	}
@@ -136,7 +156,7 @@
 	c.answers++
 	c.sum += got.SharePercent
 	c.worst = min(c.worst, got.SharePercent)
-	if got.SharePercent >= wholePercent && len(got.Missing) == 0 {
+	if whole(got) {
 		c.whole++
 	}
 	for _, m := range got.Missing {
@@ -144,6 +164,8 @@
 	}
 }
 
+func whole(c Coverage) bool { return c.SharePercent >= wholePercent && len(c.Missing) == 0 }
+
 func (r *results) work(latency time.Duration, status int, reported bool, key, payload string, a *WorkAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -32,7 +32,8 @@
 	results  *results
 	inFlight atomic.Int64
 	// running counts the requests in flight, for the end of the run.
-	running sync.WaitGroup
+	running  sync.WaitGroup
+	balancer balancer
 }
 
 // New checks the settings.
@@ -48,7 +49,8 @@
 			Timeout:       time.Duration(s.ClientTimeoutMS) * time.Millisecond,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		results: newResults(),
+		results:  newResults(),
+		balancer: newBalancer(s.Endpoints),
 	}, nil
 }
 
@@ -60,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	checks, stopChecks := context.WithCancel(ctx)
+	defer stopChecks()
+	g.balancer.watch(checks, g.client, time.Duration(g.settings.HealthCheckMS)*time.Millisecond)
 	start := time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -92,7 +97,7 @@
 	reported := a.At >= time.Duration(g.settings.WarmUpMS)*time.Millisecond
 	if request.Search != nil {
 		body := fillSearch(*request.Search, a.N)
-		g.spawn(KindSearch, reported, func() { g.search(start.Add(a.At), a.Endpoint, reported, body) })
+		g.spawn(KindSearch, reported, func() { g.search(start, a, reported, body) })
 		return
 	}
 	body := *request.Work
@@ -133,13 +138,13 @@
 	})
 }
 
-func (g *Generator) search(intended time.Time, endpoint int, reported bool, body SearchBody) {
+func (g *Generator) search(start time.Time, a Arrival, reported bool, body SearchBody) {
 	var answer SearchAnswer
-	status := g.post(endpoint, "/v1/search", "", body, &answer)
+	status := g.post(a.Endpoint, "/v1/search", "", body, &answer)
 	if status == 0 {
 		answer = SearchAnswer{Outcome: OutcomeTransport}
 	}
-	g.results.search(time.Since(intended), status, reported, &answer)
+	g.results.search(a.At, time.Since(start.Add(a.At)), status, reported, &answer)
 }
 
 func (g *Generator) work(intended time.Time, endpoint int, reported bool, key string, body WorkBody) {
@@ -157,7 +162,7 @@
 	if err != nil {
 		panic(err)
 	}
-	base := strings.TrimRight(g.settings.Endpoints[endpoint%len(g.settings.Endpoints)], "/")
+	base := strings.TrimRight(g.balancer.choose(endpoint), "/")
 	request, err := http.NewRequest(http.MethodPost, base+path, bytes.NewReader(text))
 	if err != nil {
 		return 0
@@ -171,6 +176,8 @@
 		request.Header.Set("Idempotency-Key", key)
 		request.GetBody = nil
 	}
+	delay := time.Duration(g.settings.NetworkDelayMS * float64(time.Millisecond))
+	time.Sleep(delay)
 	response, err := g.client.Do(request)
 	if err != nil {
 		return 0
@@ -180,5 +187,6 @@
 	if err != nil || json.Unmarshal(received, answer) != nil {
 		return 0
 	}
+	time.Sleep(delay)
 	return response.StatusCode
 }
--- a/standin/load/settings.go
+++ b/standin/load/settings.go
@@ -31,6 +31,12 @@
 	// MaxInFlight protects the machine of the generator; arrivals beyond it are
 	// reported as not sent.
 	MaxInFlight int `json:"max_in_flight"`
+	// HealthCheckMS is how often the readiness of each endpoint is read, as a load
+	// balancer does; endpoints that are not ready get no requests. 0 checks none.
+	HealthCheckMS int64 `json:"health_check_ms"`
+	// NetworkDelayMS is spent one way before a request is sent and again after
+	// its answer; latencies include it.
+	NetworkDelayMS float64 `json:"network_delay_ms"`
 	// ClientTimeoutMS bounds the wait for an answer.
 	ClientTimeoutMS int64     `json:"client_timeout_ms"`
 	Requests        []Request `json:"requests"`
@@ -85,6 +91,9 @@
 	if len(s.Endpoints) == 0 {
 		faults = append(faults, "no endpoint is given")
 	}
+	if s.NetworkDelayMS < 0 || s.HealthCheckMS < 0 {
+		faults = append(faults, "network_delay_ms and health_check_ms must not be negative")
+	}
 	if s.RatePerSecond <= 0 || s.DurationMS <= 0 || s.WarmUpMS < 0 || s.WarmUpMS >= s.DurationMS {
 		faults = append(faults, "rate and duration must be positive and the warm-up shorter than the duration")
 	}
--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -33,6 +33,11 @@
 	Shed int `json:"shed"`
 	// Lie replaces the load in all answers; nil tells the truth.
 	Lie *Lie `json:"lie"`
+	// StragglerShare and StragglerFactor add stragglers to those of the settings.
+	StragglerShare  float64 `json:"straggler_share"`
+	StragglerFactor float64 `json:"straggler_factor"`
+	// SlowFactor multiplies every service time; 0 counts as 1.
+	SlowFactor float64 `json:"slow_factor"`
 }
 
 // Lie is a misleading load status.
@@ -55,6 +60,9 @@
 			return ErrState.New("a counted fault must be -1 (always), 0 or positive, got %d", n)
 		}
 	}
+	if f.StragglerShare < 0 || f.StragglerShare > 1 || f.StragglerFactor < 0 || f.SlowFactor < 0 {
+		return ErrState.New("straggler_share must be from 0 to 1, straggler_factor and slow_factor not negative")
+	}
 	return nil
 }
 
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -40,6 +40,9 @@
 
 // Search implements targetpb.TargetServer.
 func (s *server) Search(ctx context.Context, req *targetpb.SearchRequest) (*targetpb.SearchReply, error) {
+	if !s.travel(ctx) {
+		return nil, endedStatus(ctx)
+	}
 	s.target.journal.count(RequestsReceived)
 	reply := &targetpb.SearchReply{
 		Attempt:  req.GetAttempt(),
@@ -100,6 +103,9 @@
 // Execute implements targetpb.TargetServer. Once started, a work order runs to
 // its end even if the caller cancels it: its effect cannot be taken back.
 func (s *server) Execute(ctx context.Context, req *targetpb.ExecuteRequest) (*targetpb.ExecuteReply, error) {
+	if !s.travel(ctx) {
+		return nil, endedStatus(ctx)
+	}
 	s.target.journal.count(RequestsReceived)
 	reply := &targetpb.ExecuteReply{Attempt: req.GetAttempt()}
 	outcome, err := s.runWork(ctx, req, reply)
@@ -151,6 +157,23 @@
 	return targetpb.Outcome_OK, nil
 }
 
+// travel waits for the network delay of a request and its answer together. It
+// returns false if the caller gave the request up meanwhile.
+func (s *server) travel(ctx context.Context) bool {
+	delay := milliseconds(s.target.settings.NetworkDelayMS)
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Health implements targetpb.TargetServer. It needs no slot.
 func (s *server) Health(ctx context.Context, _ *targetpb.HealthRequest) (*targetpb.HealthReply, error) {
 	s.target.journal.count(HealthReceived)
--- a/standin/target/settings.go
+++ b/standin/target/settings.go
@@ -60,6 +60,9 @@
 	Connections int `json:"connections"`
 	// ConnectDelayMS is the time from accepting a connection to its first byte.
 	ConnectDelayMS float64 `json:"connect_delay_ms"`
+	// NetworkDelayMS is the time that a search or work order and its answer spend
+	// on the network, both ways together. It holds no slot.
+	NetworkDelayMS float64 `json:"network_delay_ms"`
 	// RetryAfterMS is sent with refusals for load.
 	RetryAfterMS uint32      `json:"retry_after_ms"`
 	ServiceTime  ServiceTime `json:"service_time"`
@@ -137,7 +140,7 @@
 	check(s.KeepVersions > 0, "keep_versions must be positive")
 	check(!slices.Contains(s.Versions, 0), "version 0 is reserved for the newest version")
 	check(validTime(s.ServiceTime), "service_time must not be negative and straggler_share must be at most 1")
-	check(s.ConnectDelayMS >= 0 && s.RestartDelayMS >= 0 && s.ColdStart.DurationMS >= 0, "delays must not be negative")
+	check(s.ConnectDelayMS >= 0 && s.NetworkDelayMS >= 0 && s.RestartDelayMS >= 0 && s.ColdStart.DurationMS >= 0, "delays must not be negative")
 	for _, shard := range s.Shards {
 		check(shard.Name != "" && shard.Epoch > 0, "a shard needs a name and an epoch above 0")
 		check(shard.First <= shard.Last, "shard "+shard.Name+" has its first hash after its last")
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -386,6 +386,12 @@
 	if t.rng.Float64() < s.StragglerShare {
 		ms *= s.StragglerFactor
 	}
+	if f := t.faults; f.StragglerShare > 0 && t.rng.Float64() < f.StragglerShare {
+		ms *= f.StragglerFactor
+	}
+	if t.faults.SlowFactor > 0 {
+		ms *= t.faults.SlowFactor
+	}
 	t.mu.Unlock()
 	return milliseconds(ms * t.coldFactor(time.Since(l.started)))
 }
