core/limit: let live nodes share the attempts in flight on a replica

Cause: at 0.4 of the capacity, 2 to 3 % of the authority's answers lacked a shard with the reason shed. Counters showed sheds, then retry_budget_spent. Each of 8 nodes could have 4 attempts per slot in flight, 32 per slot together; a target has 2 slots and a queue of 16, so bursts of wide searches were shed, and hedges had used up the budget for the retries.

Ruled out: waiting for a token instead of giving up a part that was shed.

Change: all live nodes together have at most 8 per slot, each at least 1.

--- a/core/limit/concurrency.go
+++ b/core/limit/concurrency.go
@@ -13,6 +13,11 @@
 	leastConcurrency = 0.1
 	// mostPerSlot bounds the limit of a node per slot of the replica.
 	mostPerSlot = 4
+	// allPerSlot bounds the limits of all live nodes together per slot, but a node
+	// may always use the slots once. With 4 per slot for each of 8 nodes, bursts of
+	// wide searches filled the queues of targets at 0.4 of the capacity: 2 % of the
+	// answers lacked a shard that had been shed.
+	allPerSlot = 8
 	// longestPause bounds the pause of a limit below 1.
 	longestPause = 200 * time.Millisecond
 )
@@ -33,6 +38,7 @@
 // a queue already, and limits lowered for it left slots idle.
 type Concurrency struct {
 	gates map[api.ReplicaName]*gate
+	nodes int // live nodes, this one included
 	make  func(first float64) adaptive
 }
 
@@ -40,6 +46,7 @@
 func NewConcurrency() *Concurrency {
 	return &Concurrency{
 		gates: make(map[api.ReplicaName]*gate),
+		nodes: 1,
 		make: func(first float64) adaptive {
 			return &aimd{limit: first, least: leastConcurrency, ignoreDelay: true, settled: true}
 		},
@@ -61,10 +68,24 @@
 			c.gates[name] = g
 		}
 		g.slots = slots
-		g.limit.bound(float64(mostPerSlot * slots))
+		g.limit.bound(c.most(slots))
 	}
 }
 
+// SetNodes adopts the number of live nodes that share the replicas.
+func (c *Concurrency) SetNodes(live int) {
+	c.nodes = max(live, 1)
+	for _, g := range c.gates {
+		g.limit.bound(c.most(g.slots))
+	}
+}
+
+// most returns the largest limit of this node on a replica.
+func (c *Concurrency) most(slots int) float64 {
+	perSlot := min(mostPerSlot, max(1, float64(allPerSlot)/float64(c.nodes)))
+	return perSlot * float64(slots)
+}
+
 // Acquire takes a place for an attempt on a replica. If it returns false, a
 // place is free when an attempt ends, or after the returned time if that is
 // not 0.
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -109,3 +109,32 @@
 		c.Release(now, "r", api.TargetOK, 5*time.Millisecond, api.TargetLoad{Slots: 2, Running: 1})
 	}
 }
+
+// Guards against nodes that together send a replica so much at once that it
+// sheds although it is not overloaded, and against a lone node, or one of very
+// many, that cannot use the slots.
+func TestNodesShareAReplica(t *testing.T) {
+	for _, k := range []struct {
+		nodes int
+		want  int // attempts in flight after a long time of good answers
+	}{{1, 8}, {2, 8}, {4, 4}, {8, 2}, {570, 2}} {
+		c := NewConcurrency()
+		c.Configure(&config.Document{Replicas: map[api.ReplicaName]*config.Replica{"r": {Slots: 2}}})
+		c.SetNodes(k.nodes)
+		most := 0
+		for i := range 1000 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			got := 0
+			for ok, _ := c.Acquire(now, "r"); ok; ok, _ = c.Acquire(now, "r") {
+				got++
+			}
+			for range got {
+				c.Release(now, "r", api.TargetOK, time.Millisecond, api.TargetLoad{})
+			}
+			most = max(most, got)
+		}
+		if most != k.want {
+			t.Errorf("%d nodes: %d attempts in flight, want %d", k.nodes, most, k.want)
+		}
+	}
+}
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -76,6 +76,7 @@
 	n.configureServices(before, doc)
 	n.liveLast = n.liveNodes(now)
 	n.act(n.conns.Configure(now, doc, n.liveLast)...)
+	n.concurrent.SetNodes(n.liveLast)
 	n.act(logEvent("config_adopted",
 		"generation", strconv.FormatUint(doc.Generation, 10),
 		"revision", strconv.FormatUint(doc.Revision, 10)))
@@ -109,6 +110,7 @@
 	}
 	n.liveLast = live
 	n.act(n.conns.SetLiveNodes(now, live)...)
+	n.concurrent.SetNodes(live)
 	n.config.SetMembers(now, n.peers.Members(now))
 }
 
