core/fanout: send nothing again at the deadline

Cause: under overload, counters showed retries for connection_lost although no connection was lost (31 at the peak and 38 at 1.5 times the capacity), and shards missing for that reason. The deadline of an attempt ends it up to a millisecond before the search's own timer, and that looks like a lost connection. Each such retry cost a token and started work that could not be used.

Ruled out: connections closed as silent. The counters connection/silent and connection/reset did not grow.

--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -335,3 +335,20 @@
 		t.Fatalf("sent %d parts", len(env.sent))
 	}
 }
+
+// Guards against a token and a target's time spent on an attempt that cannot be
+// answered any more: the deadline of an attempt ends it shortly before the
+// search's own timer, which looks like a lost connection.
+func TestNothingIsSentAgainAtTheDeadline(t *testing.T) {
+	q, env := begin(t, 2, nil)
+	q.Replied(start, 0, env.sent[0].id, reply(q, env.sent[0]))
+	sent := len(env.sent)
+	q.Lost(start.Add(timeLimit-time.Millisecond), 1, env.sent[1].id, true)
+	a, done := q.Done()
+	if !done || len(env.sent) != sent || env.tokens != 100 {
+		t.Fatalf("ended %v, sent %d more, %d tokens left", done, len(env.sent)-sent, env.tokens)
+	}
+	if m := a.Coverage.Missing; len(m) != 1 || m[0].Reason != api.ReasonDeadline {
+		t.Errorf("missing %+v, want one shard for the deadline", m)
+	}
+}
--- a/core/fanout/replies.go
+++ b/core/fanout/replies.go
@@ -105,6 +105,16 @@
 	q.afterFailure(now, i, failure{reason: reason, retryAfter: retryAfter})
 }
 
+// lateReason is the reason of a part that failed too late to be sent again. The
+// deadline of an attempt ends it a little before the search's own timer does,
+// and looks like a lost connection.
+func lateReason(reason api.Reason) api.Reason {
+	if reason == api.ReasonConnectionLost {
+		return api.ReasonDeadline
+	}
+	return reason
+}
+
 // failure describes an attempt that did not cover its part.
 type failure struct {
 	reason     api.Reason
@@ -120,6 +130,10 @@
 	if len(p.live) > 0 {
 		return // a hedge is still on its way
 	}
+	if q.Deadline.Sub(now) < retryPause {
+		q.giveUp(i, lateReason(f.reason))
+		return
+	}
 	if p.sent >= maxAttempts {
 		q.giveUp(i, f.reason)
 		return
--- a/standin/experiment/result.go
+++ b/standin/experiment/result.go
@@ -54,6 +54,8 @@
 	AnsweredPercent float64 `json:"answered_percent"`
 	// GoodputPerSecond counts answered searches per second.
 	GoodputPerSecond float64 `json:"goodput_per_second"`
+	// WholePerSecond counts answers that cover the whole index.
+	WholePerSecond float64 `json:"whole_per_second"`
 	// RecoveredSeconds is the time from which on 99 % of the searches of every
 	// later second were answered; -1 if that never was the case.
 	RecoveredSeconds int `json:"recovered_seconds"`
@@ -87,11 +89,13 @@
 		out.AnsweredPercent = percent * float64(answered) / float64(search.Sent)
 	}
 	if report.ElapsedMS > 0 {
-		total := uint64(0)
+		answered, whole := uint64(0), uint64(0)
 		for _, s := range report.Seconds {
-			total += s.Answered
+			answered += s.Answered
+			whole += s.Whole
 		}
-		out.GoodputPerSecond = float64(total) / (report.ElapsedMS / 1000)
+		out.GoodputPerSecond = float64(answered) / (report.ElapsedMS / 1000)
+		out.WholePerSecond = float64(whole) / (report.ElapsedMS / 1000)
 	}
 	return out
 }
--- a/standin/experiment/table.go
+++ b/standin/experiment/table.go
@@ -27,8 +27,8 @@
 	}
 	p.line("")
 	p.row("deployment", "scenario", "phase", "policy", "searches", "p50 ms", "p99 ms", "p99.9 ms", "coverage mean %", "worst %", "whole %",
-		"answered %", "goodput/s", "received/needed", "extra %", "recovered s", "node us/request", "load avg")
-	p.rule(18)
+		"answered %", "answered/s", "whole/s", "received/needed", "extra %", "recovered s", "node us/request", "load avg")
+	p.rule(19)
 	r.each(func(c *Cell, ph *PhaseResult) {
 		p.row(append([]string{c.Deployment, c.Scenario, ph.Name, c.Policy}, ph.figures(c)...)...)
 	})
@@ -67,7 +67,7 @@
 	if ph.Report.Targets != nil {
 		perNeeded = fmt.Sprintf("%.3f", ph.Report.Targets.PerNeeded)
 	}
-	return append(out, fmt.Sprintf("%.2f", ph.AnsweredPercent), fmt.Sprintf("%.0f", ph.GoodputPerSecond), perNeeded,
+	return append(out, fmt.Sprintf("%.2f", ph.AnsweredPercent), fmt.Sprintf("%.0f", ph.GoodputPerSecond), fmt.Sprintf("%.0f", ph.WholePerSecond), perNeeded,
 		fmt.Sprintf("%.2f", ph.ExtraPercent), fmt.Sprint(ph.RecoveredSeconds), c.perRequest(), c.LoadAverage)
 }
 
