--- a/core/node/work.go
+++ b/core/node/work.go
@@ -16,11 +16,18 @@
 const (
 	// workWaiting waits for the result of a probation run.
 	workWaiting workState = iota
+	// workForwarded waits for the answer of the owner of its claim partition.
+	workForwarded
 	// workClaiming waits for its claim.
 	workClaiming
 	// workReady is claimed and not at any target: never sent, or refused by
 	// each target before running.
 	workReady
+	// workQueued is claimed and waits for room at a replica.
+	workQueued
+	// workChecking is claimed and waits until the connection of a replica has
+	// shown a sign of life.
+	workChecking
 	// workSent was handed to a connection.
 	workSent
 )
@@ -32,6 +39,9 @@
 	// resendAfter is when a caller with an unknown outcome may ask again with
 	// the same key.
 	resendAfter = time.Second
+	// checkWait is how long an idle connection may take to show a sign of life
+	// before the work order goes to another replica.
+	checkWait = 250 * time.Millisecond
 	// lateResultWait bounds the time that a work order is remembered after its
 	// deadline, so that a late result is recorded for resends.
 	lateResultWait = 30 * time.Second
@@ -49,6 +59,15 @@
 	reason      api.Reason // why the newest attempt did not run
 	answered    bool       // the caller has its answer
 	forgetAt    time.Time
+
+	forward      forwardState
+	forwardedTo  api.EntryName
+	localAt      time.Time // when this node asks for the claim itself
+	triedLocally bool
+	localAnswer  api.WorkAnswer // what this node was refused with
+
+	checkedReplica api.ReplicaName
+	checkUntil     time.Time
 }
 
 func (w *work) id() api.RequestID { return w.arrived.Request }
@@ -75,7 +94,9 @@
 	}
 	n.works[ev.Request] = w
 	n.timers.set(timer{at: w.deadline, request: ev.Request})
-	n.admitWork(now, w)
+	if !n.forwardWork(now, w) {
+		n.admitWork(now, w)
+	}
 }
 
 func (n *Node) refuseWork(request api.RequestID, reason api.Reason, retryAfter time.Duration) {
@@ -117,7 +138,7 @@
 func (n *Node) endWork(now time.Time, w *work, answer api.WorkAnswer) {
 	if !w.answered {
 		w.answered = true
-		n.answerWork(w.id(), answer)
+		n.answerWork(w.id(), w.honest(answer))
 	}
 	if n.works[w.id()] != w {
 		return
@@ -139,8 +160,12 @@
 		case w == nil:
 		case d.Granted:
 			w.state = workReady
+			if w.forward == forwardOpen {
+				// The owner has not even claimed the key.
+				n.pausePeer(now, w.forwardedTo, "work_forward_slow")
+			}
 			n.sendWork(now, w)
-		default:
+		case !n.keepWaiting(w, d.Answer):
 			n.endWork(now, w, d.Answer)
 		}
 	}
@@ -166,11 +191,50 @@
 		candidates = quarantine.CanaryOrder(w.fingerprint, candidates)[:1]
 	}
 	replica, conn, reason := n.place(now, candidates)
-	if reason != api.ReasonNone {
+	switch {
+	case reason == api.ReasonOverloaded:
+		w.state = workQueued
+		n.waitFor(candidates, waitingPart{request: w.id(), work: true})
+	case reason != api.ReasonNone:
 		n.giveUpWork(now, w, workReason(w, reason), comeBackAfter)
-		return
+	case !n.conns.Fresh(now, conn):
+		n.checkFirst(now, w, replica, conn)
+	default:
+		n.dispatchWork(now, w, replica, conn)
+	}
+}
+
+// checkFirst asks for a sign of life on a connection that was idle. Without
+// one, a work order could be sent on a connection that has gone silent, and its
+// outcome would stay unknown.
+func (n *Node) checkFirst(now time.Time, w *work, replica api.ReplicaName, conn api.ConnID) {
+	n.concurrent.Abandon(replica)
+	w.state, w.checkedReplica = workChecking, replica
+	w.checkUntil = now.Add(checkWait)
+	n.timers.set(timer{at: w.checkUntil, request: w.id()})
+	n.checking[replica] = append(n.checking[replica], w.id())
+	n.act(n.conns.Check(now, conn)...)
+}
+
+// checked sends the work orders that waited for news of a replica's
+// connections.
+func (n *Node) checked(now time.Time, replica api.ReplicaName) {
+	queue := n.checking[replica]
+	delete(n.checking, replica)
+	for _, id := range queue {
+		if w := n.works[id]; w != nil && w.state == workChecking && w.checkedReplica == replica {
+			w.state = workReady
+			n.sendWork(now, w)
+		}
 	}
-	n.dispatchWork(now, w, replica, conn)
+}
+
+// checkFailed passes over a replica that gave no sign of life in time.
+func (n *Node) checkFailed(now time.Time, w *work) {
+	w.state, w.reason = workReady, api.ReasonNoConnection
+	w.tried = append(w.tried, w.checkedReplica)
+	n.counts.Inc(count.Retried, "silent_connection")
+	n.sendWork(now, w)
 }
 
 // stillAdmitted asks the quarantine again before a work order is sent: while it
@@ -306,6 +370,16 @@
 func (n *Node) wakeWork(now time.Time, w *work) {
 	switch {
 	case now.Before(w.deadline):
+		if w.state == workChecking && !now.Before(w.checkUntil) {
+			n.checkFailed(now, w)
+		}
+		if w.forward == forwardOpen && !now.Before(w.localAt) {
+			n.handleLocally(now, w)
+		}
+	case w.state == workForwarded:
+		n.endWork(now, w, api.WorkAnswer{Outcome: api.Unknown, Reason: api.ReasonDeadline, RetryAfter: resendAfter})
+	case w.state == workQueued || w.state == workChecking:
+		n.sendWork(now, w) // gives it up, since the deadline has passed
 	case w.state == workWaiting:
 		n.endWork(now, w, api.WorkAnswer{Outcome: api.NotRun, Reason: api.ReasonQuarantined, RetryAfter: comeBackAfter})
 	case w.state == workSent && !w.answered:
@@ -323,7 +397,7 @@
 func (n *Node) workCallerGone(now time.Time, w *work) {
 	w.answered = true
 	switch w.state {
-	case workWaiting:
+	case workWaiting, workForwarded:
 		n.endWork(now, w, api.WorkAnswer{})
 	case workClaiming:
 		n.endWork(now, w, api.WorkAnswer{})
--- a/core/testbed/world.go
+++ b/core/testbed/world.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -174,6 +175,8 @@
 	changes  map[api.RequestID]*Change
 	conns    map[api.ConnID]*conn
 	calls    map[api.AttemptID]*call
+	// forwards holds how to answer the work orders that other hosts passed on.
+	forwards map[api.RequestID]func(event.ForwardResult, api.WorkAnswer)
 }
 
 // Boot starts a new life of the host's process.
@@ -184,6 +187,7 @@
 	h.up, h.paused, h.leaving, h.ready = true, false, false, false
 	h.backlog, h.wakeAt = nil, time.Time{}
 	h.requests, h.changes = make(map[api.RequestID]*Request), make(map[api.RequestID]*Change)
+	h.forwards = make(map[api.RequestID]func(event.ForwardResult, api.WorkAnswer))
 	h.conns, h.calls = make(map[api.ConnID]*conn), make(map[api.AttemptID]*call)
 	s := node.Settings{
 		Name: h.name, Life: h.life, Address: h.address, VM: api.VMName(h.name),
@@ -216,6 +220,9 @@
 	for _, t := range w.Targets {
 		t.dropHost(h)
 	}
+	for _, id := range slices.Sorted(maps.Keys(h.forwards)) {
+		h.forwards[id](event.ForwardLost, api.WorkAnswer{})
+	}
 	w.Store.dropHost(h)
 }
 
@@ -355,6 +362,10 @@
 	case event.AnswerSearch:
 		h.answer(a.Request, Answer{Outcome: a.Answer.Outcome, Reason: a.Answer.Reason, RetryAfter: a.Answer.RetryAfter, Search: &a.Answer})
 	case event.AnswerWork:
+		if reply := h.forwards[a.Request]; reply != nil {
+			reply(event.ForwardAnswered, a.Answer)
+			return
+		}
 		h.answer(a.Request, Answer{Outcome: a.Answer.Outcome, Reason: a.Answer.Reason, RetryAfter: a.Answer.RetryAfter, Result: a.Answer.Result, Replayed: a.Answer.Replayed})
 	case event.AnswerChange:
 		h.answerChange(a)
@@ -368,6 +379,8 @@
 		h.probe(a.Conn)
 	case event.SendPeer:
 		h.sendPeer(a)
+	case event.ForwardWork:
+		h.forward(a)
 	case event.ReadStore:
 		h.w.Store.read(h, a)
 	case event.WriteStore:
@@ -396,6 +409,43 @@
 	}
 }
 
+// forward passes a work order on to another host and its answer back.
+func (h *Host) forward(a event.ForwardWork) {
+	w := h.w
+	from := h.life
+	report := func(result event.ForwardResult, answer api.WorkAnswer) {
+		h.later(w.hop(), event.WorkForwarded{Op: a.Op, Result: result, Answer: answer})
+	}
+	i := slices.IndexFunc(w.Hosts, func(o *Host) bool { return o.address == a.Address })
+	to := w.Hosts[i]
+	if h.CutPeers || to.CutPeers || !to.up {
+		report(event.ForwardLost, api.WorkAnswer{})
+		return
+	}
+	life := to.life
+	w.After(w.hop(), func() {
+		if to.life != life {
+			report(event.ForwardLost, api.WorkAnswer{})
+			return
+		}
+		w.Trace.Forwards = append(w.Trace.Forwards, Forward{
+			At: w.now, From: from, To: to.life, Tag: workTag(a.Work.Service, a.Work.Key),
+		})
+		to.nextID++
+		id := to.nextID
+		to.forwards[id] = func(result event.ForwardResult, answer api.WorkAnswer) {
+			delete(to.forwards, id)
+			if h.CutPeers || to.CutPeers {
+				// The answer is lost and the call ends at its deadline.
+				w.After(a.Deadline.Sub(w.now), func() { report(event.ForwardLost, api.WorkAnswer{}) })
+				return
+			}
+			report(result, answer)
+		}
+		to.feed(event.WorkArrived{Request: id, Caller: a.Caller, Work: a.Work, Deadline: a.Deadline, Forwarded: true})
+	})
+}
+
 // logged takes the position of an adopted document from the log line of the
 // core, which is how an operator would see it.
 func (h *Host) logged(a event.Log) {
--- a/wire/convert/convert_test.go
+++ b/wire/convert/convert_test.go
@@ -62,7 +62,8 @@
 
 	member := gossip.Member{Name: "n1", Life: 5, Address: "127.0.0.1:1", DataCentre: "dc1", Heartbeat: 8, Leaving: true}
 	message := gossip.Message{
-		From: member, Members: []gossip.Member{member, {Life: 7, Heartbeat: 9, Leaving: true}},
+		// The second entry is a refresh: large groups list most members in this form.
+		From: member, Members: []gossip.Member{member, {Life: 6, Heartbeat: 9, Leaving: true}},
 		Notices:    []gossip.Notice{{Kind: gossip.NoticeConvicted, Replica: "r1", Incarnation: 4, Fingerprint: 6, Crashes: 2, Version: 3, TimeToLive: time.Minute}},
 		Generation: 1, Revision: 2, Changes: [][]byte{{1}}, Document: []byte{2},
 		WantAfter: &gossip.Position{Generation: 1, Revision: 1},
@@ -87,6 +88,18 @@
 	}
 	gotAnswer, err := PartReplyFromProto(PartReplyToProto(answer))
 	same(t, answer, gotAnswer, err)
+
+	forwarded := Work{
+		Caller: "c", Deadline: deadline,
+		Work: api.Work{Service: "crews", Key: api.IdempotencyKey{1, 2, 3}, Payload: []byte("drain 7")},
+	}
+	gotForwarded, err := WorkFromProto(WorkToProto(forwarded, now), now)
+	same(t, forwarded, gotForwarded, err)
+	workAnswer := api.WorkAnswer{
+		Outcome: api.Failed, Reason: api.ReasonFailed, Result: []byte("r"), Replayed: true, RetryAfter: time.Second,
+	}
+	gotWorkAnswer, err := WorkAnswerFromProto(WorkAnswerToProto(workAnswer))
+	same(t, workAnswer, gotWorkAnswer, err)
 }
 
 // A deadline that has passed must reach the target as 0, not wrap around to a
@@ -189,6 +202,9 @@
 		sr, sp := new(targetpb.SearchRequest), new(targetpb.SearchReply)
 		er, ep := new(targetpb.ExecuteRequest), new(targetpb.ExecuteReply)
 		pm, pr, pp := new(peerpb.Message), new(peerpb.PartRequest), new(peerpb.PartReply)
+		wr, wa := new(peerpb.WorkRequest), new(peerpb.WorkReply)
+		decode(wr, func() { _, _ = WorkFromProto(wr, now) })
+		decode(wa, func() { _, _ = WorkAnswerFromProto(wa) })
 		decode(sr, func() { _, _ = SearchRequestFromProto(sr, now) })
 		decode(sp, func() { _, _ = SearchReplyFromProto(sp) })
 		decode(er, func() { _, _ = WorkRequestFromProto(er, now) })
--- a/wire/convert/peer.go
+++ b/wire/convert/peer.go
@@ -26,16 +26,13 @@
 	}
 }
 
-// listedFromProto decodes an entry of a member list: a whole one, or a refresh,
-// which has only life, heartbeat and leaving.
+// listedFromProto decodes an entry of the member list. Messages to large groups
+// refresh most members by life and heartbeat only, without name and address.
 func listedFromProto(m *peerpb.Member) (gossip.Member, error) {
-	if m.GetName() != "" || m.GetAddress() != "" {
-		return memberFromProto(m)
+	if m.GetName() == "" && m.GetAddress() == "" && m.GetLife() != 0 {
+		return gossip.Member{Life: api.Life(m.Life), Heartbeat: m.Heartbeat, Leaving: m.Leaving}, nil
 	}
-	if m.GetLife() == 0 {
-		return gossip.Member{}, malformed("member.life", "is missing")
-	}
-	return gossip.Member{Life: api.Life(m.Life), Heartbeat: m.Heartbeat, Leaving: m.Leaving}, nil
+	return memberFromProto(m)
 }
 
 func memberFromProto(m *peerpb.Member) (gossip.Member, error) {
@@ -225,9 +222,9 @@
 // over its own partition map. A row count that differs from the number of rows
 // is malformed, because the reply has no other way to state a truncation.
 func PartReplyFromProto(m *peerpb.PartReply) (api.SearchAnswer, error) {
-	outcome := api.Outcome(min(m.GetOutcome(), uint32(api.Unknown)+1))
-	if outcome < api.Answered || outcome > api.Unknown {
-		return api.SearchAnswer{}, malformed("outcome", "is not known")
+	outcome, err := outcomeFrom(m.GetOutcome())
+	if err != nil {
+		return api.SearchAnswer{}, err
 	}
 	if uint64(m.RowCount) != uint64(len(m.Rows)) {
 		return api.SearchAnswer{}, malformed("row_count", "differs from the number of rows")
