core/fanout: retry parts refused by a draining target without a token

Cause: a part refused with draining cost a token of the retry budget like any other retry. A drain with more parts on their way than tokens left shards out of answers although their other replica was well. Ruled out: parts sent to the target after it was known to drain (the discarded answers are only those in flight), shed answers of the other replica. Change: such a retry is free, as after an attempt that was never sent. Before: TestDrainCostsNoBudget fails, sent 4 of 8.

--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -58,7 +58,7 @@
 		q.finishUnreleased(now)
 		return
 	}
-	if !q.env.SpendExtra(now, q.Query.Service) {
+	if !ranNothing(reason) && !q.env.SpendExtra(now, q.Query.Service) {
 		q.env.Count(count.RetryDenied, api.ReasonBudget)
 		q.finishUnreleased(now)
 		return
--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+// Guards against shards left out because a target drains with more parts on
+// their way than the budget has tokens (P7).
+func TestDrainCostsNoBudget(t *testing.T) {
+	q, env := begin(t, 4, nil)
+	env.tokens = 0
+	for i := range 4 {
+		refusal := reply(q, env.sent[i])
+		refusal.Outcome = api.TargetDraining
+		q.Replied(start, i, env.sent[i].id, refusal)
+	}
+	if len(env.sent) != 8 {
+		t.Fatalf("sent %d requests, want 8", len(env.sent))
+	}
+	if env.counts.Get(count.Retried, api.ReasonDraining) != 4 {
+		t.Error("the retries are not counted")
+	}
+}
+
 // Guards against a search that waits for stragglers although its service asks
 // for an early return, and against one that hides what is missing.
 func TestEarlyReturnNamesWhatIsMissing(t *testing.T) {
--- a/core/fanout/replies.go
+++ b/core/fanout/replies.go
@@ -102,9 +102,14 @@
 		q.canaryEnded(now, i, reason, false)
 		return
 	}
-	q.afterFailure(now, i, failure{reason: reason, retryAfter: retryAfter})
+	q.afterFailure(now, i, failure{reason: reason, retryAfter: retryAfter, free: ranNothing(reason)})
 }
 
+// ranNothing says that sending the part again adds no load: a draining target
+// refuses before running and gets no further part. Otherwise a drain with many
+// parts on their way would spend the budget and leave shards out.
+func ranNothing(reason api.Reason) bool { return reason == api.ReasonDraining }
+
 // lateReason is the reason of a part that failed too late to be sent again. The
 // deadline of an attempt ends it a little before the search's own timer does,
 // and looks like a lost connection.
