--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -20,7 +20,7 @@
 
 // patience bounds every wait. It is far above what a wait takes and only ends a
 // test that would otherwise hang.
-const patience = 30 * time.Second
+const patience = 15 * time.Second
 
 // pause is the time between two looks at a condition.
 const pause = 20 * time.Millisecond
