--- a/standin/load/settings.go
+++ b/standin/load/settings.go
@@ -1,12 +1,10 @@
 package load
 
 import (
-	"encoding/json"
-	"os"
 	"strings"
 	"time"
 
-	"github.com/tailscale/hujson"
+	"github.com/baobabsail/baobabsail/standin/internal/jsonfile"
 )
 
 const (
@@ -60,20 +58,10 @@
 
 // ReadSettings reads a settings file: JSON with comments.
 func ReadSettings(path string) (Settings, error) {
-	var out Settings
-	text, err := os.ReadFile(path)
+	out, err := jsonfile.Read[Settings](path)
 	if err != nil {
 		return out, ErrSettings.Wrap(err, "read settings")
 	}
-	plain, err := hujson.Standardize(text)
-	if err != nil {
-		return out, ErrSettings.Wrap(err, "parse %s", path)
-	}
-	decoder := json.NewDecoder(strings.NewReader(string(plain)))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&out); err != nil {
-		return out, ErrSettings.Wrap(err, "parse %s", path)
-	}
 	return out, nil
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/baobabsail/baobabsail/standin/internal/loopback"
 )
 
 // Default call rates, from section 3 of the design page: several hundred
@@ -24,13 +26,6 @@
 // burstShare is the part of a second whose calls may arrive at once.
 const burstShare = 10
 
-// listenAttempts and listenPause bound how long the end of an outage waits for
-// the port, which another process may hold briefly for an outgoing connection.
-const (
-	listenAttempts = 50
-	listenPause    = 20 * time.Millisecond
-)
-
 // Settings describes the stand-in. Zero values take defaults.
 type Settings struct {
 	// Listen is the address of the store and the VM list; port 0 lets the
@@ -162,16 +157,11 @@
 }
 
 func listen(address string) (net.Listener, error) {
-	var last error
-	for range listenAttempts {
-		inner, err := net.Listen("tcp", address)
-		if err == nil {
-			return inner, nil
-		}
-		last = err
-		time.Sleep(listenPause)
+	listener, err := loopback.Listen(address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "listen on %s", address)
 	}
-	return nil, ErrListen.Wrap(last, "listen on %s", address)
+	return listener, nil
 }
 
 // Address returns the listening address; it stays the same over outages.
--- a/standin/target/settings.go
+++ b/standin/target/settings.go
@@ -1,14 +1,12 @@
 package target
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/tailscale/hujson"
+	"github.com/baobabsail/baobabsail/standin/internal/jsonfile"
 )
 
 // Shard is a shard that a target holds under one epoch of the partition map.
@@ -120,20 +118,10 @@
 
 // ReadSettings reads a settings file: JSON with comments.
 func ReadSettings(path string) (FileSettings, error) {
-	var out FileSettings
-	text, err := os.ReadFile(path)
+	out, err := jsonfile.Read[FileSettings](path)
 	if err != nil {
 		return out, ErrSettings.Wrap(err, "read settings")
 	}
-	plain, err := hujson.Standardize(text)
-	if err != nil {
-		return out, ErrSettings.Wrap(err, "parse %s", path)
-	}
-	decoder := json.NewDecoder(strings.NewReader(string(plain)))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&out); err != nil {
-		return out, ErrSettings.Wrap(err, "parse %s", path)
-	}
 	return out, nil
 }
 
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -12,16 +12,10 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/baobabsail/baobabsail/standin/internal/loopback"
 	"github.com/baobabsail/baobabsail/wire/targetpb"
 )
 
-// listenAttempts and listenPause bound how long a restart waits for its port,
-// which another process may hold briefly for an outgoing connection.
-const (
-	listenAttempts = 50
-	listenPause    = 20 * time.Millisecond
-)
-
 // stopLimit bounds a graceful stop, which cannot end while a client leaves a
 // silent connection open.
 const stopLimit = 5 * time.Second
@@ -143,16 +137,11 @@
 }
 
 func listen(address string) (net.Listener, error) {
-	var last error
-	for range listenAttempts {
-		inner, err := net.Listen("tcp", address)
-		if err == nil {
-			return inner, nil
-		}
-		last = err
-		time.Sleep(listenPause)
+	listener, err := loopback.Listen(address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "listen on %s", address)
 	}
-	return nil, ErrListen.Wrap(last, "listen on %s", address)
+	return listener, nil
 }
 
 // newIncarnation draws from the system's random source, since a seeded number
