--- a/core/node/forward.go
+++ b/core/node/forward.go
@@ -161,9 +161,9 @@
 	n.counts.Inc(count.Peer, detail)
 }
 
-// honest turns "not run" into "unknown" for a work order that a peer may have
+// unknownIfForwarded turns "not run" into "unknown" for a work order that a peer may have
 // run.
-func (w *work) honest(answer api.WorkAnswer) api.WorkAnswer {
+func (w *work) unknownIfForwarded(answer api.WorkAnswer) api.WorkAnswer {
 	if w.forward != notForwarded && answer.Outcome == api.NotRun {
 		answer.Outcome = api.Unknown
 	}
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -138,7 +138,7 @@
 func (n *Node) endWork(now time.Time, w *work, answer api.WorkAnswer) {
 	if !w.answered {
 		w.answered = true
-		n.answerWork(w.id(), w.honest(answer))
+		n.answerWork(w.id(), w.unknownIfForwarded(answer))
 	}
 	if n.works[w.id()] != w {
 		return
