core/limit: leave pauses out of the measured rate

Cause: after an overload, nodes refused one search in ten (overloaded) at half of the capacity, second after second (87 of 883 searches). Expected waits rest on a rate that is measured only while the limit is in use. Two faults were found. First, a window that closed on the last part of a query left the pause before the next query in the following window, which then closed on that query's first part: one part in 0.7 s, and this rate stayed. Second, the rate measured in the overload is the node's share beside seven busy nodes, and stays in force in the calm.

Change: a window begins anew when nothing was in flight.

--- a/core/limit/admission.go
+++ b/core/limit/admission.go
@@ -76,10 +76,17 @@
 			return false, a.retryAfter(wait)
 		}
 	}
+	if s.admitted == 0 {
+		s.restartWindow(now)
+	}
 	s.admitted += parts
 	return true, 0
 }
 
+// restartWindow begins to measure the rate anew. With the pauses between them in
+// the windows, a service with few wide queries seemed to end one part per pause.
+func (s *service) restartWindow(now time.Time) { s.ended, s.windowStart, s.idle = 0, now, false }
+
 // Done records that parts ended, with the time since they were admitted, which
 // includes the wait in the node: a queue there is what the limit reacts to
 // first. Outcome 0 stands for parts that ended without an answer; they free
@@ -158,5 +165,5 @@
 	default:
 		s.rate += rateWeight * (rate - s.rate)
 	}
-	s.ended, s.windowStart, s.idle = 0, now, false
+	s.restartWindow(now)
 }
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -138,3 +138,30 @@
 		}
 	}
 }
+
+// Guards against a service with few wide queries that refuses the second of two
+// at once after its limit has fallen, although it is idle most of the time: the
+// pauses between queries must not count as a low rate.
+func TestRareWideQueriesAreNotRefused(t *testing.T) {
+	const parts = 40
+	a := NewAdmission(rand.New(rand.NewPCG(1, 2)))
+	now := start
+	run := func(outcome api.TargetOutcome) {
+		a.Admit(now, "s", parts, now.Add(time.Second))
+		for i := range parts {
+			now = now.Add(5 * time.Millisecond)
+			a.Done(now, "s", 1, outcome, time.Duration(i)*5*time.Millisecond)
+		}
+		now = now.Add(700 * time.Millisecond)
+	}
+	for range 30 {
+		run(api.TargetShed)
+	}
+	for range 30 {
+		run(api.TargetOK)
+	}
+	a.Admit(now, "s", parts, now.Add(500*time.Millisecond))
+	if ok, after := a.Admit(now, "s", parts, now.Add(500*time.Millisecond)); !ok {
+		t.Errorf("refused for %v with %d parts in flight, limit %d", after, a.InFlight("s"), a.Limit("s"))
+	}
+}
