core: send a part with two allocations instead of five

Cause: the allocation profile of BenchmarkQuery at 620 shards showed Node.Send (attempt and action), Query.started (two slices of a part) and Node.candidates; together 3,748 per query, of which 620 are those of the benchmark's own fake.

Change: the first entries of a part's slices are stored in the part, and the list of candidates is kept for reuse.

--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -37,16 +37,20 @@
 
 // part is one shard's share of a search.
 type part struct {
-	state    partState
-	live     []attempt
-	tried    []api.ReplicaName
-	sent     int
-	hedged   bool
-	ran      bool // a target may have run it
-	retryAt  time.Time
-	reason   api.Reason
-	rows     []api.Row
-	limitHit bool
+	state partState
+	live  []attempt
+	tried []api.ReplicaName
+	// firstLive and firstTried hold the first entries of live and tried: most
+	// parts are sent once, and then need no memory of their own.
+	firstLive  [1]attempt
+	firstTried [1]api.ReplicaName
+	sent       int
+	hedged     bool
+	ran        bool // a target may have run it
+	retryAt    time.Time
+	reason     api.Reason
+	rows       []api.Row
+	limitHit   bool
 }
 
 // Query is one search in progress. Its methods must be called in the order of
@@ -87,6 +91,8 @@
 	q.unsettled, q.versionGaps = len(q.Shards), 0
 	for i := range q.Shards {
 		q.total += q.Shards[i].Width()
+		p := &q.parts[i]
+		p.live, p.tried = p.firstLive[:0], p.firstTried[:0]
 	}
 }
 
--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -30,9 +30,9 @@
 }
 
 // candidates returns the replicas of a shard that could take a part now, or
-// the reason why there is none.
+// the reason why there is none. The slice is valid until the next call.
 func (n *Node) candidates(now time.Time, all, exclude []api.ReplicaName, only api.ReplicaName, at api.Snapshot, shard api.ShardName) ([]api.ReplicaName, api.Reason) {
-	out := make([]api.ReplicaName, 0, len(all))
+	out := n.candidateBuffer[:0]
 	reason := api.ReasonNoReplica
 	for _, r := range all {
 		if slices.Contains(exclude, r) || (only != "" && r != only) {
@@ -52,6 +52,7 @@
 		}
 		out = append(out, r)
 	}
+	n.candidateBuffer = out
 	if len(out) > 0 {
 		return out, api.ReasonNone
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -87,6 +87,8 @@
 	// resuming is set while the parts that wait for one replica are tried.
 	resuming     api.ReplicaName
 	resumingPart waitingPart
+	// candidateBuffer is what candidates returned last.
+	candidateBuffer []api.ReplicaName
 	// cancelled holds the attempts given up during this step.
 	cancelled []*attempt
 	// onProbation lists, per fingerprint, the requests that wait for the result
