--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -61,7 +61,8 @@
 
 // place takes room at one of the candidates and returns it with a connection.
 func (n *Node) place(now time.Time, candidates []api.ReplicaName) (api.ReplicaName, api.ConnID, api.Reason) {
-	var busy []api.ReplicaName
+	busy := n.busyBuffer[:0]
+	defer func() { n.busyBuffer = busy }()
 	reason := api.ReasonNoConnection
 	for range candidates {
 		replica, ok := n.replicas.Pick(now, candidates, busy)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -89,6 +89,7 @@
 	resumingPart waitingPart
 	// candidateBuffer is what candidates returned last.
 	candidateBuffer []api.ReplicaName
+	busyBuffer      []api.ReplicaName // scratch memory of place
 	// cancelled holds the attempts given up during this step.
 	cancelled []*attempt
 	// onProbation lists, per fingerprint, the requests that wait for the result
--- a/entry/targetclient/client.go
+++ b/entry/targetclient/client.go
@@ -191,11 +191,7 @@
 
 // send runs one RPC in a goroutine of its own and reports how it ended.
 func (c *Client) send(id api.ConnID, attemptID api.AttemptID, deadline time.Time, rpc call) {
-	ctx, cancel := context.WithCancel(context.Background())
-	if !deadline.IsZero() {
-		cancel()
-		ctx, cancel = context.WithDeadline(context.Background(), deadline)
-	}
+	ctx, cancel := attemptContext(deadline)
 	at := &attempt{cancel: cancel}
 	var cn *conn
 	usable := false
@@ -214,6 +210,14 @@
 	})
 }
 
+// attemptContext ends at the deadline; the zero time sets none.
+func attemptContext(deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithDeadline(context.Background(), deadline)
+}
+
 // perform runs the RPC and reports its result. cn is nil if the connection has
 // ended; usable is false if it is not open or about to end.
 func (c *Client) perform(ctx context.Context, id api.ConnID, attemptID api.AttemptID, at *attempt, cn *conn, usable bool, rpc call) {
