--- a/core/connhealth/lifecycle.go
+++ b/core/connhealth/lifecycle.go
@@ -28,6 +28,7 @@
 	}
 	r.distance += time.Duration(distanceWeight * float64(took-r.distance))
 	c.incarnation = ev.Load.Incarnation
+	c.aliveAt = now
 	m.resolve(r, ev.Load.Incarnation)
 	m.tick(now)
 	return m.take()
@@ -66,6 +67,11 @@
 			r.failures++
 			m.openAfter(r, now, m.settings.Failed.Delay(m.rng, r.failures))
 		}
+		if r.pending != nil {
+			// Other nodes may run the same request until this reset is known to be
+			// a crash, so that the backoff must not delay the next connection.
+			r.nextOpen = now.Add(m.jitter(firstJitter))
+		}
 	}
 	m.tick(now)
 	return m.take()
@@ -98,7 +104,7 @@
 	m.due = m.due[:0]
 	for _, r := range m.order {
 		m.check(now, r)
-		if r.wantsConn() {
+		if r.wantsConn(now) {
 			m.due = append(m.due, r)
 		}
 	}
@@ -162,6 +168,10 @@
 		m.wakeBy(due)
 		return
 	}
+	m.sendProbe(now, c)
+}
+
+func (m *Manager) sendProbe(now time.Time, c *conn) {
 	c.probedAt = now
 	m.inc(DetailProbed)
 	m.actions = append(m.actions, event.Probe{Conn: c.id})
@@ -170,19 +180,32 @@
 
 // wantsConn reports whether a replica needs another connection: it has none that
 // works, or a reset has to be told from a crash.
-func (r *replica) wantsConn() bool {
-	if len(r.conns) >= r.quota || r.isOpening() {
+func (r *replica) wantsConn(now time.Time) bool {
+	if len(r.conns) >= r.quota {
 		return false
 	}
-	working := slices.ContainsFunc(r.conns, func(c *conn) bool { return !c.probed() })
-	return !working || r.pending != nil
+	if r.pending != nil {
+		// A connection that was being opened before the reset may have reached
+		// the process that is gone and hang until it times out.
+		since := func(c *conn) bool { return c.state == opening && !c.askedAt.Before(r.pending.since) }
+		return !slices.ContainsFunc(r.conns, since)
+	}
+	if r.isOpening() {
+		return false
+	}
+	works := func(c *conn) bool { return !c.probed() || now.Before(c.graceUntil) }
+	return !slices.ContainsFunc(r.conns, works)
 }
 
 // open opens a connection within the rates.
 func (m *Manager) open(now time.Time, r *replica) {
 	at := r.nextOpen
+	rate := &r.recent
+	if r.pending != nil && !now.Before(r.checks.freeAt()) {
+		rate = &r.checks
+	}
 	if r.reconnects {
-		at = latest(at, r.recent.freeAt(), m.recent.freeAt())
+		at = latest(at, rate.freeAt(), m.recent.freeAt())
 	}
 	if now.Before(at) {
 		m.wakeBy(at)
@@ -190,7 +213,7 @@
 	}
 	if r.reconnects {
 		m.inc(DetailReconnect)
-		r.recent.add(now)
+		rate.add(now)
 		m.recent.add(now)
 	}
 	r.reconnects = true
--- a/entry/callerhttp/callerhttp_test.go
+++ b/entry/callerhttp/callerhttp_test.go
@@ -40,8 +40,16 @@
 	f.caller = c
 	return f.work
 }
-func (f *fakeRequests) Configured() bool   { return !f.empty }
 func (f *fakeRequests) ShuttingDown() bool { return f.leaving }
+func (f *fakeRequests) NotReady() api.Reason {
+	switch {
+	case f.leaving:
+		return api.ReasonShuttingDown
+	case f.empty:
+		return api.ReasonNoConfiguration
+	}
+	return api.ReasonNone
+}
 
 func handler(t testing.TB, f *fakeRequests, counts *telemetry.Counts) http.Handler {
 	t.Helper()
@@ -152,6 +160,10 @@
 		{"/v1/search", "", `{"service":"s","limt":5}`, `unknown field \"limt\"`},
 		{"/v1/search", "", `{"service":"s","conditions":[{"field":"f","operator":"~","value":""}]}`, "conditions[0].operator"},
 		{"/v1/search", "", `{"service":"s","conditions":[{"operator":"="}]}`, "conditions[0].field"},
+		{"/v1/search", "", `{"service":"s","Limit":5}`, `unknown field \"Limit\"`},
+		{"/v1/search", "", `{"ſervice":"s"}`, "unknown field"}, // U+017F folds to s.
+		{"/v1/search", "", `{"service":"s","limit":5,"limit":6}`, `field \"limit\" is given twice`},
+		{"/v1/search", "", `{"service":"s","conditions":[{"field":"f","operator":"=","field":"g"}]}`, "given twice"},
 		{"/v1/search", "", `{"service":"s"} {}`, "more data"},
 		{"/v1/search", "", `null`, "service is missing"},
 		{"/v1/search", "", ``, "EOF"},
@@ -183,8 +195,16 @@
 	if w := post(h, "/v1/statements", "", `{}`); w.Code != 404 || !strings.Contains(w.Body.String(), `"not_run"`) {
 		t.Errorf("got %d %s, want 404", w.Code, w.Body)
 	}
-	if n := counts.Get(count.Refused, api.ReasonMalformed); n != 2 {
-		t.Errorf("%d refusals counted, want 2", n)
+	if w := post(h, "/v1/search/", "", `{}`); w.Code != 404 {
+		t.Errorf("got %d with a trailing slash, want 404 and no redirect", w.Code)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/work", nil))
+	if w.Code != 405 || !strings.Contains(w.Body.String(), `"not_run"`) {
+		t.Errorf("got %d %s, want 405", w.Code, w.Body)
+	}
+	if n := counts.Get(count.Refused, api.ReasonMalformed); n != 4 {
+		t.Errorf("%d refusals counted, want 4", n)
 	}
 }
 
