--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -449,3 +449,29 @@
 		}
 	}
 }
+
+// Guards against switches that do not change the service time.
+func TestSlownessSwitches(t *testing.T) {
+	target, err := New(Settings{Name: "t", Service: "s", Seed: 1, ServiceTime: ServiceTime{MedianMS: 10}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if target.SetFaults(Faults{StragglerShare: 1.5}) == nil {
+		t.Error("a share above 1 is accepted")
+	}
+	for _, c := range []struct {
+		faults Faults
+		want   time.Duration
+	}{
+		{Faults{}, 10 * time.Millisecond},
+		{Faults{StragglerShare: 1, StragglerFactor: 4}, 40 * time.Millisecond},
+		{Faults{SlowFactor: 3}, 30 * time.Millisecond},
+	} {
+		if err := target.SetFaults(c.faults); err != nil {
+			t.Fatal(err)
+		}
+		if got := target.serviceTime(&life{started: time.Now()}); got != c.want {
+			t.Errorf("%+v: drew %v, want %v", c.faults, got, c.want)
+		}
+	}
+}
