--- a/core/node/bench_test.go
+++ b/core/node/bench_test.go
@@ -265,3 +265,26 @@
 	}
 	return out, bytes
 }
+
+// BenchmarkIdle measures one second of a node without requests: all of its own
+// timers, with a connection to each replica.
+func BenchmarkIdle(b *testing.B) {
+	for _, replicas := range []int{100, 625, 2500} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			w := newBenchWorld(b, benchDocument(b, max(1, replicas/4), replicas))
+			w.run(event.Timer{})
+			w.settle(10 * time.Second)
+			steps := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				for end := w.now.Add(time.Second); w.now.Before(end); steps++ {
+					w.now = earliest(w.node.Wake(), end)
+					w.run(event.Timer{})
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(steps)/float64(b.N), "steps/s")
+		})
+	}
+}
