--- a/core/testbed/fault.go
+++ b/core/testbed/fault.go
@@ -66,8 +66,8 @@
 				w.Change(h, config.Op{AlterService: &config.AlterService{Name: Readings, Settings: config.RuleSettings{MaxRows: &rows}}})
 			}
 		}},
-		{"crashing search", 4 * time.Second, "P9", func(w *World) { w.crashing(false) }},
-		{"crashing work order", 4 * time.Second, "P9", func(w *World) { w.crashing(true) }},
+		{"crashing search", 6 * time.Second, "P9", func(w *World) { w.crashing(false) }},
+		{"crashing work order", 6 * time.Second, "P9", func(w *World) { w.crashing(true) }},
 		{"silent connection", 2 * time.Second, "P10", func(w *World) { w.silence(false) }},
 		{"silent path to a target", 2 * time.Second, "P10", func(w *World) { w.silence(true) }},
 		{"late answers", 2 * time.Second, "P3", func(w *World) { w.anyTarget().Arm(ReplyLate, 3) }},
@@ -127,6 +127,9 @@
 
 // Cut separates a host from its peers and from the store, or heals it.
 func (h *Host) Cut(peers, store bool) {
+	if peers && !h.CutPeers {
+		h.w.Trace.Parted++
+	}
 	h.CutPeers, h.CutStore = peers, store
 	h.w.Trace.disturb(h.w.now, h)
 }
@@ -180,13 +183,16 @@
 	w.After(d, func() { w.Store.Set(StoreUp) })
 }
 
+// recoverAfter is when an operator recovers a restored configuration.
+const recoverAfter = 3 * time.Second
+
 // restore puts an older configuration into the store; an operator recovers it
 // when each node has had the time to see that.
 func (w *World) restore() {
 	if !w.Store.Restore(1) {
 		return
 	}
-	w.After(3*time.Second, func() {
+	w.After(recoverAfter, func() {
 		if h := w.newestHost(); h != nil {
 			w.Change(h, config.Op{Recover: &config.Recover{}})
 		}
@@ -253,6 +259,7 @@
 		if c.open && !c.silent && (host == nil || c.host == host) {
 			host = c.host
 			c.silent = true
+			w.Trace.Silenced++
 			if !all {
 				return
 			}
@@ -275,7 +282,7 @@
 	warmUp = 2500 * time.Millisecond
 	// busy is the part of the run in which faults are injected; at least calm
 	// follows, and afterSettled from when the faults have settled.
-	busy         = 70 * time.Millisecond
+	busy         = 50 * time.Millisecond
 	calm         = 2700 * time.Millisecond
 	afterSettled = 2500 * time.Millisecond
 )
--- a/core/testbed/store.go
+++ b/core/testbed/store.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	s.values[confsync.Key] = s.older[len(s.older)-n]
-	s.w.Trace.Restored = s.w.now
+	s.w.Trace.Restored = append(s.w.Trace.Restored, s.w.now)
 	return true
 }
 
--- a/core/testbed/target.go
+++ b/core/testbed/target.go
@@ -272,6 +272,7 @@
 	}
 	h.w.After(h.w.hop(), func() {
 		if c.open && !c.target.Frozen {
+			c.told = -1 // who asks is told everything
 			h.laterOn(c, h.w.hop(), func() event.Event { return event.ProbeReplied{Conn: c.id, Load: c.target.load(c)} })
 		}
 	})
