node: answer a work order when its owner stops responding

Cause: a node that had passed a work order on to a paused owner, and found the claim held by it, waited until the caller's deadline, up to 10 s, although it had nothing left to do. Seen in cmd/e2e (a node stopped with a claim, resend through the other node): the resend got no answer within the client's 16 s; before forwarding it got 409 at once. Ruled out: answering unknown as soon as the claim is found; the owner of a slow work order is alive, and its caller would never get the answer from this node. Change: the node sends the owner a message; if that is not taken within its 1 s time-out, the caller gets 409 key_claimed with a time to come back.

--- a/core/node/forward.go
+++ b/core/node/forward.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,7 +74,8 @@
 	}
 	op := n.newOp()
 	n.forwards[op] = w.id()
-	w.state, w.forward, w.forwardedTo = workForwarded, forwardOpen, owner.Name
+	w.state, w.forward = workForwarded, forwardOpen
+	w.forwardedTo, w.forwardAddress = owner.Name, owner.Address
 	w.localAt = now.Add(min(forwardWait, w.deadline.Sub(now)/2))
 	n.timers.set(timer{at: w.localAt, request: w.id()})
 	n.counts.Inc(count.Peer, "work_forwarded")
@@ -146,16 +149,35 @@
 }
 
 // keepWaiting reports whether a work order that this node was refused goes on
-// waiting for its owner, which holds the claim.
+// waiting for its owner, which holds the claim and may be running it. A message
+// to the owner shows whether it still responds.
 func (n *Node) keepWaiting(w *work, answer api.WorkAnswer) bool {
 	if w.forward != forwardOpen {
 		return false
 	}
 	w.state = workForwarded
 	w.localAnswer = answer
+	n.sendPeer(w.forwardedTo, w.forwardAddress, n.ownMessage())
 	return true
 }
 
+// peerFailed handles a message that a peer did not take. Work orders that were
+// passed on to it are handled here, or answered if this was tried before.
+func (n *Node) peerFailed(now time.Time, peer api.EntryName) {
+	n.peers.Failed(now, peer)
+	n.pausePeer(now, peer, "paused")
+	for _, id := range slices.Sorted(maps.Keys(n.works)) {
+		w := n.works[id]
+		switch {
+		case w == nil || w.forward != forwardOpen || w.forwardedTo != peer || w.state != workForwarded:
+		case w.triedLocally:
+			n.endWork(now, w, w.localAnswer)
+		default:
+			n.handleLocally(now, w)
+		}
+	}
+}
+
 func (n *Node) pausePeer(now time.Time, peer api.EntryName, detail api.Reason) {
 	n.peerPausedUntil[peer] = now.Add(peerPause)
 	n.counts.Inc(count.Peer, detail)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -219,8 +219,7 @@
 	case event.PeerReceived:
 		n.peerReceived(now, ev.Message)
 	case event.PeerFailed:
-		n.peers.Failed(now, ev.Peer)
-		n.pausePeer(now, ev.Peer, "undelivered")
+		n.peerFailed(now, ev.Peer)
 	case event.StoreRead, event.StoreWritten, event.StoreChanged, event.StoreWatchEnded:
 		n.storeEvent(now, ev)
 	case event.VMListRead:
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -60,11 +60,12 @@
 	answered    bool       // the caller has its answer
 	forgetAt    time.Time
 
-	forward      forwardState
-	forwardedTo  api.EntryName
-	localAt      time.Time // when this node asks for the claim itself
-	triedLocally bool
-	localAnswer  api.WorkAnswer // what this node was refused with
+	forward        forwardState
+	forwardedTo    api.EntryName
+	forwardAddress string
+	localAt        time.Time // when this node asks for the claim itself
+	triedLocally   bool
+	localAnswer    api.WorkAnswer // what this node was refused with
 
 	checkedReplica api.ReplicaName
 	checkUntil     time.Time
--- a/core/testbed/world.go
+++ b/core/testbed/world.go
@@ -425,6 +425,9 @@
 			h.later(2*h.w.hop(), event.PeerFailed{Peer: a.Peer})
 			return
 		}
+		if to.paused {
+			h.later(time.Second, event.PeerFailed{Peer: a.Peer}) // the driver's time-out
+		}
 		to.later(h.w.hop(), event.PeerReceived{Message: a.Message})
 	}
 }
