testbed: let drains, stops and silent connections test their mechanisms

Now the VM list names a drain to one node only and the target does not tell, callers with a lagging balancer send until the grace period ends, and a silent connection in use must be replaced within 2 s.

--- a/core/testbed/caller.go
+++ b/core/testbed/caller.go
@@ -168,12 +168,16 @@
 	c.Answered, c.Outcome, c.Reason, c.ID, c.Revision, c.RetryAfter = h.w.now, a.Outcome, a.Reason, a.ID, a.Revision, a.RetryAfter
 }
 
-// Leaving lets the VM list name a VM as leaving, or not; hosts see it with a
-// lag of half a second.
+// Leaving lets the VM list name a VM as leaving, or not. One host sees it after
+// half a second, the others read a copy that lags by far more.
 func (w *World) Leaving(vm api.VMName, leaving bool) {
-	w.vms = append([]event.VM{{Name: vm, Leaving: leaving}}, w.vms...)
-	list := []event.VM{w.vms[0]}
+	list := []event.VM{{Name: vm, Leaving: leaving}}
+	first := w.anyHost()
 	for _, h := range w.Hosts {
-		h.later(500*time.Millisecond, event.VMListRead{VMs: list})
+		lag := 500 * time.Millisecond
+		if h != first {
+			lag = 10 * time.Second
+		}
+		h.later(lag, event.VMListRead{VMs: list})
 	}
 }
--- a/core/testbed/fault.go
+++ b/core/testbed/fault.go
@@ -43,6 +43,13 @@
 		{"graceful node stop", time.Second, "P7", func(w *World) {
 			h := w.anyHost()
 			h.Leave()
+			// Callers whose balancer lags still send until the grace period ends.
+			for _, ms := range []int{120, 295, 298} {
+				w.After(time.Duration(ms)*time.Millisecond, func() {
+					w.Search(h, w.Tag(), "")
+					w.Work(h, w.Key(), "late "+w.Tag(), "")
+				})
+			}
 			w.After(3*time.Second, func() {
 				if !h.up {
 					h.Boot()
@@ -68,8 +75,8 @@
 		}},
 		{"crashing search", 6 * time.Second, "P9", func(w *World) { w.crashing(false) }},
 		{"crashing work order", 6 * time.Second, "P9", func(w *World) { w.crashing(true) }},
-		{"silent connection", 2 * time.Second, "P10", func(w *World) { w.silence(false) }},
-		{"silent path to a target", 2 * time.Second, "P10", func(w *World) { w.silence(true) }},
+		{"silent connection", 4 * time.Second, "P10", func(w *World) { w.silence(false) }},
+		{"silent path to a target", 4 * time.Second, "P10", func(w *World) { w.silence(true) }},
 		{"late answers", 2 * time.Second, "P3", func(w *World) { w.anyTarget().Arm(ReplyLate, 3) }},
 		{"duplicate answers", time.Second, "P3", func(w *World) { w.anyTarget().Arm(ReplyDuplicate, 5) }},
 		{"crossed answers", time.Second, "P3", func(w *World) { w.anyTarget().Arm(ReplyCrossed, 3) }},
@@ -79,6 +86,7 @@
 		{"drain seen in the VM list", 7 * time.Second, "P6", func(w *World) {
 			t := w.anyTarget()
 			t.Drain(time.Second)
+			t.Mute = true // its own load does not tell
 			w.Leaving(t.vm, true)
 			w.After(6*time.Second, func() { w.Leaving(t.vm, false) })
 		}},
@@ -259,7 +267,8 @@
 		if c.open && !c.silent && (host == nil || c.host == host) {
 			host = c.host
 			c.silent = true
-			w.Trace.Silenced++
+			c.silence = &Silence{At: w.now, Host: host.index, Replica: t.Name}
+			w.Trace.Silences = append(w.Trace.Silences, c.silence)
 			if !all {
 				return
 			}
--- a/core/testbed/oracle.go
+++ b/core/testbed/oracle.go
@@ -18,6 +18,8 @@
 	answerSlack = 50 * time.Millisecond
 	drainBound  = 3 * time.Second
 	changeBound = 6 * time.Second
+	// silenceBound is the bound of P10 for a connection in use.
+	silenceBound = 2 * time.Second
 	// convictionBound is how soon after its second crash a request is refused
 	// everywhere: the loss of the target is noticed, explained and pushed.
 	convictionBound = time.Second
@@ -122,6 +124,23 @@
 	At          time.Time
 }
 
+// Silence is a connection that went silent.
+type Silence struct {
+	At      time.Time
+	Host    int
+	Replica api.ReplicaName
+	// Used is when a request was first lost on it while the node had no other
+	// connection to the target; zero if none was.
+	Used time.Time
+}
+
+// Dial is a connection that a node asked for.
+type Dial struct {
+	At      time.Time
+	Host    int
+	Replica api.ReplicaName
+}
+
 // Disturbance is a change in a host's ability to take part: a start, a kill, a
 // pause or its end, a cut or its end.
 type Disturbance struct {
@@ -149,7 +168,8 @@
 	End        time.Time
 	Hosts      int
 	Restarts   int // nodes started again
-	Silenced   int // connections that went silent
+	Silences   []*Silence
+	Dials      []Dial
 	Parted     int // times that a host could not tell its peers: cut, paused or killed
 	Stops      int
 	// Broken holds violations that the fakes noticed themselves.
@@ -188,7 +208,7 @@
 
 // Check returns the promises that a trace breaks.
 func Check(t *Trace) []Violation {
-	c := &checker{Trace: t, found: slices.Clone(t.Broken), silenced: t.Silenced}
+	c := &checker{Trace: t, found: slices.Clone(t.Broken), silenced: len(t.Silences)}
 	for _, r := range t.Requests {
 		c.final(r)
 		if len(r.Answers) > 0 && r.Answers[0].Search != nil && r.Answers[0].Outcome == api.Answered {
@@ -198,6 +218,7 @@
 	c.notRun()
 	c.onceEach()
 	c.drains()
+	c.silences()
 	c.configuration()
 	c.victims()
 	c.extra()
@@ -387,6 +408,21 @@
 	}
 }
 
+// silences checks that a node replaces a silent connection that it uses.
+func (c *checker) silences() {
+	for _, s := range c.Silences {
+		until := s.Used.Add(silenceBound)
+		if s.Used.IsZero() || c.End.Before(until) || !c.undisturbed(s.Host, s.At, until) {
+			continue
+		}
+		if !slices.ContainsFunc(c.Dials, func(d Dial) bool {
+			return d.Host == s.Host && d.Replica == s.Replica && d.At.After(s.Used) && !d.At.After(until)
+		}) {
+			c.fail("P10", "node %d does not replace its silent connection to %s in %v", s.Host, s.Replica, silenceBound)
+		}
+	}
+}
+
 func (c *checker) configuration() {
 	type life struct {
 		host int
--- a/core/testbed/stateful_test.go
+++ b/core/testbed/stateful_test.go
@@ -35,6 +35,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := NewScenario(uint64(rapid.IntRange(1, 1000).Draw(t, "seed")))
 		w := s.World
+		w.Show = show
 		var log []string
 		said := func(format string, args ...any) {
 			log = append(log, fmt.Sprintf("%7.1f ms ", float64(w.Now().Sub(Start).Microseconds())/1000)+fmt.Sprintf(format, args...))
--- a/core/testbed/target.go
+++ b/core/testbed/target.go
@@ -48,6 +48,7 @@
 	Draining bool
 	Slow     time.Duration // added to the service time
 	Shed     bool
+	Mute     bool // does not say that it drains
 	Lie      bool // reports a load that is not true
 	Frozen   bool // answers nothing, keeps its connections
 	Limit    int  // connections accepted
@@ -73,15 +74,16 @@
 
 // conn is a connection between a host and a target.
 type conn struct {
-	id     api.ConnID
-	host   *Host
-	life   api.Life
-	target *Target
-	open   bool
-	ended  bool
-	silent bool
-	calls  []*call
-	told   int // the heldVersion that the host was told
+	id      api.ConnID
+	host    *Host
+	life    api.Life
+	target  *Target
+	open    bool
+	ended   bool
+	silent  bool
+	silence *Silence // set if silent
+	calls   []*call
+	told    int // the heldVersion that the host was told
 }
 
 // call is a request on its way to a target, at it, or on its way back.
@@ -146,7 +148,7 @@
 
 func (t *Target) load(c *conn) api.TargetLoad {
 	l := api.TargetLoad{
-		Incarnation: t.incarnation, Slots: t.slots, Running: len(t.running), Queued: len(t.queued), Draining: t.Draining,
+		Incarnation: t.incarnation, Slots: t.slots, Running: len(t.running), Queued: len(t.queued), Draining: t.Draining && !t.Mute,
 	}
 	if t.Lie {
 		l.Running, l.Queued = 0, 0
@@ -176,6 +178,7 @@
 	t := w.Targets[i]
 	c := &conn{id: a.Conn, host: h, life: h.life, target: t}
 	h.conns[a.Conn] = c
+	w.Trace.Dials = append(w.Trace.Dials, Dial{w.now, h.index, t.Name})
 	w.After(3*w.hop(), func() { t.accept(c) })
 }
 
@@ -246,6 +249,10 @@
 	h.calls[k.attempt] = k
 	c.calls = append(slices.DeleteFunc(c.calls, func(o *call) bool { return o.ended }), k)
 	if c.silent {
+		works := func(o *conn) bool { return o.host == h && o.open && !o.silent }
+		if s := c.silence; s.Used.IsZero() && !slices.ContainsFunc(c.target.conns, works) {
+			s.Used = h.w.now
+		}
 		return
 	}
 	h.w.After(h.w.hop(), func() {
@@ -488,7 +495,7 @@
 	if t.up {
 		return
 	}
-	t.up, t.Draining, t.Frozen = true, false, false
+	t.up, t.Draining, t.Frozen, t.Mute = true, false, false, false
 	t.incarnation++
 	t.coldUntil = t.w.now.Add(time.Second)
 	if doc := t.w.Store.document(); doc != nil {
--- a/core/testbed/testbed_test.go
+++ b/core/testbed/testbed_test.go
@@ -159,6 +159,10 @@
 			tr.Requests = append(tr.Requests, &again)
 		}},
 		{"P10", "not answered in full", func(tr *Trace) { tr.Requests[0].Must = "P10" }},
+		{"P10", "does not replace", func(tr *Trace) {
+			tr.Silences = []*Silence{{Start, 0, "r2", Start.Add(time.Second)}}
+			tr.Dials = []Dial{{Start.Add(3100 * time.Millisecond), 0, "r2"}}
+		}},
 		{"P11", "extra attempts", func(tr *Trace) {
 			for range 5 {
 				again(tr, 0, func(*Run) {})
--- a/core/testbed/world.go
+++ b/core/testbed/world.go
@@ -59,7 +59,6 @@
 	lives  uint64
 	turn   int // next host of the load balancer
 	crash  map[string]bool
-	vms    []event.VM
 	tags   int
 	lagged bool // the balancer still sends to hosts that are gone
 }
