testbed: vary what is in flight at the end of a node's grace period

An open claim delays the stop by itself, so that a node that did not wait for searches went unnoticed.

--- a/core/testbed/fault.go
+++ b/core/testbed/fault.go
@@ -44,10 +44,14 @@
 			h := w.anyHost()
 			h.Leave()
 			// Callers whose balancer lags still send until the grace period ends.
-			for _, ms := range []int{120, 295, 298} {
+			late := []int{20, 295, 298}
+			withWork := w.rng.IntN(2) == 0 // an open claim delays the stop by itself
+			for i, ms := range late {
 				w.After(time.Duration(ms)*time.Millisecond, func() {
 					w.Search(h, w.Tag(), "")
-					w.Work(h, w.Key(), "late "+w.Tag(), "")
+					if withWork || i == 0 {
+						w.Work(h, w.Key(), "late "+w.Tag(), "")
+					}
 				})
 			}
 			w.After(3*time.Second, func() {
