--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -187,6 +187,10 @@
 		return
 	}
 	q.nextScan = q.Deadline
+	q.evaluate(now) // an early return that is due needs no hedges
+	if q.done {
+		return
+	}
 	if !q.released && q.Mode != NoCanary {
 		q.hedgeCanary(now)
 	} else {
--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -275,8 +275,12 @@
 	if _, done := q.Done(); done {
 		t.Fatal("ended before the hedge delay")
 	}
+	sent := len(env.sent)
 	q.Tick(start.Add(hedgeDelay))
 	answer := answerOf(t, q)
+	if len(env.sent) != sent {
+		t.Error("a hedge was sent for a search that ended at the same time")
+	}
 	if len(answer.Coverage.Missing) != 1 || answer.Coverage.Missing[0].Reason != api.ReasonEarlyReturn {
 		t.Fatalf("missing %+v", answer.Coverage.Missing)
 	}
