--- a/core/testbed/world.go
+++ b/core/testbed/world.go
@@ -60,7 +60,6 @@
 	lives  uint64
 	turn   int // next host of the load balancer
 	crash  map[string]bool
-	vms    []event.VM
 	tags   int
 	lagged bool // the balancer still sends to hosts that are gone
 }
@@ -425,6 +424,9 @@
 			h.later(2*h.w.hop(), event.PeerFailed{Peer: a.Peer})
 			return
 		}
+		if to.paused {
+			h.later(time.Second, event.PeerFailed{Peer: a.Peer}) // the driver's time-out
+		}
 		to.later(h.w.hop(), event.PeerReceived{Message: a.Message})
 	}
 }
