node: use a replica again when its VM is no longer leaving

Cause: a VM list that lags can name a VM as leaving for the first time when the target's new process has already taken the place of the old one. The node then drained the new incarnation, and nothing ended that while the process lived. Found by the random test (two drains seen in the VM list; shards missing 20 s later). Ruled out: the target's own load, which did not report a drain. Change: when the list no longer calls the VM leaving, the drain is taken back; a target that drains says so itself. Not covered: a node that learned the drain from a peer and never saw the VM leaving in its own list. Before: TestReplicaOfReturnedVMIsUsedAgain fails.

--- a/core/node/control.go
+++ b/core/node/control.go
@@ -223,7 +223,22 @@
 				n.draining(now, replica)
 			}
 		}
+		if !vm.Leaving && n.vmsGone[vm.Name] && n.document != nil {
+			n.returned(now, vm.Name)
+		}
 		n.vmsGone[vm.Name] = vm.Leaving
 	}
 	n.peers.SetVMs(now, list)
 }
+
+// returned takes back the drain of a VM that the list no longer calls leaving:
+// the list may have been late, and its drain have hit the process that had
+// already taken the place of the leaving one. A target that drains says so
+// itself with its next answer.
+func (n *Node) returned(now time.Time, vm api.VMName) {
+	for _, replica := range n.document.ReplicasOn(vm) {
+		n.replicas.ClearDraining(replica)
+		n.resume(now, replica)
+	}
+	n.holdings.Invalidate()
+}
--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -148,3 +148,15 @@
 		t.Fatalf("answer %+v", a)
 	}
 }
+
+// Guards against a replica that stays out of use because a late VM list called
+// its VM leaving when its new process was already there.
+func TestReplicaOfReturnedVMIsUsedAgain(t *testing.T) {
+	r := newRig(t)
+	for i, leaving := range []bool{true, true, false} {
+		r.step(event.VMListRead{VMs: []event.VM{{Name: "vm", Leaving: leaving}}})
+		if _, sent := r.search(api.RequestID(i + 1)); sent == leaving {
+			t.Fatalf("list %d: leaving %v, sent %v", i, leaving, sent)
+		}
+	}
+}
