testbed: deliver VM lists in order and to restarted nodes

The fake chose the node that reads the list early anew for each list, so that a node could read an older list after a newer one, and dropped lists for a node that was restarted meanwhile.

--- a/core/testbed/caller.go
+++ b/core/testbed/caller.go
@@ -172,12 +172,12 @@
 // half a second, the others read a copy that lags by far more.
 func (w *World) Leaving(vm api.VMName, leaving bool) {
 	list := []event.VM{{Name: vm, Leaving: leaving}}
-	first := w.anyHost()
+	first := w.Hosts[int(vm[len(vm)-1])%len(w.Hosts)] // the same for each list of a VM
 	for _, h := range w.Hosts {
 		lag := 500 * time.Millisecond
 		if h != first {
 			lag = 10 * time.Second
 		}
-		h.later(lag, event.VMListRead{VMs: list})
+		w.After(lag, func() { h.feed(event.VMListRead{VMs: list}) }) // also in its next life
 	}
 }
