quarantine: clear a conviction that a peer's later notice explains

Cause: an innocent request that was answered before ran alone on the target on which another node ran the fatal request. Ruled out: convicting such a request only after a second isolated crash; one that begins to crash targets would then take a third. Change: when a notice names a request that no target has answered at the same crash, the node clears its own conviction and tells its peers.

--- a/core/quarantine/learn_test.go
+++ b/core/quarantine/learn_test.go
@@ -58,3 +58,33 @@
 		}
 	}
 }
+
+// Guards against an innocent request that stays shut out because it ran alone
+// on the target that another node's fatal request crashed, and that node's
+// notice came after the conviction.
+func TestLateNoticeOfTheCauseClearsTheInnocent(t *testing.T) {
+	const popular, fatal = fp, api.Fingerprint(2)
+	r := newRegistry()
+	r.Answered(epoch, popular)
+	crashOf(r, epoch, "a", popular)
+	want(t, r, epoch, RunAlone)
+	r.Placed(epoch, popular, "b")
+	crashOf(r, epoch, "b", popular)
+	want(t, r, epoch, Refuse)
+	notice := gossip.Notice{
+		Kind: gossip.NoticeSuspect, Fingerprint: fatal, Replica: "b", Incarnation: 1, Crashes: 1,
+		Version: 1, TimeToLive: time.Minute,
+	}
+	other := notice
+	other.Replica = "c"
+	r.Learn(epoch, other)
+	if got := r.Exonerate(epoch, other); len(got) != 0 {
+		t.Fatalf("cleared by the crash of another target: %+v", got)
+	}
+	r.Learn(epoch, notice)
+	got := r.Exonerate(epoch, notice)
+	if len(got) != 1 || got[0].Kind != gossip.NoticeCleared || got[0].Fingerprint != popular {
+		t.Fatalf("notices %+v", got)
+	}
+	want(t, r, epoch, Run)
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -113,6 +113,8 @@
 	// crash. Such a request is convicted only by a crash during a probation run,
 	// because a popular request is in flight at every crash.
 	wasGood bool
+	// convictedBy is the crash by which this node itself convicted the request.
+	convictedBy crash
 }
 
 // Registry holds the fingerprints known to one node. It is not safe for
@@ -253,6 +255,7 @@
 	c.until = now.Add(suspicionTime)
 	if known && c.total() >= 2 && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
 		c.state = convicted
+		c.convictedBy = by
 		c.until = now.Add(convictionTime)
 		r.counts.Inc(count.Quarantine, "convicted")
 	} else {
@@ -262,6 +265,30 @@
 	return c.notice(now, fp), true
 }
 
+// Exonerate clears the requests that this node convicted by a crash which a
+// notice of a peer now explains: a request that no target has ever answered ran
+// on the same target. The notice may come after the conviction, because two
+// nodes can run two suspects on one target.
+func (r *Registry) Exonerate(now time.Time, n gossip.Notice) []gossip.Notice {
+	cause := r.live(now, n.Fingerprint)
+	by := crash{n.Replica, n.Incarnation}
+	if cause == nil || cause.wasGood || cause.state == cleared || n.Replica == "" {
+		return nil
+	}
+	var out []gossip.Notice
+	for _, fp := range r.sorted() {
+		c := r.cases[fp]
+		if fp == n.Fingerprint || c.state != convicted || !c.wasGood || c.convictedBy != by {
+			continue
+		}
+		c.clear(nextVersion(now, c.version), now.Add(clearedTime))
+		r.good.add(fp)
+		r.counts.Inc(count.Quarantine, "exonerated")
+		out = append(out, c.notice(now, fp))
+	}
+	return out
+}
+
 // wasGood reports whether a target had answered a request before its first crash.
 func (r *Registry) wasGood(fp api.Fingerprint) bool {
 	if c := r.cases[fp]; c != nil {
