fanout: return the token of a hedge that finds no room, and try it again

Cause: a hedge took its budget token before it looked for a replica with room. Ruled out: a larger budget; it was not spent on attempts. Change: the token is returned, and the hedge is tried again after another delay.

--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -82,9 +82,11 @@
 	if q.canaryNext >= len(q.Canaries) || !q.env.SpendExtra(now, q.Query.Service) {
 		return
 	}
-	if q.sendCanary(now) {
-		q.env.Count(count.Hedged, "canary")
+	if !q.sendCanary(now) {
+		q.env.RefundExtra(q.Query.Service)
+		return
 	}
+	q.env.Count(count.Hedged, "canary")
 }
 
 // keepCanaries turns the other canaries on their way into ordinary attempts.
--- a/core/fanout/plan.go
+++ b/core/fanout/plan.go
@@ -101,6 +101,8 @@
 	Cancel(attempt api.AttemptID)
 	// SpendExtra takes a token from the service's budget for retries and hedges.
 	SpendExtra(now time.Time, service api.ServiceName) bool
+	// RefundExtra returns a token taken for an attempt that could not be sent.
+	RefundExtra(service api.ServiceName)
 	// Rechoose returns the best snapshot known now, with canaries for it.
 	Rechoose(now time.Time, q *Query) (snapshot.Choice, []Canary, bool)
 	// MayTryAgain reports whether a search whose canary was lost may send
--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -236,7 +236,9 @@
 	}
 	sent, reason := q.env.Send(now, q, i, p.tried, "")
 	if reason != api.ReasonNone {
+		q.env.RefundExtra(q.Query.Service)
 		q.env.Count(count.RetryDenied, reason)
+		q.scanBy(now.Add(q.HedgeDelay)) // room may be free by then
 		return
 	}
 	p.hedged = true
--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -58,6 +58,8 @@
 	return e.tokens >= 0
 }
 
+func (e *fakeEnv) RefundExtra(api.ServiceName) { e.tokens++ }
+
 func (e *fakeEnv) Rechoose(time.Time, *Query) (snapshot.Choice, []Canary, bool) {
 	if e.next == nil {
 		return snapshot.Choice{}, nil, false
@@ -265,6 +267,23 @@
 	}
 }
 
+// Guards against a budget that is spent on hedges for which no replica has room
+// (P11).
+func TestHedgeThatIsNotSentCostsNoToken(t *testing.T) {
+	q, env := begin(t, 2, nil)
+	env.tokens = 1
+	env.busy["b"] = true
+	q.Tick(start.Add(hedgeDelay))
+	if len(env.sent) != 2 || env.tokens != 1 {
+		t.Fatalf("%d sendings, %d tokens left", len(env.sent), env.tokens)
+	}
+	clear(env.busy)
+	q.Tick(q.Wake())
+	if len(env.sent) != 3 || env.tokens > 0 {
+		t.Fatalf("%d sendings, %d tokens left with room at the other replica", len(env.sent), env.tokens)
+	}
+}
+
 // Guards against a search that waits for stragglers although its service asks
 // for an early return, and against one that hides what is missing.
 func TestEarlyReturnNamesWhatIsMissing(t *testing.T) {
--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -223,6 +223,13 @@
 	return n.settings.Policy.NoBudget || n.budget.Spend(now, service)
 }
 
+// RefundExtra implements fanout.Env.
+func (n *Node) RefundExtra(service api.ServiceName) {
+	if !n.settings.Policy.NoBudget {
+		n.budget.Refund(service)
+	}
+}
+
 // Count implements fanout.Env.
 func (n *Node) Count(kind count.Kind, detail api.Reason) { n.counts.Inc(kind, detail) }
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -83,7 +83,11 @@
 }
 
 // Refund returns a token taken for an attempt that was not sent after all.
-func (b *Budget) Refund(service api.ServiceName) { b.get(service).tokens += token }
+func (b *Budget) Refund(service api.ServiceName) {
+	s := b.get(service)
+	s.tokens += token
+	s.spent = max(s.spent-1, 0)
+}
 
 // Tokens returns the number of retries or hedges that a service could send now.
 func (b *Budget) Tokens(service api.ServiceName) float64 {
