quarantine: vouch for requests answered before; fanout: let a canary wait for room

Cause 1: each node knew only the answers to its own callers. Ruled out: leaving such a conviction to the operators for an hour; asking peers before each conviction, which would delay the notice behind the caller's resend. Change: a node that learns of such a suspect tells its peers, and a conviction that did not follow from an isolated run is taken back. The canary now waits.

--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -26,7 +26,13 @@
 		q.started(now, c.Part, sent, true)
 		return true
 	}
-	if q.canaryLive == 0 {
+	switch {
+	case q.canaryLive > 0:
+	case q.canaryReason == api.ReasonOverloaded && q.canaryLost == 0:
+		// No candidate has room now; all of them are tried again in a moment.
+		q.canaryNext = 0
+		q.scanBy(now.Add(retryPause))
+	default:
 		q.finishUnreleased(now)
 	}
 	return false
@@ -71,6 +77,10 @@
 // their way at a time, so that the request reaches at most two targets before
 // one has answered it.
 func (q *Query) hedgeCanary(now time.Time) {
+	if q.canaryLive == 0 {
+		q.sendCanary(now)
+		return
+	}
 	due := q.canaryAt.Add(q.HedgeDelay)
 	if now.Before(due) {
 		q.scanBy(due)
--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -346,6 +346,27 @@
 	}
 }
 
+// Guards against a new search that is refused because the targets of its canary
+// have no room at that moment.
+func TestCanaryWaitsForRoom(t *testing.T) {
+	env := &fakeEnv{tokens: 9, busy: map[api.ReplicaName]bool{"a": true, "b": true}, counts: count.NewSet()}
+	c := choice(1, 5, 2)
+	q := New(Plan{
+		Choice: c, Shards: c.Map.Shards, Wanted: api.Whole, Start: start, Deadline: start.Add(timeLimit),
+		HedgeDelay: hedgeDelay, Mode: CanaryFirst, Canaries: []Canary{{Part: 0, Replica: "a"}, {Part: 1, Replica: "b"}},
+	}, env)
+	q.Begin(start)
+	q.Tick(q.Wake())
+	if _, done := q.Done(); done || len(env.sent) != 0 {
+		t.Fatalf("ended %v after %d sendings", done, len(env.sent))
+	}
+	clear(env.busy)
+	q.Tick(q.Wake())
+	if len(env.sent) != 1 || env.sent[0].replica != "a" {
+		t.Fatalf("sent %+v", env.sent)
+	}
+}
+
 // Guards against a canary that delays a harmless search for good.
 func TestAnsweredCanaryReleasesTheRest(t *testing.T) {
 	canaries := []Canary{{Part: 3, Replica: "b"}, {Part: 1, Replica: "a"}}
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -34,6 +34,9 @@
 	NoticeCleared
 	// NoticeConvicted says that a request crashed targets and is refused.
 	NoticeConvicted
+	// NoticeVouched says that a target had answered a suspected request before
+	// its first crash.
+	NoticeVouched
 )
 
 // Notice is one fact that every entry should know soon. Notices with the same
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -217,7 +217,7 @@
 		return
 	}
 	changed := n.quarantine.Learn(now, notice)
-	n.publish(now, n.quarantine.Exonerate(now, notice))
+	n.publish(now, n.quarantine.Respond(now, notice))
 	if notice.Kind == gossip.NoticeSuspect || notice.Kind == gossip.NoticeConvicted {
 		n.markStale(notice.Fingerprint)
 	}
--- a/core/quarantine/learn_test.go
+++ b/core/quarantine/learn_test.go
@@ -78,13 +78,38 @@
 	other := notice
 	other.Replica = "c"
 	r.Learn(epoch, other)
-	if got := r.Exonerate(epoch, other); len(got) != 0 {
+	if got := r.Respond(epoch, other); len(got) != 0 {
 		t.Fatalf("cleared by the crash of another target: %+v", got)
 	}
 	r.Learn(epoch, notice)
-	got := r.Exonerate(epoch, notice)
+	got := r.Respond(epoch, notice)
 	if len(got) != 1 || got[0].Kind != gossip.NoticeCleared || got[0].Fingerprint != popular {
 		t.Fatalf("notices %+v", got)
 	}
 	want(t, r, epoch, Run)
 }
+
+// Guards against the conviction of a popular request by a node that has just
+// begun to run it, although a target answered it for another node before.
+func TestPeerVouchesForAnAnsweredRequest(t *testing.T) {
+	elsewhere, here := newRegistry(), newRegistry()
+	elsewhere.Answered(epoch, fp)
+	crashOf(here, epoch, "a", fp)
+	convicted := crashOf(here, epoch, "b", fp)
+	want(t, here, epoch, Refuse)
+	elsewhere.Learn(epoch, convicted[0])
+	vouched := elsewhere.Respond(epoch, convicted[0])
+	if len(vouched) != 1 || vouched[0].Kind != gossip.NoticeVouched {
+		t.Fatalf("notices %+v", vouched)
+	}
+	if again := elsewhere.Respond(epoch, convicted[0]); len(again) != 0 {
+		t.Fatalf("vouched twice: %+v", again)
+	}
+	cleared := here.Respond(epoch, vouched[0])
+	if len(cleared) != 1 || cleared[0].Kind != gossip.NoticeCleared {
+		t.Fatalf("notices %+v", cleared)
+	}
+	want(t, here, epoch, Run)
+	elsewhere.Learn(epoch, cleared[0])
+	want(t, elsewhere, epoch, Run)
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -115,6 +115,10 @@
 	wasGood bool
 	// convictedBy is the crash by which this node itself convicted the request.
 	convictedBy crash
+	// convictedAlone is set if that crash ended an isolated run.
+	convictedAlone bool
+	// vouched is set once the peers were told that wasGood is set.
+	vouched bool
 }
 
 // Registry holds the fingerprints known to one node. It is not safe for
@@ -255,7 +259,7 @@
 	c.until = now.Add(suspicionTime)
 	if known && c.total() >= 2 && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
 		c.state = convicted
-		c.convictedBy = by
+		c.convictedBy, c.convictedAlone = by, alone
 		c.until = now.Add(convictionTime)
 		r.counts.Inc(count.Quarantine, "convicted")
 	} else {
@@ -265,11 +269,61 @@
 	return c.notice(now, fp), true
 }
 
-// Exonerate clears the requests that this node convicted by a crash which a
+// Respond returns what this node has to tell its peers after it learned a
+// notice: that it knows a suspect to be answered before, or that it takes back
+// a conviction of its own.
+func (r *Registry) Respond(now time.Time, n gossip.Notice) []gossip.Notice {
+	switch n.Kind {
+	case gossip.NoticeSuspect, gossip.NoticeConvicted:
+		return append(r.vouch(now, n.Fingerprint), r.exonerate(now, n)...)
+	case gossip.NoticeVouched:
+		return r.vouchedFor(now, n.Fingerprint)
+	}
+	return nil
+}
+
+// vouch tells the peers, once, that a target had answered a suspect before its
+// first crash. Each node knows only the answers to its own callers.
+func (r *Registry) vouch(now time.Time, fp api.Fingerprint) []gossip.Notice {
+	c := r.live(now, fp)
+	if c == nil || !c.wasGood || c.vouched || c.state == cleared {
+		return nil
+	}
+	c.vouched = true
+	return []gossip.Notice{{
+		Kind: gossip.NoticeVouched, Fingerprint: fp, Version: 1, TimeToLive: suspicionTime,
+	}}
+}
+
+// vouchedFor takes a peer's word that a request was answered before. A
+// conviction of this node that did not follow from an isolated run is void.
+func (r *Registry) vouchedFor(now time.Time, fp api.Fingerprint) []gossip.Notice {
+	c := r.live(now, fp)
+	if c == nil {
+		r.good.add(fp)
+		return nil
+	}
+	known := c.wasGood
+	c.wasGood, c.vouched = true, true
+	if known || c.state != convicted || c.convictedBy == (crash{}) || c.convictedAlone {
+		return nil
+	}
+	return []gossip.Notice{r.takeBack(now, fp, c)}
+}
+
+// takeBack clears a conviction of this node.
+func (r *Registry) takeBack(now time.Time, fp api.Fingerprint, c *record) gossip.Notice {
+	c.clear(nextVersion(now, c.version), now.Add(clearedTime))
+	r.good.add(fp)
+	r.counts.Inc(count.Quarantine, "exonerated")
+	return c.notice(now, fp)
+}
+
+// exonerate clears the requests that this node convicted by a crash which a
 // notice of a peer now explains: a request that no target has ever answered ran
 // on the same target. The notice may come after the conviction, because two
 // nodes can run two suspects on one target.
-func (r *Registry) Exonerate(now time.Time, n gossip.Notice) []gossip.Notice {
+func (r *Registry) exonerate(now time.Time, n gossip.Notice) []gossip.Notice {
 	cause := r.live(now, n.Fingerprint)
 	by := crash{n.Replica, n.Incarnation}
 	if cause == nil || cause.wasGood || cause.state == cleared || n.Replica == "" {
@@ -281,10 +335,7 @@
 		if fp == n.Fingerprint || c.state != convicted || !c.wasGood || c.convictedBy != by {
 			continue
 		}
-		c.clear(nextVersion(now, c.version), now.Add(clearedTime))
-		r.good.add(fp)
-		r.counts.Inc(count.Quarantine, "exonerated")
-		out = append(out, c.notice(now, fp))
+		out = append(out, r.takeBack(now, fp, c))
 	}
 	return out
 }
