--- a/core/confsync/state_test.go
+++ b/core/confsync/state_test.go
@@ -13,7 +13,9 @@
 
 // Guards against any order of lost answers, late writes, outages, restarts and
 // restores that makes a node go back, loses an accepted change, applies one
-// twice or tells an operator something untrue.
+// twice or tells an operator something untrue. Skip is that of rapid.T: it passes
+// over one action that cannot happen in the present state, and rapid draws
+// another; the test itself is never skipped.
 func TestFaultsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(3)
