--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -55,6 +55,9 @@
 	address string
 	slots   float64
 	prior   float64
+	// cost multiplies the score; above 1 in another data centre if
+	// SetRemoteSurcharge was called.
+	cost float64
 	// operatorDrained is the flag of the document.
 	operatorDrained bool
 
@@ -92,6 +95,8 @@
 	local      api.DataCentre
 	replicas   map[api.ReplicaName]*replica
 	configured bool
+	// remoteSurcharge is the share by which a remote replica counts as slower.
+	remoteSurcharge float64
 }
 
 // New returns a Replicas without replicas. The data centre local is the node's own.
@@ -109,24 +114,59 @@
 		}
 	}
 	for name, c := range doc.Replicas {
-		s, ok := r.replicas[name]
-		if !ok || s.address != c.Address {
-			s = &replica{name: name, address: c.Address}
-			if r.configured {
-				s.coldUntil = now.Add(RampUp)
-			}
-			r.replicas[name] = s
-		}
-		s.slots = float64(max(c.Slots, 1))
-		s.operatorDrained = c.Drained
-		s.prior = float64(priorRemote)
-		if c.DataCentre == r.local {
-			s.prior = float64(priorLocal)
+		spec := Spec{Address: c.Address, DataCentre: c.DataCentre, Slots: c.Slots, Drained: c.Drained}
+		if old, ok := r.replicas[name]; r.configured && (!ok || old.address != c.Address) {
+			spec.ColdFor = RampUp
 		}
+		r.Set(now, name, spec)
 	}
 	r.configured = true
 }
 
+// Spec is what a configuration or a registration says of one replica.
+type Spec struct {
+	Address    string
+	DataCentre api.DataCentre
+	Slots      int
+	Drained    bool
+	// ColdFor is how long the replica is expected to stay slow after its start.
+	ColdFor time.Duration
+}
+
+// Set adds a replica or changes it. What is known of a replica whose address
+// did not change is kept.
+func (r *Replicas) Set(now time.Time, name api.ReplicaName, spec Spec) {
+	s, ok := r.replicas[name]
+	if !ok || s.address != spec.Address {
+		s = &replica{name: name, address: spec.Address}
+		r.replicas[name] = s
+	}
+	if spec.ColdFor > 0 {
+		s.coldUntil = now.Add(min(spec.ColdFor, RampUp))
+	}
+	s.slots = float64(max(spec.Slots, 1))
+	s.operatorDrained = spec.Drained
+	s.prior, s.cost = float64(priorRemote), 1+r.remoteSurcharge
+	if spec.DataCentre == r.local {
+		s.prior, s.cost = float64(priorLocal), 1
+	}
+}
+
+// Remove forgets a replica.
+func (r *Replicas) Remove(name api.ReplicaName) { delete(r.replicas, name) }
+
+// SetRemoteSurcharge makes replicas of other data centres count as slower by
+// the given share: traffic between data centres is paid for. It applies to
+// replicas that are set from then on.
+func (r *Replicas) SetRemoteSurcharge(share float64) { r.remoteSurcharge = share }
+
+// Suspect reports whether a replica failed so often that it gets single probes
+// only.
+func (r *Replicas) Suspect(name api.ReplicaName) bool {
+	s, ok := r.replicas[name]
+	return ok && s.failures >= suspectAfter
+}
+
 // Sent records an attempt handed to a replica.
 func (r *Replicas) Sent(now time.Time, name api.ReplicaName) {
 	s, ok := r.replicas[name]
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -119,7 +119,7 @@
 		}
 	}
 	failing := fade(s.failureRate, now.Sub(s.failureAt))
-	return s.expected(now) * load * (1 + failureCost*failing) / s.slots
+	return s.expected(now) * load * (1 + failureCost*failing) * s.cost / s.slots
 }
 
 // expected is the smoothed latency; an old one returns to the prior.
--- a/core/node/attempts.go
+++ b/core/node/attempts.go
@@ -79,7 +79,7 @@
 			return replica, conn, api.ReasonNone
 		}
 		if wait > 0 {
-			n.timers.set(timer{at: now.Add(wait), replica: replica})
+			n.timers.Set(now.Add(wait), timer{replica: replica})
 		}
 		busy = append(busy, replica)
 		reason = api.ReasonOverloaded
--- a/core/node/forward.go
+++ b/core/node/forward.go
@@ -77,7 +77,7 @@
 	w.state, w.forward = workForwarded, forwardOpen
 	w.forwardedTo, w.forwardAddress = owner.Name, owner.Address
 	w.localAt = now.Add(min(forwardWait, w.deadline.Sub(now)/2))
-	n.timers.set(timer{at: w.localAt, request: w.id()})
+	n.timers.Set(w.localAt, timer{request: w.id()})
 	n.counts.Inc(count.Peer, "work_forwarded")
 	n.act(event.ForwardWork{
 		Op: op, Peer: owner.Name, Address: owner.Address,
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/baobabsail/baobabsail/core/quarantine"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/snapshot"
+	"github.com/baobabsail/baobabsail/core/timerqueue"
 )
 
 // Peer is another entry node named in the settings.
@@ -85,7 +86,7 @@
 	// peerPausedUntil says how long nothing is passed on to a peer.
 	peerPausedUntil map[api.EntryName]time.Time
 	attempts        map[api.AttemptID]*attempt
-	timers          timerQueue
+	timers          timerqueue.Queue[timer]
 	// waiting lists, per replica, the parts that wait for room at it.
 	waiting map[api.ReplicaName][]waitingPart
 	// resuming is set while the parts that wait for one replica are tried.
@@ -250,7 +251,7 @@
 	var wake time.Time
 	for _, at := range [...]time.Time{
 		n.config.Wake(), n.peers.Wake(), n.conns.Wake(), n.claims.Wake(), n.quarantine.Wake(),
-		n.timers.next(), n.unresolvedWake(), n.shutdown.wake(),
+		n.timers.Next(), n.unresolvedWake(), n.shutdown.wake(),
 	} {
 		if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
 			wake = at
--- a/core/node/search.go
+++ b/core/node/search.go
@@ -62,7 +62,7 @@
 		return
 	}
 	n.searches[ev.Request] = s
-	n.timers.set(timer{at: s.deadline, request: ev.Request})
+	n.timers.Set(s.deadline, timer{request: ev.Request})
 	n.admitSearch(now, s)
 }
 
@@ -308,7 +308,7 @@
 	if !done {
 		if at := s.query.Wake(); s.timerAt.IsZero() || at.Before(s.timerAt) {
 			s.timerAt = at
-			n.timers.set(timer{at: at, request: s.arrived.Request})
+			n.timers.Set(at, timer{request: s.arrived.Request})
 		}
 		return
 	}
--- a/core/node/work.go
+++ b/core/node/work.go
@@ -94,7 +94,7 @@
 		return
 	}
 	n.works[ev.Request] = w
-	n.timers.set(timer{at: w.deadline, request: ev.Request})
+	n.timers.Set(w.deadline, timer{request: ev.Request})
 	if !n.forwardWork(now, w) {
 		n.admitWork(now, w)
 	}
@@ -212,7 +212,7 @@
 	n.concurrent.Abandon(replica)
 	w.state, w.checkedReplica = workChecking, replica
 	w.checkUntil = now.Add(checkWait)
-	n.timers.set(timer{at: w.checkUntil, request: w.id()})
+	n.timers.Set(w.checkUntil, timer{request: w.id()})
 	n.checking[replica] = append(n.checking[replica], w.id())
 	n.act(n.conns.Check(now, conn)...)
 }
@@ -387,7 +387,7 @@
 		w.answered = true
 		n.answerWork(w.id(), api.WorkAnswer{Outcome: api.Unknown, Reason: api.ReasonDeadline, RetryAfter: resendAfter})
 		w.forgetAt = now.Add(lateResultWait)
-		n.timers.set(timer{at: w.forgetAt, request: w.id()})
+		n.timers.Set(w.forgetAt, timer{request: w.id()})
 	case w.state == workSent && !now.Before(w.forgetAt):
 		n.workUnknown(now, w, api.ReasonDeadline)
 	}
--- /dev/null
+++ b/core/timerqueue/timerqueue.go
@@ -0,0 +1,67 @@
+// Package timerqueue orders what has to be done at given times.
+package timerqueue
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Queue is a heap of timers. Timers are not removed when they become obsolete;
+// whoever is woken checks what is due. The zero value is an empty queue.
+type Queue[T any] struct {
+	heap entries[T]
+	seq  uint64
+}
+
+// Set adds a timer.
+func (q *Queue[T]) Set(at time.Time, value T) {
+	q.seq++
+	heap.Push(&q.heap, entry[T]{at: at, seq: q.seq, value: value})
+}
+
+// Next returns the time of the first timer; the zero time if there is none.
+func (q *Queue[T]) Next() time.Time {
+	if len(q.heap) == 0 {
+		return time.Time{}
+	}
+	return q.heap[0].at
+}
+
+// Due removes and returns the first timer that is due.
+func (q *Queue[T]) Due(now time.Time) (T, bool) {
+	if len(q.heap) == 0 || q.heap[0].at.After(now) {
+		var none T
+		return none, false
+	}
+	return heap.Pop(&q.heap).(entry[T]).value, true
+}
+
+type entry[T any] struct {
+	at    time.Time
+	seq   uint64 // breaks ties in the order of setting
+	value T
+}
+
+type entries[T any] []entry[T]
+
+func (h entries[T]) Len() int { return len(h) }
+
+func (h entries[T]) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h entries[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *entries[T]) Push(x any) { *h = append(*h, x.(entry[T])) }
+
+// Pop implements heap.Interface.
+func (h *entries[T]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
