--- a/core/api/request.go
+++ b/core/api/request.go
@@ -158,6 +158,7 @@
 	ReasonClaimsFull       Reason = "claim_record_full"
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonMismatched       Reason = "mismatched_answer"
+	ReasonUnknownRoute     Reason = "unknown_route"
 )
 
 // MissingShard is a shard that an answer does not cover, with the reason.
--- /dev/null
+++ b/core/forward/attempt.go
@@ -0,0 +1,336 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+)
+
+const (
+	// stallFactor times the hedge delay is how long an attempt that nobody waits
+	// for may go on; afterwards its connection is closed.
+	stallFactor = 6
+	// stallLeast keeps a replica that pauses for a moment from losing its
+	// connections.
+	stallLeast = 250 * time.Millisecond
+)
+
+// attempt is one sending of a part.
+type attempt struct {
+	id      AttemptID
+	request *request
+	part    int
+	service api.ServiceName
+	replica api.ReplicaName
+	sentAt  time.Time
+	// detached is set once nobody waits for the answer.
+	detached bool
+}
+
+// waitingPart is a part that waits for room at a replica.
+type waitingPart struct {
+	request *request
+	part    int
+}
+
+// choose returns a replica with room for a part, or why there is none.
+func (e *Engine) choose(now time.Time, p *part) (api.ReplicaName, api.Reason) {
+	e.candidates = e.candidates[:0]
+	reason := api.ReasonNoReplica
+	for _, name := range e.registry.byService[p.service] {
+		entry := e.registry.entries[name]
+		if entry.Draining || slices.Contains(p.tried, name) {
+			continue
+		}
+		if e.inFlight[name] >= e.quota(p.service, entry.Slots) {
+			reason = api.ReasonOverloaded
+			continue
+		}
+		e.candidates = append(e.candidates, name)
+	}
+	name, ok := e.replicas.Pick(now, e.candidates, nil)
+	if !ok {
+		return "", reason
+	}
+	return name, api.ReasonNone
+}
+
+// dispatch sends a part for the first time, or again after an attempt that
+// never reached a replica.
+func (e *Engine) dispatch(now time.Time, r *request, i int) {
+	p := &r.parts[i]
+	name, reason := e.choose(now, p)
+	switch reason {
+	case api.ReasonNone:
+		e.send(now, r, i, name)
+	case api.ReasonOverloaded:
+		p.state, p.reason = partWaiting, reason
+		e.enqueue(r, i)
+	default:
+		e.giveUp(r, p, reason)
+	}
+}
+
+// enqueue adds a part to those that wait for room, more urgent routes first.
+func (e *Engine) enqueue(r *request, i int) {
+	service := r.parts[i].service
+	queue := e.waiting[service]
+	at := len(queue)
+	for at > 0 && queue[at-1].request.route.Priority > r.route.Priority {
+		at--
+	}
+	e.waiting[service] = slices.Insert(queue, at, waitingPart{request: r, part: i})
+}
+
+// resume sends parts that wait for room at a service until there is none.
+func (e *Engine) resume(now time.Time, service api.ServiceName) {
+	for len(e.waiting[service]) > 0 {
+		w := e.waiting[service][0]
+		p := &w.request.parts[w.part]
+		if e.requests[w.request.id] == w.request && p.state == partWaiting {
+			name, reason := e.choose(now, p)
+			if reason == api.ReasonOverloaded {
+				return
+			}
+			e.popWaiting(service)
+			if reason == api.ReasonNone {
+				e.send(now, w.request, w.part, name)
+			} else {
+				e.giveUp(w.request, p, reason)
+			}
+			e.progress(now, w.request)
+			continue
+		}
+		e.popWaiting(service)
+	}
+	delete(e.waiting, service)
+}
+
+func (e *Engine) popWaiting(service api.ServiceName) {
+	queue := e.waiting[service]
+	queue[0] = waitingPart{}
+	e.waiting[service] = queue[1:]
+}
+
+func (e *Engine) giveUp(r *request, p *part, reason api.Reason) {
+	if p.state.settled() {
+		return
+	}
+	p.state, p.reason = partMissing, reason
+	r.missing++
+	e.counts.Inc(count.Missing, reason)
+}
+
+// send hands a part to a replica.
+func (e *Engine) send(now time.Time, r *request, i int, name api.ReplicaName) {
+	p := &r.parts[i]
+	e.newest++
+	a := &attempt{id: e.newest, request: r, part: i, service: p.service, replica: name, sentAt: now}
+	e.attempts[a.id] = a
+	p.state = partRunning
+	p.live = append(p.live, a)
+	p.tried = append(p.tried, name)
+	p.sends++
+	p.hedgeAt = now.Add(r.hedgeAfter)
+	e.inFlight[name]++
+	e.replicas.Sent(now, name)
+	e.counts.Inc(count.Sent, "")
+	e.act(Send{
+		Attempt: a.id, Message: r.message, Replica: name,
+		Address: e.registry.entries[name].Address, Left: r.deadline.Sub(now),
+	})
+}
+
+// sendExtra sends another attempt of a part if the budget allows it and a
+// replica has room.
+func (e *Engine) sendExtra(now time.Time, r *request, i int) bool {
+	p := &r.parts[i]
+	name, reason := e.choose(now, p)
+	if reason != api.ReasonNone {
+		e.counts.Inc(count.RetryDenied, reason)
+		return false
+	}
+	if !e.budget(p.service).Spend(now) {
+		e.counts.Inc(count.RetryDenied, api.ReasonBudget)
+		return false
+	}
+	r.extras++
+	e.send(now, r, i, name)
+	return true
+}
+
+// take ends an attempt: its connection is free again or closed.
+func (e *Engine) take(id AttemptID) *attempt {
+	a := e.attempts[id]
+	if a == nil {
+		return nil
+	}
+	delete(e.attempts, id)
+	if e.inFlight[a.replica]--; e.inFlight[a.replica] <= 0 {
+		delete(e.inFlight, a.replica)
+	}
+	if !a.detached {
+		p := &a.request.parts[a.part]
+		p.live = slices.DeleteFunc(p.live, func(other *attempt) bool { return other == a })
+	}
+	return a
+}
+
+// replied handles a replica's answer.
+func (e *Engine) replied(now time.Time, ev *Replied) {
+	a := e.take(ev.Attempt)
+	if a == nil {
+		e.counts.Inc(count.Discarded, "late")
+		return
+	}
+	e.learn(now, a, ev.Reply.Kind)
+	if !a.detached {
+		e.settle(now, a, &ev.Reply)
+		e.progress(now, a.request)
+	}
+	e.resume(now, a.service)
+}
+
+// learn updates what is known of the replica.
+func (e *Engine) learn(now time.Time, a *attempt, kind ReplyKind) {
+	latency := now.Sub(a.sentAt)
+	outcome := api.TargetError
+	switch kind {
+	case ReplyOK:
+		outcome = api.TargetOK
+		e.delays.Observe(now, delayKey(a.request.route), latency)
+	case ReplyRefused:
+		outcome = api.TargetShed
+	case ReplyMisdirected:
+		if e.registry.entries[a.replica] != nil {
+			e.removeReplica(now, a.replica, "address_reused")
+		}
+		return
+	}
+	e.replicas.Done(now, a.replica, outcome, latency, api.TargetLoad{})
+}
+
+// settle applies an answer to its part.
+func (e *Engine) settle(now time.Time, a *attempt, reply *Reply) {
+	r := a.request
+	p := &r.parts[a.part]
+	switch reply.Kind {
+	case ReplyOK:
+		p.state, p.reply = partCovered, *reply
+		r.covered++
+		r.mayHaveRun = true
+		e.release(now, r, p, false)
+	case ReplyError:
+		r.mayHaveRun = true
+		r.failure = reply
+		e.again(now, r, a.part, api.ReasonFailed)
+	case ReplyRefused:
+		e.again(now, r, a.part, api.ReasonShed)
+	case ReplyMisdirected:
+		e.again(now, r, a.part, api.ReasonNoReplica)
+	default:
+		r.mayHaveRun = true
+		e.again(now, r, a.part, api.ReasonMismatched)
+	}
+}
+
+// again sends a part once more after a failed attempt, if that is safe and
+// within its bounds, or gives it up.
+func (e *Engine) again(now time.Time, r *request, i int, reason api.Reason) {
+	p := &r.parts[i]
+	if p.state.settled() || len(p.live) > 0 {
+		return
+	}
+	safe := r.route.Idempotent || !r.mayHaveRun
+	if safe && p.sends < r.route.MaxAttempts && e.sendExtra(now, r, i) {
+		e.counts.Inc(count.Retried, reason)
+		return
+	}
+	e.giveUp(r, p, reason)
+}
+
+// lost handles an attempt that ended without an answer.
+func (e *Engine) lost(now time.Time, ev Lost) {
+	a := e.take(ev.Attempt)
+	if a == nil {
+		return
+	}
+	if ev.Loss == LostStale {
+		e.replicas.Unsent(a.replica) // says nothing about the replica
+	} else {
+		e.replicas.Lost(now, a.replica)
+	}
+	e.counts.Inc(count.Connection, lossReason(ev.Loss))
+	e.log("attempt_lost", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
+		"loss", lossReason(ev.Loss), "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached)
+	if !a.detached {
+		e.settleLoss(now, a, ev.Loss)
+		e.progress(now, a.request)
+	}
+	e.resume(now, a.service)
+}
+
+func lossReason(l Loss) api.Reason {
+	switch l {
+	case LostRefused:
+		return "refused"
+	case LostUnsent:
+		return "unsent"
+	case LostStale:
+		return "stale"
+	}
+	return "broken"
+}
+
+func (e *Engine) settleLoss(now time.Time, a *attempt, loss Loss) {
+	r := a.request
+	p := &r.parts[a.part]
+	if loss == LostBroken || loss == LostStale {
+		r.mayHaveRun = true
+		e.again(now, r, a.part, api.ReasonConnectionLost)
+		return
+	}
+	// Nothing arrived at the replica, so that another one may be tried without
+	// an extra attempt being spent.
+	p.sends--
+	if len(p.live) == 0 {
+		e.dispatch(now, r, a.part)
+	}
+}
+
+// release ends the interest in the attempts of a part. They are cancelled at
+// once, or else later if they stall.
+func (e *Engine) release(now time.Time, r *request, p *part, cancel bool) {
+	for _, a := range slices.Clone(p.live) {
+		if cancel {
+			e.cancel(now, a)
+			continue
+		}
+		a.detached = true
+		e.timers.Set(a.sentAt.Add(max(stallFactor*r.hedgeAfter, stallLeast)), timer{attempt: a.id})
+	}
+	p.live = nil
+}
+
+// cancel gives up an attempt whose caller is gone or has its final answer.
+func (e *Engine) cancel(now time.Time, a *attempt) {
+	e.take(a.id)
+	e.replicas.Cancelled(now, a.replica, now.Sub(a.sentAt))
+	e.act(Cancel{Attempt: a.id})
+}
+
+// stalled gives up an attempt that nobody waits for and that does not end.
+func (e *Engine) stalled(now time.Time, id AttemptID) {
+	a := e.take(id)
+	if a == nil {
+		return
+	}
+	e.replicas.Lost(now, a.replica)
+	e.counts.Inc(count.Discarded, "stalled")
+	e.log("attempt_stalled", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
+		"after_ms", now.Sub(a.sentAt).Milliseconds())
+	e.act(Cancel{Attempt: id})
+	e.resume(now, a.service)
+}
--- /dev/null
+++ b/core/forward/engine.go
@@ -0,0 +1,224 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/balance"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/retry"
+	"github.com/baobabsail/baobabsail/core/routing"
+	"github.com/baobabsail/baobabsail/core/timerqueue"
+)
+
+// Settings describe one engine.
+type Settings struct {
+	DataCentre api.DataCentre
+	Seed       uint64
+	// BudgetWindow, BudgetShare and BudgetConstant bound the extra attempts of
+	// a service over all nodes: in each span of BudgetWindow, BudgetShare of the
+	// requests plus BudgetConstant.
+	BudgetWindow   time.Duration
+	BudgetShare    float64
+	BudgetConstant float64
+	// LapseGrace is how long after the return of the store a registration that
+	// disappeared meanwhile may still come back.
+	LapseGrace time.Duration
+}
+
+const (
+	// remoteSurcharge makes a replica in another data centre count as slower:
+	// its traffic is paid for, and a closer replica that is a little busier
+	// answers as fast.
+	remoteSurcharge = 0.6
+	// assumedNodes divides what nodes share until the members are known.
+	assumedNodes = 16
+	// connectionShare is the part of a replica's connections that the nodes
+	// use; the rest covers connections that lost nodes left behind.
+	connectionShare = 0.85
+)
+
+// Engine runs the requests of one node. It is driven by Step and is not safe
+// for concurrent use.
+type Engine struct {
+	settings Settings
+	rng      *rand.Rand
+	counts   *count.Set
+	table    *routing.Table
+	splitter *routing.Splitter
+	replicas *balance.Replicas
+	registry registry
+	delays   *retry.Delay
+	budgets  map[api.ServiceName]*retry.Window
+	nodes    int
+
+	requests map[api.RequestID]*request
+	attempts map[AttemptID]*attempt
+	newest   AttemptID
+	inFlight map[api.ReplicaName]int
+	// waiting lists, per service, the parts that wait for room at a replica.
+	waiting map[api.ServiceName][]waitingPart
+	timers  timerqueue.Queue[timer]
+
+	candidates []api.ReplicaName // scratch memory of dispatch
+	out        []Action
+}
+
+// timer wakes a request, an attempt that nobody waits for, or a registration
+// that may be removed; the other fields are zero.
+type timer struct {
+	request api.RequestID
+	attempt AttemptID
+	replica api.ReplicaName
+}
+
+// New returns an engine without configuration.
+func New(s Settings) *Engine {
+	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	e := &Engine{
+		settings: s,
+		rng:      rng,
+		counts:   count.NewSet(),
+		splitter: routing.NewSplitter(),
+		replicas: balance.New(rng, s.DataCentre),
+		registry: newRegistry(),
+		delays:   retry.NewDelay(hedgeQuantile, 0),
+		budgets:  make(map[api.ServiceName]*retry.Window),
+		nodes:    assumedNodes,
+		requests: make(map[api.RequestID]*request),
+		attempts: make(map[AttemptID]*attempt),
+		inFlight: make(map[api.ReplicaName]int),
+		waiting:  make(map[api.ServiceName][]waitingPart),
+	}
+	e.replicas.SetRemoteSurcharge(remoteSurcharge)
+	return e
+}
+
+// Step feeds one event to the engine and returns what the driver has to do, in
+// order. The slice is valid until the next call of Step.
+func (e *Engine) Step(now time.Time, ev Event) []Action {
+	clear(e.out)
+	e.out = e.out[:0]
+	switch ev := ev.(type) {
+	case Timer:
+	case Arrived:
+		e.arrived(now, ev)
+	case CallerGone:
+		e.callerGone(now, ev.Request)
+	case Replied:
+		e.replied(now, &ev)
+	case Lost:
+		e.lost(now, ev)
+	case TableRead:
+		e.adopt(ev.Table)
+	case ReplicaSeen:
+		e.replicaSeen(now, ev.Registration)
+	case ReplicaGone:
+		e.replicaGone(now, ev.Replica)
+	case RegistryRead:
+		e.registryRead(now, ev.Registrations)
+	case StoreLost:
+		e.registry.storeLost = true
+	case StoreBack:
+		e.storeBack(now)
+	case Members:
+		e.members(ev.Nodes)
+	}
+	e.runTimers(now)
+	return e.out
+}
+
+// Wake returns the time at which the engine wants a Timer event; the zero time
+// if it wants none.
+func (e *Engine) Wake() time.Time { return e.timers.Next() }
+
+// Counts returns the engine's counters.
+func (e *Engine) Counts() *count.Set { return e.counts }
+
+// Table returns the configuration in force, or nil. It must not be changed.
+func (e *Engine) Table() *routing.Table { return e.table }
+
+// InFlight returns the number of requests that wait for their answer.
+func (e *Engine) InFlight() int { return len(e.requests) }
+
+// Ready reports whether requests can be served: there is a configuration, and
+// at least one replica is registered.
+func (e *Engine) Ready() bool { return e.table != nil && len(e.registry.entries) > 0 }
+
+func (e *Engine) act(a Action) { e.out = append(e.out, a) }
+
+func (e *Engine) log(name string, fields ...any) { e.act(Log{Event: name, Fields: fields}) }
+
+func (e *Engine) runTimers(now time.Time) {
+	for {
+		t, ok := e.timers.Due(now)
+		if !ok {
+			return
+		}
+		switch {
+		case t.replica != "":
+			e.removalDue(now, t.replica)
+		case t.attempt != 0:
+			e.stalled(now, t.attempt)
+		default:
+			if r := e.requests[t.request]; r != nil {
+				r.wakeAt = time.Time{}
+				e.progress(now, r)
+			}
+		}
+	}
+}
+
+// adopt takes over a newer configuration; an older one is ignored.
+func (e *Engine) adopt(t *routing.Table) {
+	if e.table != nil && t.Version <= e.table.Version {
+		e.counts.Inc(count.Config, "not_newer")
+		return
+	}
+	e.table = t
+	e.counts.Inc(count.Config, "adopted")
+	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services))
+	for name := range e.budgets {
+		if _, ok := t.Services[name]; !ok {
+			delete(e.budgets, name)
+		}
+	}
+}
+
+func (e *Engine) members(nodes int) {
+	if nodes == e.nodes || nodes < 1 {
+		return
+	}
+	e.log("members_changed", "nodes", nodes, "before", e.nodes)
+	e.nodes = nodes
+	for _, b := range e.budgets {
+		b.SetConstant(e.budgetConstant())
+	}
+}
+
+// budgetConstant is this node's part of the extra attempts that do not depend
+// on the traffic. Half is kept back for nodes that were replaced: what they
+// sent shortly before still counts.
+func (e *Engine) budgetConstant() float64 {
+	return e.settings.BudgetConstant / float64(2*max(e.nodes, 2))
+}
+
+func (e *Engine) budget(service api.ServiceName) *retry.Window {
+	b := e.budgets[service]
+	if b == nil {
+		b = retry.NewWindow(e.settings.BudgetWindow, e.settings.BudgetShare, e.budgetConstant())
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// quota returns how many connections this node may use at one replica: its
+// part of what the replica accepts, and no more than keeps its slots busy.
+func (e *Engine) quota(service api.ServiceName, slots int) int {
+	quota := 2 * max(slots, 1)
+	if most := e.table.Services[service].MaxConnections; most > 0 {
+		quota = min(quota, int(connectionShare*float64(most)/float64(e.nodes)))
+	}
+	return max(quota, 1)
+}
--- /dev/null
+++ b/core/forward/event.go
@@ -0,0 +1,228 @@
+// Package forward runs opaque requests: it sends a request to a replica of its
+// route's service, or a copy to one replica of each shard, retries and hedges
+// within a budget, and merges the parts. Like node.Node it is a state machine
+// without goroutines, clocks or sockets; a driver turns sockets and timers into
+// events and carries out actions.
+package forward
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+// AttemptID identifies one sending of a request within one life of a process.
+type AttemptID uint64
+
+// Message is a caller's request as the driver received it. The engine reads
+// the fields that decide; the driver sends the rest unchanged.
+type Message struct {
+	Host string
+	// Path is the path without the query.
+	Path string
+	// CallerRequest is the identity that the caller gave to this request; it
+	// appears in logs and must be echoed by replicas.
+	CallerRequest string
+	// Fingerprint is the same for requests with the same content.
+	Fingerprint api.Fingerprint
+	// Wire is the driver's own form of the request.
+	Wire any
+}
+
+// Event is something that happened outside the engine.
+type Event interface{ isEvent() }
+
+type event struct{}
+
+func (event) isEvent() {}
+
+// Timer says that the time returned by Engine.Wake has come.
+type Timer struct{ event }
+
+// Arrived is a request of a caller.
+type Arrived struct {
+	event
+	Request api.RequestID
+	Message *Message
+	// Patience is how long the caller waits; 0 if it did not say.
+	Patience time.Duration
+}
+
+// CallerGone says that the caller of a request no longer waits.
+type CallerGone struct {
+	event
+	Request api.RequestID
+}
+
+// ReplyKind says what a replica's reply means.
+type ReplyKind uint8
+
+const (
+	// ReplyOK is a success with the replica's proof that it ran the request.
+	ReplyOK ReplyKind = iota + 1
+	// ReplyError means that the replica ran the request and it failed.
+	ReplyError
+	// ReplyRefused means that the replica states that it did not run the request.
+	ReplyRefused
+	// ReplyMisdirected means that another replica has the address; it did not
+	// run the request.
+	ReplyMisdirected
+	// ReplyInvalid is an answer that proves nothing: the request may have run.
+	ReplyInvalid
+)
+
+// Reply is a replica's answer to one attempt.
+type Reply struct {
+	Kind ReplyKind
+	// Proof is the replica's evidence that it ran the request.
+	Proof string
+	Body  []byte
+	// Leaving is set if the replica ends the connection after this reply.
+	Leaving bool
+	// Wire is the driver's own form of the reply.
+	Wire any
+}
+
+// Replied is a replica's answer to Send.
+type Replied struct {
+	event
+	Attempt AttemptID
+	Reply   Reply
+}
+
+// Loss says how an attempt ended without an answer.
+type Loss uint8
+
+const (
+	// LostRefused means that nothing listens at the address; nothing was sent.
+	LostRefused Loss = iota + 1
+	// LostUnsent means that the connection could not be opened or ended before
+	// any byte of the request was handed to it.
+	LostUnsent
+	// LostBroken means that the connection ended after the request was sent.
+	LostBroken
+	// LostStale is LostBroken on a connection that had been used before, with no
+	// byte of an answer: the replica had probably closed it while idle.
+	LostStale
+)
+
+// Lost says that an attempt ended without an answer.
+type Lost struct {
+	event
+	Attempt AttemptID
+	Loss    Loss
+}
+
+// TableRead is a configuration read from the store.
+type TableRead struct {
+	event
+	Table *routing.Table
+}
+
+// Registration is what a replica says of itself in the store.
+type Registration struct {
+	Replica    api.ReplicaName
+	Service    api.ServiceName
+	Address    string
+	DataCentre api.DataCentre
+	Slots      int
+	Draining   bool
+	// ColdFor is how long the replica expects to stay slow.
+	ColdFor time.Duration
+	// Born is the Unix time in milliseconds at which the process started; 0 if
+	// it does not say. A change means that the replica was restarted.
+	Born int64
+	// Sequence counts the replica's reports since its start.
+	Sequence int64
+}
+
+// ReplicaSeen is a registration read from the store.
+type ReplicaSeen struct {
+	event
+	Registration Registration
+}
+
+// ReplicaGone says that a registration was removed or cannot be used.
+type ReplicaGone struct {
+	event
+	Replica api.ReplicaName
+}
+
+// RegistryRead is the list of all registrations.
+type RegistryRead struct {
+	event
+	Registrations []Registration
+}
+
+// StoreLost says that the store gives no answers.
+type StoreLost struct{ event }
+
+// StoreBack says that the store answers again.
+type StoreBack struct{ event }
+
+// Members is the number of nodes that are registered, this one included.
+type Members struct {
+	event
+	Nodes int
+}
+
+// Action is something that the engine asks its driver to do.
+type Action interface{ isAction() }
+
+type action struct{}
+
+func (action) isAction() {}
+
+// Send sends a request to a replica. The driver answers with Replied or Lost.
+type Send struct {
+	action
+	Attempt AttemptID
+	Message *Message
+	Replica api.ReplicaName
+	Address string
+	// Left is how long the caller still waits.
+	Left time.Duration
+}
+
+// Cancel gives up an attempt: the replica is told by the end of the connection.
+// The driver reports nothing more about the attempt.
+type Cancel struct {
+	action
+	Attempt AttemptID
+}
+
+// CloseIdle closes the idle connections to a replica.
+type CloseIdle struct {
+	action
+	Replica api.ReplicaName
+}
+
+// Answer answers an Arrived.
+type Answer struct {
+	action
+	Request api.RequestID
+	Outcome api.Outcome
+	Reason  api.Reason
+	// Reply is a replica's answer to be passed on unchanged; nil for a sharded
+	// route and for answers of the tier's own.
+	Reply *Reply
+	// Merged is the answer of a sharded route; nil otherwise.
+	Merged *Merged
+	// RetryAfter is when the caller may come back, if Outcome is NotRun.
+	RetryAfter time.Duration
+}
+
+// Merged is the answer of a sharded route.
+type Merged struct {
+	Proofs  []string
+	Missing int
+	Body    []byte
+}
+
+// Log writes one line of key=value pairs.
+type Log struct {
+	action
+	Event  string
+	Fields []any // keys and values in turn
+}
--- /dev/null
+++ b/core/forward/merge.go
@@ -0,0 +1,31 @@
+package forward
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+// mergeRecords returns the greatest records of all bodies, greatest first,
+// compared byte by byte. Equal records all count; a remainder shorter than a
+// record is ignored.
+func mergeRecords(m routing.Merge, bodies [][]byte) []byte {
+	if m.RecordBytes <= 0 || m.Records <= 0 {
+		return nil
+	}
+	var records [][]byte
+	for _, body := range bodies {
+		for len(body) >= m.RecordBytes {
+			records = append(records, body[:m.RecordBytes])
+			body = body[m.RecordBytes:]
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	records = records[:min(len(records), m.Records)]
+	out := make([]byte, 0, len(records)*m.RecordBytes)
+	for _, r := range records {
+		out = append(out, r...)
+	}
+	return out
+}
--- /dev/null
+++ b/core/forward/registry.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/balance"
+	"github.com/baobabsail/baobabsail/core/count"
+)
+
+// registry holds the replicas that are registered in the store.
+type registry struct {
+	entries map[api.ReplicaName]*registered
+	// byService lists the replicas of each service in the order of names.
+	byService map[api.ServiceName][]api.ReplicaName
+	storeLost bool
+	// graceUntil is when registrations that disappeared during an outage of the
+	// store are removed.
+	graceUntil time.Time
+}
+
+type registered struct {
+	Registration
+	// removeAt is set while the registration is missing after an outage.
+	removeAt time.Time
+}
+
+func newRegistry() registry {
+	return registry{
+		entries:   make(map[api.ReplicaName]*registered),
+		byService: make(map[api.ServiceName][]api.ReplicaName),
+	}
+}
+
+// restarted reports whether a registration comes from a later start of the
+// process than another one.
+func (r Registration) restarted(before Registration) bool {
+	return r.Born != before.Born || r.Sequence < before.Sequence
+}
+
+// replicaSeen takes over a registration.
+func (e *Engine) replicaSeen(now time.Time, reg Registration) {
+	old := e.registry.entries[reg.Replica]
+	if old != nil && (old.Service != reg.Service || old.Address != reg.Address || reg.restarted(old.Registration)) {
+		e.removeReplica(now, reg.Replica, "replaced")
+		old = nil
+	}
+	switch {
+	case old == nil:
+		e.registry.add(reg)
+		e.log("replica_added", "replica", reg.Replica, "service", reg.Service, "address", reg.Address,
+			"draining", reg.Draining, "cold_ms", reg.ColdFor.Milliseconds())
+	case old.Draining != reg.Draining:
+		e.log("replica_changed", "replica", reg.Replica, "service", reg.Service, "draining", reg.Draining)
+	}
+	e.registry.entries[reg.Replica] = &registered{Registration: reg}
+	e.replicas.Set(now, reg.Replica, balance.Spec{
+		Address: reg.Address, DataCentre: reg.DataCentre, Slots: reg.Slots,
+		Drained: reg.Draining, ColdFor: reg.ColdFor,
+	})
+	e.resume(now, reg.Service)
+}
+
+func (g *registry) add(reg Registration) {
+	names := g.byService[reg.Service]
+	i, _ := slices.BinarySearch(names, reg.Replica)
+	g.byService[reg.Service] = slices.Insert(names, i, reg.Replica)
+}
+
+// replicaGone handles a registration that is no longer there. During an outage
+// of the store and shortly after it, registrations lapse although their
+// replicas live; they get time to come back.
+func (e *Engine) replicaGone(now time.Time, name api.ReplicaName) {
+	entry := e.registry.entries[name]
+	if entry == nil {
+		return
+	}
+	if !e.registry.storeLost && !now.Before(e.registry.graceUntil) {
+		e.removeReplica(now, name, "gone")
+		return
+	}
+	if !entry.removeAt.IsZero() {
+		return
+	}
+	entry.removeAt = e.registry.graceUntil
+	if e.registry.storeLost {
+		entry.removeAt = now.Add(e.settings.LapseGrace)
+	}
+	e.log("replica_lapsed", "replica", name, "service", entry.Service)
+	e.timers.Set(entry.removeAt, timer{replica: name})
+}
+
+// removalDue removes a registration that did not come back after an outage.
+func (e *Engine) removalDue(now time.Time, name api.ReplicaName) {
+	entry := e.registry.entries[name]
+	if entry == nil || entry.removeAt.IsZero() || now.Before(entry.removeAt) {
+		return
+	}
+	if e.registry.storeLost {
+		entry.removeAt = now.Add(e.settings.LapseGrace)
+		e.timers.Set(entry.removeAt, timer{replica: name})
+		return
+	}
+	e.removeReplica(now, name, "lapsed")
+}
+
+func (e *Engine) removeReplica(now time.Time, name api.ReplicaName, reason string) {
+	entry := e.registry.entries[name]
+	delete(e.registry.entries, name)
+	names := e.registry.byService[entry.Service]
+	if i, found := slices.BinarySearch(names, name); found {
+		e.registry.byService[entry.Service] = slices.Delete(names, i, i+1)
+	}
+	e.replicas.Remove(name)
+	e.counts.Inc(count.Connection, "replica_removed")
+	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
+	e.act(CloseIdle{Replica: name})
+	e.resume(now, entry.Service)
+}
+
+// registryRead takes over a complete list: what is not in it is gone.
+func (e *Engine) registryRead(now time.Time, list []Registration) {
+	listed := make(map[api.ReplicaName]bool, len(list))
+	for _, reg := range list {
+		listed[reg.Replica] = true
+		e.replicaSeen(now, reg)
+	}
+	var missing []api.ReplicaName
+	for name := range e.registry.entries {
+		if !listed[name] {
+			missing = append(missing, name)
+		}
+	}
+	slices.Sort(missing)
+	for _, name := range missing {
+		e.replicaGone(now, name)
+	}
+}
+
+func (e *Engine) storeBack(now time.Time) {
+	e.registry.storeLost = false
+	e.registry.graceUntil = now.Add(e.settings.LapseGrace)
+}
--- /dev/null
+++ b/core/forward/request.go
@@ -0,0 +1,387 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+const (
+	// hedgeQuantile is the share of attempts that end before a hedge is due.
+	hedgeQuantile = 0.93
+	// targetMargin is the part of the target time, and of the caller's patience,
+	// kept for the way back to the caller.
+	targetMargin = 8
+	// marginLeast and marginMost bound that part.
+	marginLeast = 5 * time.Millisecond
+	marginMost  = 15 * time.Millisecond
+	// comeBackSoon is when a caller may return after a refusal for want of room.
+	comeBackSoon = 50 * time.Millisecond
+	// comeBackLater is when a caller may return after a refusal that another
+	// node or a little time may cure.
+	comeBackLater = 250 * time.Millisecond
+)
+
+type partState uint8
+
+const (
+	// partWaiting waits for room at a replica.
+	partWaiting partState = iota
+	// partRunning has at least one attempt on its way.
+	partRunning
+	// partCovered has an answer.
+	partCovered
+	// partMissing was given up.
+	partMissing
+)
+
+func (s partState) settled() bool { return s == partCovered || s == partMissing }
+
+// part is one shard's share of a request, or the whole request of a route to a
+// single replica.
+type part struct {
+	service api.ServiceName
+	state   partState
+	live    []*attempt
+	// tried are the replicas that the part was sent to.
+	tried   []api.ReplicaName
+	sends   int
+	hedgeAt time.Time
+	reply   Reply
+	reason  api.Reason
+}
+
+// request is one request of a caller.
+type request struct {
+	id      api.RequestID
+	message *Message
+	route   *routing.Route
+	version uint64 // of the configuration
+	start   time.Time
+	// deadline is when the final answer is due, target when it is worth most.
+	deadline time.Time
+	target   time.Time
+	parts    []part
+	covered  int
+	missing  int
+	// mayHaveRun is set once a replica may have begun to work on the request.
+	mayHaveRun bool
+	extras     int
+	hedgeAfter time.Duration
+	// failure is the last error that a replica answered with.
+	failure *Reply
+	wakeAt  time.Time
+}
+
+// arrived checks a request and starts it, or refuses it.
+func (e *Engine) arrived(now time.Time, ev Arrived) {
+	if e.table == nil {
+		e.refuse(now, ev, nil, api.ReasonNoConfiguration, comeBackLater)
+		return
+	}
+	route := e.table.Match(ev.Message.Host, ev.Message.Path)
+	if route == nil {
+		e.refuse(now, ev, nil, api.ReasonUnknownRoute, 0)
+		return
+	}
+	r := e.newRequest(now, ev, route)
+	if !now.Before(r.deadline) {
+		e.refuse(now, ev, route, api.ReasonDeadline, 0)
+		return
+	}
+	if reason := e.unservable(r); reason != api.ReasonNone {
+		e.refuse(now, ev, route, reason, comeBackLater)
+		return
+	}
+	e.requests[r.id] = r
+	for i := range r.parts {
+		e.dispatch(now, r, i)
+	}
+	e.progress(now, r)
+}
+
+func (e *Engine) newRequest(now time.Time, ev Arrived, route *routing.Route) *request {
+	r := &request{
+		id: ev.Request, message: ev.Message, route: route, version: e.table.Version, start: now,
+		deadline: now.Add(route.Timeout),
+	}
+	if ev.Patience != 0 {
+		patience := now.Add(ev.Patience - margin(ev.Patience))
+		if route.Timeout == 0 || patience.Before(r.deadline) {
+			r.deadline = patience
+		}
+	}
+	r.target = r.deadline
+	if route.Target > 0 {
+		r.target = now.Add(route.Target - margin(route.Target))
+	}
+	r.hedgeAfter = e.delays.Hedge(delayKey(route), r.target.Sub(now))
+	if !route.Sharded() {
+		r.parts = []part{{service: e.splitter.Choose(route)}}
+	} else {
+		r.parts = make([]part, len(route.Shards))
+		for i, service := range route.Shards {
+			r.parts[i].service = service
+		}
+	}
+	for i := range r.parts {
+		e.budget(r.parts[i].service).Earn(now)
+	}
+	return r
+}
+
+// delayKey is the name under which the latencies of a route are observed. The
+// parts of all shards share it: they do the same work.
+func delayKey(route *routing.Route) api.ServiceName { return api.ServiceName(route.Name) }
+
+func margin(d time.Duration) time.Duration {
+	return min(max(d/targetMargin, marginLeast), marginMost)
+}
+
+// unservable reports why too few services of a request have a replica.
+func (e *Engine) unservable(r *request) api.Reason {
+	have := 0
+	for i := range r.parts {
+		if e.hasReplica(r.parts[i].service) {
+			have++
+		}
+	}
+	if have == 0 || !r.enough(have) {
+		return api.ReasonNoReplica
+	}
+	return api.ReasonNone
+}
+
+func (e *Engine) hasReplica(service api.ServiceName) bool {
+	for _, name := range e.registry.byService[service] {
+		if !e.registry.entries[name].Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// enough reports whether an answer with the given number of parts is valid.
+func (r *request) enough(parts int) bool {
+	if !r.route.Sharded() {
+		return parts > 0
+	}
+	return parts > 0 && float64(parts) >= r.route.MinCoverage*float64(len(r.parts))-1e-9
+}
+
+// refuse answers a request that was not started.
+func (e *Engine) refuse(now time.Time, ev Arrived, route *routing.Route, reason api.Reason, retryAfter time.Duration) {
+	e.counts.Inc(count.Refused, reason)
+	name := ""
+	if route != nil {
+		name = route.Name
+	}
+	e.log("request_refused", "id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
+		"version", e.version(), "reason", reason, "patience_ms", ev.Patience.Milliseconds())
+	e.act(Answer{Request: ev.Request, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
+}
+
+func (e *Engine) version() uint64 {
+	if e.table == nil {
+		return 0
+	}
+	return e.table.Version
+}
+
+// progress hedges what is due, ends the request if it can be ended, and sets
+// its next timer.
+func (e *Engine) progress(now time.Time, r *request) {
+	if e.requests[r.id] != r || e.finishIfDue(now, r) {
+		return
+	}
+	wake := r.deadline
+	if r.target.After(now) && r.target.Before(wake) {
+		wake = r.target
+	}
+	if r.route.Idempotent {
+		wake = earliest(wake, e.hedge(now, r))
+	}
+	if e.requests[r.id] != r {
+		return
+	}
+	if r.wakeAt.IsZero() || wake.Before(r.wakeAt) {
+		r.wakeAt = wake
+		e.timers.Set(wake, timer{request: r.id})
+	}
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// hedge sends a second attempt for each part whose only attempt is slow. It
+// returns when the next part is due.
+func (e *Engine) hedge(now time.Time, r *request) time.Time {
+	var next time.Time
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.state != partRunning || len(p.live) != 1 || p.sends >= r.route.MaxAttempts {
+			continue
+		}
+		if now.Before(p.hedgeAt) {
+			next = earliest(next, p.hedgeAt)
+			continue
+		}
+		if e.sendExtra(now, r, i) {
+			e.counts.Inc(count.Hedged, "slow")
+			continue
+		}
+		p.hedgeAt = now.Add(max(r.hedgeAfter, time.Millisecond))
+		next = earliest(next, p.hedgeAt)
+	}
+	return next
+}
+
+// finishIfDue ends a request that has its answer, cannot get one, or has run
+// out of time. It reports whether the request has ended.
+func (e *Engine) finishIfDue(now time.Time, r *request) bool {
+	open := len(r.parts) - r.covered - r.missing
+	switch {
+	case open == 0:
+		e.finish(now, r, r.reason())
+	case !r.enough(r.covered + open):
+		e.finish(now, r, r.reason())
+	case !now.Before(r.deadline):
+		e.finish(now, r, api.ReasonDeadline)
+	case !now.Before(r.target) && r.covered > 0 && r.enough(r.covered):
+		e.finish(now, r, api.ReasonEarlyReturn)
+	default:
+		return false
+	}
+	return true
+}
+
+// reason returns why a part is missing, or ReasonNone.
+func (r *request) reason() api.Reason {
+	for i := range r.parts {
+		if r.parts[i].state == partMissing {
+			return r.parts[i].reason
+		}
+	}
+	return api.ReasonNone
+}
+
+// finish answers a request. Attempts still on their way are left to end by
+// themselves for a while if their replica may soon be done: that costs it less
+// than a new connection.
+func (e *Engine) finish(now time.Time, r *request, reason api.Reason) {
+	delete(e.requests, r.id)
+	answer := e.answer(r, reason)
+	for i := range r.parts {
+		e.release(now, r, &r.parts[i], reason == api.ReasonDeadline)
+	}
+	e.act(answer)
+	if answer.Outcome == api.NotRun {
+		e.counts.Inc(count.Refused, reason)
+	}
+	e.counts.Inc(count.SearchEnded, api.Reason(answer.Outcome.String()))
+	e.logEnd(now, r, &answer)
+}
+
+func (e *Engine) logEnd(now time.Time, r *request, a *Answer) {
+	e.log("request_ended", "id", r.message.CallerRequest, "route", r.route.Name, "version", r.version,
+		"outcome", a.Outcome, "reason", a.Reason, "took_ms", now.Sub(r.start).Milliseconds(),
+		"parts", len(r.parts), "covered", r.covered, "missing", r.missingServices(),
+		"extra_attempts", r.extras, "hedge_after_ms", r.hedgeAfter.Milliseconds())
+}
+
+// missingServices lists the services without an answer and why, for the log.
+func (r *request) missingServices() string {
+	out := ""
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.state == partCovered {
+			continue
+		}
+		if out != "" {
+			out += " "
+		}
+		out += string(p.service) + ":" + string(p.reason)
+		for _, name := range p.tried {
+			out += "/" + string(name)
+		}
+	}
+	return out
+}
+
+// answer builds the final answer.
+func (e *Engine) answer(r *request, reason api.Reason) Answer {
+	a := Answer{Request: r.id, Reason: reason}
+	switch {
+	case r.route.Sharded() && r.enough(r.covered):
+		a.Outcome = api.Answered
+		a.Merged = r.merged()
+	case !r.route.Sharded() && r.covered == 1:
+		a.Outcome = api.Answered
+		a.Reply = &r.parts[0].reply
+	case !r.route.Sharded() && r.failure != nil:
+		a.Outcome = api.Failed
+		a.Reply = r.failure
+	case !r.ranAnywhere():
+		a.Outcome = api.NotRun
+		a.RetryAfter = retryAfter(reason)
+	case r.failure != nil:
+		a.Outcome = api.Failed
+	default:
+		a.Outcome = api.Unknown
+	}
+	return a
+}
+
+// ranAnywhere reports whether a replica may have run the request or may yet do.
+func (r *request) ranAnywhere() bool {
+	if r.mayHaveRun {
+		return true
+	}
+	for i := range r.parts {
+		if len(r.parts[i].live) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func retryAfter(reason api.Reason) time.Duration {
+	if reason == api.ReasonShed || reason == api.ReasonOverloaded {
+		return comeBackSoon
+	}
+	return comeBackLater
+}
+
+func (r *request) merged() *Merged {
+	m := &Merged{Missing: len(r.parts) - r.covered}
+	bodies := make([][]byte, 0, r.covered)
+	for i := range r.parts {
+		if p := &r.parts[i]; p.state == partCovered {
+			m.Proofs = append(m.Proofs, p.reply.Proof)
+			bodies = append(bodies, p.reply.Body)
+		}
+	}
+	m.Body = mergeRecords(r.route.Merge, bodies)
+	return m
+}
+
+// callerGone gives up a request whose caller no longer waits.
+func (e *Engine) callerGone(now time.Time, id api.RequestID) {
+	r := e.requests[id]
+	if r == nil {
+		return
+	}
+	delete(e.requests, id)
+	for i := range r.parts {
+		e.release(now, r, &r.parts[i], true)
+	}
+	e.counts.Inc(count.SearchEnded, api.ReasonCallerGone)
+	e.log("request_abandoned", "id", r.message.CallerRequest, "route", r.route.Name,
+		"after_ms", now.Sub(r.start).Milliseconds(), "covered", r.covered)
+}
