platform: adapter for the users' platform; entry/relay serves HTTP/1.1 on both sides

baobabd platform reads the platform's settings, follows its store with one list and one waiting watch over all keys, and forwards requests. The etcd and VM list clients move to entry, which alone uses them.

--- a/cmd/baobabd/main.go
+++ b/cmd/baobabd/main.go
@@ -18,10 +18,12 @@
 	"github.com/baobabsail/baobabsail/entry"
 	"github.com/baobabsail/baobabsail/entry/settings"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
+	"github.com/baobabsail/baobabsail/platform"
 )
 
 type arguments struct {
 	Run           runCommand       `cmd:"" help:"Run an entry node until SIGTERM."`
+	Platform      platformCommand  `cmd:"" help:"Run an entry node on the users' platform until SIGTERM; see docs/platform.md."`
 	CheckSettings checkCommand     `cmd:"" help:"Check a settings file and report every problem."`
 	Version       kong.VersionFlag `help:"Print the version."`
 }
@@ -30,6 +32,8 @@
 	File string `arg:"" help:"Settings file; see docs/settings.md."`
 }
 
+type platformCommand struct{}
+
 type checkCommand struct {
 	File string `arg:"" help:"Settings file; see docs/settings.md."`
 }
@@ -54,6 +58,9 @@
 		_, _ = fmt.Fprintf(stderr, "baobabd: %v\n", err)
 		return program.ExitUsage
 	}
+	if parsed.Command() == "platform" {
+		return servePlatform(stdout, stderr)
+	}
 	file := a.Run.File
 	check := parsed.Command() == "check-settings <file>"
 	if check {
@@ -90,6 +97,20 @@
 	return program.ExitOK
 }
 
+// servePlatform runs a node on the users' platform, which names the settings
+// file in the environment and reads the log from standard output.
+func servePlatform(stdout, stderr io.Writer) int {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "baobabd: %v\n", err)
+		return program.ExitUsage
+	}
+	if err := platform.Run(s, stdout); err != nil {
+		return program.ExitFailed
+	}
+	return program.ExitOK
+}
+
 // version returns the module version that the program was built from.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/entry/etcdstore/etcdstore.go
+++ b/entry/etcdstore/etcdstore.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/event"
-	"github.com/baobabsail/baobabsail/platform/store"
+	"github.com/baobabsail/baobabsail/entry/store"
 )
 
 // DefaultMaxValue is the store's limit for a value in bytes (section 3 of the
--- a/entry/etcdstore/etcdstore_test.go
+++ b/entry/etcdstore/etcdstore_test.go
@@ -15,8 +15,8 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/baobabsail/baobabsail/core/event"
-	"github.com/baobabsail/baobabsail/platform/etcdstore"
-	"github.com/baobabsail/baobabsail/platform/store"
+	"github.com/baobabsail/baobabsail/entry/etcdstore"
+	"github.com/baobabsail/baobabsail/entry/store"
 	"github.com/baobabsail/baobabsail/standin/platform"
 )
 
--- a/entry/etcdstore/watch.go
+++ b/entry/etcdstore/watch.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"github.com/baobabsail/baobabsail/platform/store"
+	"github.com/baobabsail/baobabsail/entry/store"
 )
 
 // Watch implements store.Store. It asks for revision after+1 on, also if after
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -5,10 +5,10 @@
 
 	"github.com/baobabsail/baobabsail/core/event"
 	"github.com/baobabsail/baobabsail/entry/driver"
+	"github.com/baobabsail/baobabsail/entry/etcdstore"
 	"github.com/baobabsail/baobabsail/entry/settings"
-	"github.com/baobabsail/baobabsail/platform/etcdstore"
-	"github.com/baobabsail/baobabsail/platform/store"
-	"github.com/baobabsail/baobabsail/platform/vmlist"
+	"github.com/baobabsail/baobabsail/entry/store"
+	"github.com/baobabsail/baobabsail/entry/vmlist"
 )
 
 // connectPlatform fills in the clients of the platform that o lacks.
--- /dev/null
+++ b/entry/relay/callers.go
@@ -0,0 +1,301 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/forward"
+)
+
+const (
+	// headerTimeout bounds the time for a request's header before the
+	// configuration says more.
+	headerTimeout = 15 * time.Second
+	// headerBytes bounds the header; the configuration's limit is checked as well.
+	headerBytes = 64 << 10
+	// defaultBodyBytes bounds a body while no configuration is known.
+	defaultBodyBytes = 1 << 20
+	// idleSweep is how often idle connections are checked.
+	idleSweep = 500 * time.Millisecond
+	// idleSlack is added to the configured idle time: a caller that reuses a
+	// connection just before that time must not meet its end.
+	idleSlack = 2 * time.Second
+)
+
+// wireRequest is a caller's request in the form that is sent to targets.
+type wireRequest struct {
+	method string
+	// head is the request line and the header without the fields that differ
+	// between attempts, and without the empty line.
+	head []byte
+	body []byte
+	id   string
+}
+
+// Callers serves callers.
+type Callers struct {
+	loop    *Loop
+	names   Headers
+	server  *http.Server
+	closing atomic.Bool
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+// NewCallers returns a server that Serve starts.
+func NewCallers(loop *Loop, names Headers) *Callers {
+	c := &Callers{loop: loop, names: names, idle: make(map[net.Conn]time.Time)}
+	c.server = &http.Server{
+		Handler:           c,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ConnState:         c.connState,
+		// Without this handler, OPTIONS * would be answered here.
+		DisableGeneralOptionsHandler: true,
+	}
+	return c
+}
+
+// Serve accepts connections until Shutdown.
+func (c *Callers) Serve(l net.Listener) error { return c.server.Serve(l) }
+
+// CloseAfterAnswers ends each connection after its next answer.
+func (c *Callers) CloseAfterAnswers() { c.closing.Store(true) }
+
+// Shutdown closes the listener and idle connections, and waits for the requests
+// in flight.
+func (c *Callers) Shutdown(ctx context.Context) error { return c.server.Shutdown(ctx) }
+
+// ServeHTTP forwards one request.
+func (c *Callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, status := c.readBody(r)
+	if status != 0 {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(status)
+		return
+	}
+	message := c.message(r, body)
+	id, answers := c.loop.begin()
+	c.loop.Post(forward.Arrived{Request: id, Message: message, Patience: c.patience(r)})
+	select {
+	case a := <-answers:
+		c.write(w, r, &a)
+	case <-r.Context().Done():
+		c.loop.forget(id)
+		c.loop.Post(forward.CallerGone{Request: id})
+	}
+}
+
+// readBody returns the body, or the status of a refusal.
+func (c *Callers) readBody(r *http.Request) ([]byte, int) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	most := int64(defaultBodyBytes)
+	if limits := c.loop.Limits(); limits != nil && limits.BodyBytes > 0 {
+		most = limits.BodyBytes
+	}
+	if r.ContentLength > most {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	switch {
+	case err != nil:
+		return nil, http.StatusBadRequest
+	case int64(len(body)) > most:
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return body, 0
+}
+
+func (c *Callers) patience(r *http.Request) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get(c.names.TimeLeft), 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// message builds what is sent to targets.
+func (c *Callers) message(r *http.Request, body []byte) *forward.Message {
+	target := r.RequestURI
+	if strings.HasPrefix(target, "http://") || strings.HasPrefix(target, "https://") {
+		target = r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(target, "?")
+	id := r.Header.Get(c.names.RequestID)
+	head := make([]byte, 0, 512)
+	head = append(head, r.Method...)
+	head = append(head, ' ')
+	head = append(head, target...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, r.Host...)
+	head = append(head, "\r\n"...)
+	dropped := connectionOptions(r.Header)
+	for name, values := range r.Header {
+		if dropped[name] || name == c.names.TimeLeft || name == c.names.ExpectReplica {
+			continue
+		}
+		for _, v := range values {
+			head = appendField(head, name, v)
+		}
+	}
+	if len(body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		head = appendField(head, "Content-Length", strconv.Itoa(len(body)))
+	}
+	hash := xxhash.New()
+	_, _ = hash.WriteString(r.Method + " " + r.Host + target) // never fails
+	_, _ = hash.Write(body)
+	return &forward.Message{
+		Host: r.Host, Path: path, CallerRequest: id, Fingerprint: api.Fingerprint(hash.Sum64()),
+		Wire: &wireRequest{method: r.Method, head: head, body: body, id: id},
+	}
+}
+
+func appendField(head []byte, name, value string) []byte {
+	head = append(head, name...)
+	head = append(head, ": "...)
+	head = append(head, value...)
+	return append(head, "\r\n"...)
+}
+
+// connectionOptions returns the header fields that concern one connection only
+// (RFC 9110, section 7.6.1) and those that are set anew.
+func connectionOptions(h http.Header) map[string]bool {
+	dropped := map[string]bool{
+		"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+		"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+		"Proxy-Authorization": true, "Proxy-Authenticate": true,
+	}
+	for _, list := range h["Connection"] {
+		for option := range strings.SplitSeq(list, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(option))] = true
+		}
+	}
+	return dropped
+}
+
+// write sends the final answer.
+func (c *Callers) write(w http.ResponseWriter, r *http.Request, a *forward.Answer) {
+	switch {
+	case a.Merged != nil:
+		c.writeMerged(w, a.Merged)
+	case a.Reply != nil:
+		writeReply(w, r, a.Reply)
+	default:
+		writeOwn(w, a)
+	}
+}
+
+func (c *Callers) writeMerged(w http.ResponseWriter, m *forward.Merged) {
+	h := w.Header()
+	h.Set(c.names.Proofs, strings.Join(m.Proofs, ", "))
+	h.Set(c.names.Missing, strconv.Itoa(m.Missing))
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(m.Body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(m.Body) // a caller that left is reported by its connection
+}
+
+// writeReply passes a replica's answer on unchanged.
+func writeReply(w http.ResponseWriter, r *http.Request, reply *forward.Reply) {
+	wire := reply.Wire.(*wireReply)
+	dropped := connectionOptions(wire.header)
+	h := w.Header()
+	for name, values := range wire.header {
+		if !dropped[name] {
+			h[name] = values
+		}
+	}
+	if r.Method != http.MethodHead && bodyAllowed(wire.status) {
+		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	}
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	w.WriteHeader(wire.status)
+	_, _ = w.Write(reply.Body) // a caller that left is reported by its connection
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// writeOwn sends an answer of the tier's own.
+func writeOwn(w http.ResponseWriter, a *forward.Answer) {
+	h := w.Header()
+	if a.Outcome == api.NotRun && a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(ownStatus(a))
+	_, _ = io.WriteString(w, string(a.Reason)+"\n") // a caller that left is reported by its connection
+}
+
+func ownStatus(a *forward.Answer) int {
+	switch {
+	case a.Reason == api.ReasonUnknownRoute:
+		return http.StatusNotFound
+	case a.Outcome == api.NotRun:
+		return http.StatusServiceUnavailable
+	case a.Outcome == api.Unknown && a.Reason == api.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// connState keeps the list of idle connections.
+func (c *Callers) connState(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateIdle {
+		c.idle[conn] = time.Now()
+		return
+	}
+	delete(c.idle, conn)
+}
+
+// SweepIdle closes connections that were idle for longer than the
+// configuration allows, until ctx ends.
+func (c *Callers) SweepIdle(ctx context.Context) {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if limits := c.loop.Limits(); limits != nil && limits.IdleTimeout > 0 {
+				c.closeIdleSince(now.Add(-limits.IdleTimeout - idleSlack))
+			}
+		}
+	}
+}
+
+func (c *Callers) closeIdleSince(limit time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.idle {
+		if since.Before(limit) {
+			_ = conn.Close() // the server removes it
+			delete(c.idle, conn)
+		}
+	}
+}
--- a/entry/vmlist/vmlist_test.go
+++ b/entry/vmlist/vmlist_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/event"
-	"github.com/baobabsail/baobabsail/platform/vmlist"
+	"github.com/baobabsail/baobabsail/entry/vmlist"
 	"github.com/baobabsail/baobabsail/standin/platform"
 )
 
