--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -143,16 +143,16 @@
 	})
 }
 
-// sendExtra sends another attempt of a part if the budget allows it and a
-// replica has room.
-func (e *Engine) sendExtra(now time.Time, r *request, i int) bool {
+// sendExtra sends another attempt of a part if the given part of the budget
+// allows it and a replica has room.
+func (e *Engine) sendExtra(now time.Time, r *request, i int, budgetPart float64) bool {
 	p := &r.parts[i]
 	name, reason := e.choose(now, p)
 	if reason != api.ReasonNone {
 		e.counts.Inc(count.RetryDenied, reason)
 		return false
 	}
-	if !e.budget(p.service).Spend(now) {
+	if !e.budget(now, p.service).Spend(now, budgetPart) {
 		e.counts.Inc(count.RetryDenied, api.ReasonBudget)
 		return false
 	}
@@ -244,7 +244,7 @@
 		return
 	}
 	safe := r.route.Idempotent || !r.mayHaveRun
-	if safe && p.sends < r.route.MaxAttempts && e.sendExtra(now, r, i) {
+	if safe && p.sends < r.route.MaxAttempts && e.sendExtra(now, r, i, 1) {
 		e.counts.Inc(count.Retried, reason)
 		return
 	}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -22,6 +22,9 @@
 	BudgetWindow   time.Duration
 	BudgetShare    float64
 	BudgetConstant float64
+	// FirstStart says that no node of this system has run before, so that no
+	// extra attempts of an earlier process count.
+	FirstStart bool
 	// LapseGrace is how long after the return of the store a registration that
 	// disappeared meanwhile may still come back.
 	LapseGrace time.Duration
@@ -34,6 +37,14 @@
 	remoteSurcharge = 0.6
 	// assumedNodes divides what nodes share until the members are known.
 	assumedNodes = 16
+	// membersHold is how long a node that disappeared from the list still counts:
+	// it may only have lost the store.
+	membersHold = 30 * time.Second
+	// budgetMargin covers the moments in which the nodes disagree on their number.
+	budgetMargin = 0.9
+	// hedgePart is the part of the budget that hedges may use; the rest is kept
+	// for attempts that replace failed ones.
+	hedgePart = 0.6
 	// connectionShare is the part of a replica's connections that the nodes
 	// use; the rest covers connections that lost nodes left behind.
 	connectionShare = 0.85
@@ -51,7 +62,11 @@
 	registry registry
 	delays   *retry.Delay
 	budgets  map[api.ServiceName]*retry.Window
-	nodes    int
+	// started is the time of the first event.
+	started time.Time
+	nodes   int
+	// nodesAt is when at least that many nodes were listed last.
+	nodesAt time.Time
 
 	requests map[api.RequestID]*request
 	attempts map[AttemptID]*attempt
@@ -100,6 +115,9 @@
 func (e *Engine) Step(now time.Time, ev Event) []Action {
 	clear(e.out)
 	e.out = e.out[:0]
+	if e.started.IsZero() {
+		e.started = now
+	}
 	switch ev := ev.(type) {
 	case Timer:
 	case Arrived:
@@ -123,7 +141,7 @@
 	case StoreBack:
 		e.storeBack(now)
 	case Members:
-		e.members(ev.Nodes)
+		e.members(now, ev.Nodes)
 	}
 	e.runTimers(now)
 	return e.out
@@ -186,30 +204,35 @@
 	}
 }
 
-func (e *Engine) members(nodes int) {
-	if nodes == e.nodes || nodes < 1 {
+func (e *Engine) members(now time.Time, nodes int) {
+	if nodes >= e.nodes {
+		e.nodesAt = now
+	}
+	unknown := e.nodesAt.IsZero()
+	if nodes == e.nodes || nodes < e.nodes && !unknown && now.Sub(e.nodesAt) < membersHold {
 		return
 	}
 	e.log("members_changed", "nodes", nodes, "before", e.nodes)
-	e.nodes = nodes
-	for _, b := range e.budgets {
-		b.SetConstant(e.budgetConstant())
-	}
+	e.nodes, e.nodesAt = nodes, now
 }
 
 // budgetConstant is this node's part of the extra attempts that do not depend
-// on the traffic. Half is kept back for nodes that were replaced: what they
-// sent shortly before still counts.
-func (e *Engine) budgetConstant() float64 {
-	return e.settings.BudgetConstant / float64(2*max(e.nodes, 2))
+// on the traffic. A process that replaces another one has none for the length
+// of a window, in which those of the other one still count.
+func (e *Engine) budgetConstant(now time.Time) float64 {
+	if !e.settings.FirstStart && now.Sub(e.started) < e.settings.BudgetWindow {
+		return 0
+	}
+	return budgetMargin * e.settings.BudgetConstant / float64(e.nodes)
 }
 
-func (e *Engine) budget(service api.ServiceName) *retry.Window {
+func (e *Engine) budget(now time.Time, service api.ServiceName) *retry.Window {
 	b := e.budgets[service]
 	if b == nil {
-		b = retry.NewWindow(e.settings.BudgetWindow, e.settings.BudgetShare, e.budgetConstant())
+		b = retry.NewWindow(e.settings.BudgetWindow, e.settings.BudgetShare)
 		e.budgets[service] = b
 	}
+	b.SetConstant(e.budgetConstant(now))
 	return b
 }
 
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -47,6 +47,9 @@
 	Message *Message
 	// Patience is how long the caller waits; 0 if it did not say.
 	Patience time.Duration
+	// Transit is how long the request travelled, with the opening of its
+	// connection, and how long the answer will.
+	Transit time.Duration
 }
 
 // CallerGone says that the caller of a request no longer waits.
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -5,18 +5,19 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 const (
 	// hedgeQuantile is the share of attempts that end before a hedge is due.
 	hedgeQuantile = 0.93
-	// targetMargin is the part of the target time, and of the caller's patience,
-	// kept for the way back to the caller.
-	targetMargin = 8
-	// marginLeast and marginMost bound that part.
-	marginLeast = 5 * time.Millisecond
-	marginMost  = 15 * time.Millisecond
+	// answerMargin is kept for building and sending an answer, besides the time
+	// that it travels.
+	answerMargin = 3 * time.Millisecond
+	// hedgeDivisor caps the hedge delay at this part of the target time, so that
+	// the second attempt has at least twice as long as the first one had.
+	hedgeDivisor = 3
 	// comeBackSoon is when a caller may return after a refusal for want of room.
 	comeBackSoon = 50 * time.Millisecond
 	// comeBackLater is when a caller may return after a refusal that another
@@ -108,16 +109,17 @@
 		deadline: now.Add(route.Timeout),
 	}
 	if ev.Patience != 0 {
-		patience := now.Add(ev.Patience - margin(ev.Patience))
+		patience := now.Add(ev.Patience - ev.Transit - answerMargin)
 		if route.Timeout == 0 || patience.Before(r.deadline) {
 			r.deadline = patience
 		}
 	}
 	r.target = r.deadline
 	if route.Target > 0 {
-		r.target = now.Add(route.Target - margin(route.Target))
+		r.target = now.Add(route.Target - ev.Transit - answerMargin)
 	}
-	r.hedgeAfter = e.delays.Hedge(delayKey(route), r.target.Sub(now))
+	left := r.target.Sub(now)
+	r.hedgeAfter = min(e.delays.Hedge(delayKey(route), left), max(left/hedgeDivisor, retry.DefaultFloor))
 	if !route.Sharded() {
 		r.parts = []part{{service: e.splitter.Choose(route)}}
 	} else {
@@ -127,7 +129,7 @@
 		}
 	}
 	for i := range r.parts {
-		e.budget(r.parts[i].service).Earn(now)
+		e.budget(now, r.parts[i].service).Earn(now)
 	}
 	return r
 }
@@ -136,10 +138,6 @@
 // parts of all shards share it: they do the same work.
 func delayKey(route *routing.Route) api.ServiceName { return api.ServiceName(route.Name) }
 
-func margin(d time.Duration) time.Duration {
-	return min(max(d/targetMargin, marginLeast), marginMost)
-}
-
 // unservable reports why too few services of a request have a replica.
 func (e *Engine) unservable(r *request) api.Reason {
 	have := 0
@@ -232,7 +230,7 @@
 			next = earliest(next, p.hedgeAt)
 			continue
 		}
-		if e.sendExtra(now, r, i) {
+		if e.sendExtra(now, r, i, hedgePart) {
 			e.counts.Inc(count.Hedged, "slow")
 			continue
 		}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -26,9 +26,9 @@
 	newest   int64 // number of the newest bucket since the epoch of the clock
 }
 
-// NewWindow returns an empty window.
-func NewWindow(length time.Duration, share, constant float64) *Window {
-	return &Window{width: max(length/windowBuckets, time.Millisecond), share: share, constant: constant}
+// NewWindow returns an empty window with a constant of 0.
+func NewWindow(length time.Duration, share float64) *Window {
+	return &Window{width: max(length/windowBuckets, time.Millisecond), share: share}
 }
 
 // SetConstant changes the number of extra attempts allowed besides the share.
@@ -41,13 +41,13 @@
 	w.sumReq++
 }
 
-// Spend records an extra attempt if it is within the bound, and reports
-// whether it is. The oldest bucket, which is only partly within the span,
-// counts for the extras and not for the requests.
-func (w *Window) Spend(now time.Time) bool {
+// Spend records an extra attempt if it is within the given part of the bound,
+// from 0 to 1, and reports whether it is. The oldest bucket, which is only
+// partly within the span, counts for the extras and not for the requests.
+func (w *Window) Spend(now time.Time, part float64) bool {
 	w.advance(now)
 	earned := w.sumReq - w.requests[(w.newest+1)%ringBuckets]
-	if float64(w.sumExtra+1) > w.share*float64(earned)+w.constant {
+	if float64(w.sumExtra+1) > part*(w.share*float64(earned)+w.constant) {
 		return false
 	}
 	w.extras[w.newest%ringBuckets]++
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -61,6 +61,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         c.connState,
+		ConnContext:       withTransit,
 		// Without this handler, OPTIONS * would be answered here.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -90,7 +91,9 @@
 	}
 	message := c.message(r, body)
 	id, answers := c.loop.begin()
-	c.loop.Post(forward.Arrived{Request: id, Message: message, Patience: c.patience(r)})
+	c.loop.Post(forward.Arrived{
+		Request: id, Message: message, Patience: c.patience(r), Transit: transitOf(r),
+	})
 	select {
 	case a := <-answers:
 		c.write(w, r, &a)
