forward: avoid replicas that have gone quiet; a stalled one gets single probes

Cause: a dark replica was chosen by half of the requests of its shard until three attempts had stalled. Request log lines name why an extra attempt was denied.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -221,6 +221,15 @@
 	}
 }
 
+// MarkSuspect reduces a replica to single probes: it has not answered anything
+// for longer than a pause takes.
+func (r *Replicas) MarkSuspect(now time.Time, name api.ReplicaName) {
+	if s, ok := r.replicas[name]; ok && s.failures < suspectAfter {
+		s.failures = suspectAfter
+		s.probeAt = now.Add(r.probeDelay(s.failures))
+	}
+}
+
 // Cancelled records an attempt that nobody waits for any more. The time waited
 // is a lower bound of its latency; without it, a slow replica whose attempts
 // always lose to hedges would keep a good figure.
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -35,10 +35,33 @@
 	part    int
 }
 
-// choose returns a replica with room for a part, or why there is none.
-func (e *Engine) choose(now time.Time, p *part) (api.ReplicaName, api.Reason) {
+// purpose says why an attempt is sent.
+type purpose uint8
+
+const (
+	// first is the first attempt of a part.
+	first purpose = iota
+	// replacing follows an attempt that failed.
+	replacing
+	// hedging runs beside an attempt that is slow.
+	hedging
+)
+
+// budgetPart is the part of the budget that an extra attempt may use.
+func (p purpose) budgetPart() float64 {
+	if p == hedging {
+		return hedgePart
+	}
+	return 1
+}
+
+// choose returns a replica with room for a part, or why there is none. A
+// replica that has gone quiet is taken only if there is no other, and not for
+// a hedge.
+func (e *Engine) choose(now time.Time, p *part, why purpose) (api.ReplicaName, api.Reason) {
 	e.candidates = e.candidates[:0]
 	reason := api.ReasonNoReplica
+	var quiet []api.ReplicaName
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
 		if entry.Draining || slices.Contains(p.tried, name) {
@@ -48,8 +71,15 @@
 			reason = api.ReasonOverloaded
 			continue
 		}
+		if e.quiet[name] {
+			quiet = append(quiet, name)
+			continue
+		}
 		e.candidates = append(e.candidates, name)
 	}
+	if len(e.candidates) == 0 && why != hedging {
+		e.candidates = append(e.candidates, quiet...)
+	}
 	name, ok := e.replicas.Pick(now, e.candidates, nil)
 	if !ok {
 		return "", reason
@@ -57,11 +87,27 @@
 	return name, api.ReasonNone
 }
 
+// overdue remembers that the replicas of a part's attempts have gone quiet,
+// unless they answered something since.
+func (e *Engine) overdue(p *part) {
+	for _, a := range p.live {
+		if !e.heardSince(a) {
+			e.quiet[a.replica] = true
+		}
+	}
+}
+
+// heardSince reports whether the replica answered anything since an attempt.
+func (e *Engine) heardSince(a *attempt) bool {
+	at, ok := e.heardAt[a.replica]
+	return ok && at.After(a.sentAt)
+}
+
 // dispatch sends a part for the first time, or again after an attempt that
 // never reached a replica.
 func (e *Engine) dispatch(now time.Time, r *request, i int) {
 	p := &r.parts[i]
-	name, reason := e.choose(now, p)
+	name, reason := e.choose(now, p, first)
 	switch reason {
 	case api.ReasonNone:
 		e.send(now, r, i, name)
@@ -90,7 +136,7 @@
 		w := e.waiting[service][0]
 		p := &w.request.parts[w.part]
 		if e.requests[w.request.id] == w.request && p.state == partWaiting {
-			name, reason := e.choose(now, p)
+			name, reason := e.choose(now, p, first)
 			if reason == api.ReasonOverloaded {
 				return
 			}
@@ -143,19 +189,19 @@
 	})
 }
 
-// sendExtra sends another attempt of a part if the given part of the budget
-// allows it and a replica has room.
-func (e *Engine) sendExtra(now time.Time, r *request, i int, budgetPart float64) bool {
+// sendExtra sends another attempt of a part if the budget allows it and a
+// replica has room.
+func (e *Engine) sendExtra(now time.Time, r *request, i int, why purpose) bool {
 	p := &r.parts[i]
-	name, reason := e.choose(now, p)
+	name, reason := e.choose(now, p, why)
+	if reason == api.ReasonNone && !e.budget(now, p.service).Spend(now, why.budgetPart()) {
+		reason = api.ReasonBudget
+	}
 	if reason != api.ReasonNone {
+		r.denied = reason
 		e.counts.Inc(count.RetryDenied, reason)
 		return false
 	}
-	if !e.budget(now, p.service).Spend(now, budgetPart) {
-		e.counts.Inc(count.RetryDenied, api.ReasonBudget)
-		return false
-	}
 	r.extras++
 	e.send(now, r, i, name)
 	return true
@@ -170,6 +216,7 @@
 	delete(e.attempts, id)
 	if e.inFlight[a.replica]--; e.inFlight[a.replica] <= 0 {
 		delete(e.inFlight, a.replica)
+		delete(e.quiet, a.replica)
 	}
 	if !a.detached {
 		p := &a.request.parts[a.part]
@@ -185,6 +232,8 @@
 		e.counts.Inc(count.Discarded, "late")
 		return
 	}
+	e.heardAt[a.replica] = now
+	delete(e.quiet, a.replica)
 	e.learn(now, a, ev.Reply.Kind)
 	if !a.detached {
 		e.settle(now, a, &ev.Reply)
@@ -244,7 +293,7 @@
 		return
 	}
 	safe := r.route.Idempotent || !r.mayHaveRun
-	if safe && p.sends < r.route.MaxAttempts && e.sendExtra(now, r, i, 1) {
+	if safe && p.sends < r.route.MaxAttempts && e.sendExtra(now, r, i, replacing) {
 		e.counts.Inc(count.Retried, reason)
 		return
 	}
@@ -328,6 +377,9 @@
 		return
 	}
 	e.replicas.Lost(now, a.replica)
+	if !e.heardSince(a) {
+		e.replicas.MarkSuspect(now, a.replica)
+	}
 	e.counts.Inc(count.Discarded, "stalled")
 	e.log("attempt_stalled", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
 		"after_ms", now.Sub(a.sentAt).Milliseconds())
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -72,6 +72,11 @@
 	attempts map[AttemptID]*attempt
 	newest   AttemptID
 	inFlight map[api.ReplicaName]int
+	// quiet holds the replicas that have an attempt that should have been
+	// answered, and have answered nothing since.
+	quiet map[api.ReplicaName]bool
+	// heardAt is when a replica answered last.
+	heardAt map[api.ReplicaName]time.Time
 	// waiting lists, per service, the parts that wait for room at a replica.
 	waiting map[api.ServiceName][]waitingPart
 	timers  timerqueue.Queue[timer]
@@ -104,6 +109,8 @@
 		requests: make(map[api.RequestID]*request),
 		attempts: make(map[AttemptID]*attempt),
 		inFlight: make(map[api.ReplicaName]int),
+		quiet:    make(map[api.ReplicaName]bool),
+		heardAt:  make(map[api.ReplicaName]time.Time),
 		waiting:  make(map[api.ServiceName][]waitingPart),
 	}
 	e.replicas.SetRemoteSurcharge(remoteSurcharge)
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -113,6 +113,8 @@
 		e.registry.byService[entry.Service] = slices.Delete(names, i, i+1)
 	}
 	e.replicas.Remove(name)
+	delete(e.heardAt, name)
+	delete(e.quiet, name)
 	e.counts.Inc(count.Connection, "replica_removed")
 	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
 	e.act(CloseIdle{Replica: name})
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -70,6 +70,8 @@
 	// mayHaveRun is set once a replica may have begun to work on the request.
 	mayHaveRun bool
 	extras     int
+	// denied is why an extra attempt was not sent last.
+	denied     api.Reason
 	hedgeAfter time.Duration
 	// failure is the last error that a replica answered with.
 	failure *Reply
@@ -198,9 +200,7 @@
 	if r.target.After(now) && r.target.Before(wake) {
 		wake = r.target
 	}
-	if r.route.Idempotent {
-		wake = earliest(wake, e.hedge(now, r))
-	}
+	wake = earliest(wake, e.hedge(now, r))
 	if e.requests[r.id] != r {
 		return
 	}
@@ -217,20 +217,24 @@
 	return a
 }
 
-// hedge sends a second attempt for each part whose only attempt is slow. It
-// returns when the next part is due.
+// hedge sends a second attempt for each part whose only attempt is slow, if the
+// request may run more than once. It returns when the next part is due.
 func (e *Engine) hedge(now time.Time, r *request) time.Time {
 	var next time.Time
 	for i := range r.parts {
 		p := &r.parts[i]
-		if p.state != partRunning || len(p.live) != 1 || p.sends >= r.route.MaxAttempts {
+		if p.state != partRunning || len(p.live) == 0 {
 			continue
 		}
 		if now.Before(p.hedgeAt) {
 			next = earliest(next, p.hedgeAt)
 			continue
 		}
-		if e.sendExtra(now, r, i, hedgePart) {
+		e.overdue(p)
+		if !r.route.Idempotent || len(p.live) != 1 || p.sends >= r.route.MaxAttempts {
+			continue
+		}
+		if e.sendExtra(now, r, i, hedging) {
 			e.counts.Inc(count.Hedged, "slow")
 			continue
 		}
@@ -290,7 +294,7 @@
 	e.log("request_ended", "id", r.message.CallerRequest, "route", r.route.Name, "version", r.version,
 		"outcome", a.Outcome, "reason", a.Reason, "took_ms", now.Sub(r.start).Milliseconds(),
 		"parts", len(r.parts), "covered", r.covered, "missing", r.missingServices(),
-		"extra_attempts", r.extras, "hedge_after_ms", r.hedgeAfter.Milliseconds())
+		"max_attempts", r.route.MaxAttempts, "idempotent", r.route.Idempotent, "extra_attempts", r.extras, "denied", r.denied, "hedge_after_ms", r.hedgeAfter.Milliseconds())
 }
 
 // missingServices lists the services without an answer and why, for the log.
