forward: treat a rejected connection as a full replica; relay closes spare idle connections

Change: a connection that ends before any answer is followed by a pause of 50 ms, doubling to 1 s, before another is opened to that replica; open ones go on being used; an idle connection beside a newer one is closed after 1 s. A part whose replacement finds no room waits.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -33,6 +33,9 @@
 type waitingPart struct {
 	request *request
 	part    int
+	// extra is set if the part was sent before, so that its next attempt needs
+	// room in the budget.
+	extra bool
 }
 
 // purpose says why an attempt is sent.
@@ -67,7 +70,7 @@
 		if entry.Draining || slices.Contains(p.tried, name) {
 			continue
 		}
-		if e.inFlight[name] >= e.quota(p.service, entry.Slots) {
+		if !e.connections(name).hasRoom(now, e.quota(p.service, entry.Slots)) {
 			reason = api.ReasonOverloaded
 			continue
 		}
@@ -115,22 +118,23 @@
 	case api.ReasonNone:
 		e.send(now, r, i, name)
 	case api.ReasonOverloaded:
-		p.state, p.reason = partWaiting, reason
-		e.enqueue(r, i)
+		e.enqueue(r, i, false)
 	default:
 		e.giveUp(r, p, reason)
 	}
 }
 
 // enqueue adds a part to those that wait for room, more urgent routes first.
-func (e *Engine) enqueue(r *request, i int) {
-	service := r.parts[i].service
+func (e *Engine) enqueue(r *request, i int, extra bool) {
+	p := &r.parts[i]
+	p.state, p.reason = partWaiting, api.ReasonOverloaded
+	service := p.service
 	queue := e.waiting[service]
 	at := len(queue)
 	for at > 0 && queue[at-1].request.route.Priority > r.route.Priority {
 		at--
 	}
-	e.waiting[service] = slices.Insert(queue, at, waitingPart{request: r, part: i})
+	e.waiting[service] = slices.Insert(queue, at, waitingPart{request: r, part: i, extra: extra})
 }
 
 // resume sends parts that wait for room at a service until there is none.
@@ -138,21 +142,24 @@
 	for len(e.waiting[service]) > 0 {
 		w := e.waiting[service][0]
 		p := &w.request.parts[w.part]
-		if e.requests[w.request.id] == w.request && p.state == partWaiting {
-			name, reason := e.choose(now, p, first)
-			if reason == api.ReasonOverloaded {
-				return
-			}
+		if e.requests[w.request.id] != w.request || p.state != partWaiting {
 			e.popWaiting(service)
-			if reason == api.ReasonNone {
-				e.send(now, w.request, w.part, name)
-			} else {
-				e.giveUp(w.request, p, reason)
-			}
-			e.progress(now, w.request)
 			continue
 		}
+		name, reason := e.choose(now, p, first)
+		if reason == api.ReasonOverloaded {
+			return
+		}
 		e.popWaiting(service)
+		if reason == api.ReasonNone && w.extra && !e.spend(now, w.request, p, replacing) {
+			reason = api.ReasonBudget
+		}
+		if reason == api.ReasonNone {
+			e.send(now, w.request, w.part, name)
+		} else {
+			e.giveUp(w.request, p, reason)
+		}
+		e.progress(now, w.request)
 	}
 	delete(e.waiting, service)
 }
@@ -183,7 +190,7 @@
 	p.tried = append(p.tried, name)
 	p.sends++
 	p.hedgeAt = now.Add(r.hedgeAfter)
-	e.inFlight[name]++
+	e.connections(name).used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
 	e.act(Send{
@@ -193,20 +200,28 @@
 }
 
 // sendExtra sends another attempt of a part if the budget allows it and a
-// replica has room.
-func (e *Engine) sendExtra(now time.Time, r *request, i int, why purpose) bool {
+// replica has room, or returns why not.
+func (e *Engine) sendExtra(now time.Time, r *request, i int, why purpose) api.Reason {
 	p := &r.parts[i]
 	name, reason := e.choose(now, p, why)
-	if reason == api.ReasonNone && !e.budget(now, p.service).Spend(now, why.budgetPart()) {
+	if reason == api.ReasonNone && !e.spend(now, r, p, why) {
 		reason = api.ReasonBudget
 	}
 	if reason != api.ReasonNone {
 		r.denied = reason
 		e.counts.Inc(count.RetryDenied, reason)
+		return reason
+	}
+	e.send(now, r, i, name)
+	return api.ReasonNone
+}
+
+// spend takes an extra attempt from the budget.
+func (e *Engine) spend(now time.Time, r *request, p *part, why purpose) bool {
+	if !e.budget(now, p.service).Spend(now, why.budgetPart()) {
 		return false
 	}
 	r.extras++
-	e.send(now, r, i, name)
 	return true
 }
 
@@ -217,9 +232,10 @@
 		return nil
 	}
 	delete(e.attempts, id)
-	if e.inFlight[a.replica]--; e.inFlight[a.replica] <= 0 {
-		delete(e.inFlight, a.replica)
+	c := e.connections(a.replica)
+	if c.used--; c.used == 0 {
 		delete(e.quiet, a.replica)
+		e.dropConnections(a.replica)
 	}
 	if !a.detached {
 		p := &a.request.parts[a.part]
@@ -237,6 +253,7 @@
 	}
 	e.heardAt[a.replica] = now
 	delete(e.quiet, a.replica)
+	e.connections(a.replica).wait = 0
 	e.learn(now, a, ev.Reply.Kind)
 	if !a.detached {
 		e.settle(now, a, &ev.Reply)
@@ -296,11 +313,18 @@
 		return
 	}
 	safe := r.route.Idempotent || !r.mayHaveRun
-	if safe && p.sends < r.route.MaxAttempts && e.sendExtra(now, r, i, replacing) {
-		e.counts.Inc(count.Retried, reason)
+	if !safe || p.sends >= r.route.MaxAttempts {
+		e.giveUp(r, p, reason)
 		return
 	}
-	e.giveUp(r, p, reason)
+	switch denied := e.sendExtra(now, r, i, replacing); denied {
+	case api.ReasonNone:
+		e.counts.Inc(count.Retried, reason)
+	case api.ReasonOverloaded:
+		e.enqueue(r, i, true)
+	default:
+		e.giveUp(r, p, reason)
+	}
 }
 
 // lost handles an attempt that ended without an answer.
@@ -309,9 +333,13 @@
 	if a == nil {
 		return
 	}
-	if ev.Loss == LostStale {
+	switch ev.Loss {
+	case LostStale:
 		e.replicas.Unsent(a.replica) // says nothing about the replica
-	} else {
+	case LostFresh:
+		e.replicas.Unsent(a.replica)
+		e.rejected(now, a)
+	default:
 		e.replicas.Lost(now, a.replica)
 	}
 	e.counts.Inc(count.Connection, lossReason(ev.Loss))
@@ -330,6 +358,8 @@
 		return "refused"
 	case LostUnsent:
 		return "unsent"
+	case LostFresh:
+		return "rejected"
 	case LostStale:
 		return "stale"
 	}
@@ -339,7 +369,7 @@
 func (e *Engine) settleLoss(now time.Time, a *attempt, loss Loss) {
 	r := a.request
 	p := &r.parts[a.part]
-	if loss == LostBroken || loss == LostStale {
+	if loss != LostRefused && loss != LostUnsent {
 		r.mayHaveRun = true
 		e.again(now, r, a.part, api.ReasonConnectionLost)
 		return
--- /dev/null
+++ b/core/forward/connections.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+const (
+	// connectionShare is the part of a replica's connections that the nodes
+	// use; the rest covers connections that lost nodes left behind.
+	connectionShare = 0.85
+	// rejectFirst and rejectMost bound the wait before another connection is
+	// opened to a replica that has rejected one; it doubles.
+	rejectFirst = 50 * time.Millisecond
+	rejectMost  = time.Second
+)
+
+// connections is what is known of the connections to one replica. Each carries
+// one request at a time.
+type connections struct {
+	// open is the number of connections that the driver reported as open.
+	open int
+	// used is the number of attempts on their way, each on its own connection,
+	// which may still be opening.
+	used int
+	// opensAt is when the next connection may be opened, after a rejection.
+	opensAt time.Time
+	// wait is the time between the last rejection and opensAt.
+	wait time.Duration
+}
+
+func (e *Engine) connections(name api.ReplicaName) *connections {
+	c := e.conns[name]
+	if c == nil {
+		c = &connections{}
+		e.conns[name] = c
+	}
+	return c
+}
+
+// quota returns how many connections this node may use at one replica: its
+// part of what the replica accepts, and no more than keeps its slots busy.
+func (e *Engine) quota(service api.ServiceName, slots int) int {
+	quota := 2 * max(slots, 1)
+	if most := e.table.Services[service].MaxConnections; most > 0 {
+		quota = min(quota, int(connectionShare*float64(most)/float64(e.nodes)))
+	}
+	return max(quota, 1)
+}
+
+// hasRoom reports whether an attempt may go to a replica now: over an idle
+// connection, or over a new one if that is within the quota and the replica has
+// not just rejected one.
+func (c *connections) hasRoom(now time.Time, quota int) bool {
+	if c.used >= quota {
+		return false
+	}
+	return c.used < c.open || !now.Before(c.opensAt)
+}
+
+// rejected handles a replica that ended a new connection at once. It probably
+// has no more to give: those of nodes that were lost count until it notices.
+func (e *Engine) rejected(now time.Time, a *attempt) {
+	c := e.connections(a.replica)
+	if now.Before(c.opensAt) {
+		return // one of several at the same time
+	}
+	c.wait = min(max(2*c.wait, rejectFirst), rejectMost)
+	c.opensAt = now.Add(c.wait)
+	e.timers.Set(c.opensAt, timer{service: a.service})
+}
+
+func (e *Engine) connEnded(name api.ReplicaName) {
+	c := e.connections(name)
+	c.open = max(c.open-1, 0)
+	e.dropConnections(name)
+}
+
+// dropConnections forgets a replica that is gone and has no connections.
+func (e *Engine) dropConnections(name api.ReplicaName) {
+	c := e.conns[name]
+	if c != nil && c.open == 0 && c.used == 0 && e.registry.entries[name] == nil {
+		delete(e.conns, name)
+	}
+}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -45,9 +45,6 @@
 	// hedgePart is the part of the budget that hedges may use; the rest is kept
 	// for attempts that replace failed ones.
 	hedgePart = 0.6
-	// connectionShare is the part of a replica's connections that the nodes
-	// use; the rest covers connections that lost nodes left behind.
-	connectionShare = 0.85
 )
 
 // Engine runs the requests of one node. It is driven by Step and is not safe
@@ -71,7 +68,7 @@
 	requests map[api.RequestID]*request
 	attempts map[AttemptID]*attempt
 	newest   AttemptID
-	inFlight map[api.ReplicaName]int
+	conns    map[api.ReplicaName]*connections
 	// quiet holds the replicas that have an attempt that should have been
 	// answered, and have answered nothing since.
 	quiet map[api.ReplicaName]bool
@@ -85,12 +82,14 @@
 	out        []Action
 }
 
-// timer wakes a request, an attempt that nobody waits for, or a registration
-// that may be removed; the other fields are zero.
+// timer wakes a request, an attempt that nobody waits for, a registration that
+// may be removed, or the parts that wait for a service; the other fields are
+// zero.
 type timer struct {
 	request api.RequestID
 	attempt AttemptID
 	replica api.ReplicaName
+	service api.ServiceName
 }
 
 // New returns an engine without configuration.
@@ -108,7 +107,7 @@
 		nodes:    assumedNodes,
 		requests: make(map[api.RequestID]*request),
 		attempts: make(map[AttemptID]*attempt),
-		inFlight: make(map[api.ReplicaName]int),
+		conns:    make(map[api.ReplicaName]*connections),
 		quiet:    make(map[api.ReplicaName]bool),
 		heardAt:  make(map[api.ReplicaName]time.Time),
 		waiting:  make(map[api.ServiceName][]waitingPart),
@@ -135,6 +134,10 @@
 		e.replied(now, &ev)
 	case Lost:
 		e.lost(now, ev)
+	case ConnOpened:
+		e.connections(ev.Replica).open++
+	case ConnEnded:
+		e.connEnded(ev.Replica)
 	case TableRead:
 		e.adopt(ev.Table)
 	case ReplicaSeen:
@@ -184,6 +187,8 @@
 		switch {
 		case t.replica != "":
 			e.removalDue(now, t.replica)
+		case t.service != "":
+			e.resume(now, t.service)
 		case t.attempt != 0:
 			e.stalled(now, t.attempt)
 		default:
@@ -242,13 +247,3 @@
 	b.SetConstant(e.budgetConstant(now))
 	return b
 }
-
-// quota returns how many connections this node may use at one replica: its
-// part of what the replica accepts, and no more than keeps its slots busy.
-func (e *Engine) quota(service api.ServiceName, slots int) int {
-	quota := 2 * max(slots, 1)
-	if most := e.table.Services[service].MaxConnections; most > 0 {
-		quota = min(quota, int(connectionShare*float64(most)/float64(e.nodes)))
-	}
-	return max(quota, 1)
-}
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -105,6 +105,9 @@
 	LostUnsent
 	// LostBroken means that the connection ended after the request was sent.
 	LostBroken
+	// LostFresh is LostBroken on a new connection, with no byte of an answer: the
+	// replica may accept no more connections.
+	LostFresh
 	// LostStale is LostBroken on a connection that had been used before, with no
 	// byte of an answer: the replica had probably closed it while idle.
 	LostStale
@@ -117,6 +120,19 @@
 	Loss    Loss
 }
 
+// ConnOpened says that a connection to a replica is open.
+type ConnOpened struct {
+	event
+	Replica api.ReplicaName
+}
+
+// ConnEnded says that an open connection to a replica has ended. It is reported
+// before the loss of a request on it.
+type ConnEnded struct {
+	event
+	Replica api.ReplicaName
+}
+
 // TableRead is a configuration read from the store.
 type TableRead struct {
 	event
--- a/core/forward/replica_test.go
+++ b/core/forward/replica_test.go
@@ -155,3 +155,38 @@
 		}
 	}
 }
+
+// Guards against a storm of new connections to a replica whose limit is reached
+// by connections of lost nodes: after a rejection, new ones are opened rarely,
+// while the open one goes on being used.
+func TestRejectedConnectionsAreNotOpenedAgainAtOnce(t *testing.T) {
+	h := newHarness(t, nil)
+	h.table(1, 1)
+	h.replicas(1, 1)
+	h.step(ConnOpened{Replica: replicaOf(0, 0)})
+	rejected, served := 0, 0
+	for range 200 {
+		h.request("/one/x")
+		h.request("/one/y")
+		sends := h.take()
+		if len(sends) == 0 {
+			t.Fatal("the open connection is not used")
+		}
+		for _, s := range sends[1:] { // each beyond the first needs a new connection
+			rejected++
+			h.step(Lost{Attempt: s.Attempt, Loss: LostFresh})
+		}
+		h.advance(5 * time.Millisecond)
+		for pending := sends[:1]; len(pending) > 0; pending = h.take() {
+			served += len(pending)
+			for _, s := range pending {
+				h.ok(s, "")
+			}
+		}
+		h.advance(5 * time.Millisecond)
+		h.take()
+	}
+	if rejected > 40 || served < 300 {
+		t.Errorf("%d new connections in 2 s, %d requests served over the open one", rejected, served)
+	}
+}
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -234,7 +234,7 @@
 		if !r.route.Idempotent || len(p.live) != 1 || p.sends >= r.route.MaxAttempts {
 			continue
 		}
-		if e.sendExtra(now, r, i, hedging) {
+		if e.sendExtra(now, r, i, hedging) == api.ReasonNone {
 			e.counts.Inc(count.Hedged, "slow")
 			continue
 		}
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -39,6 +39,7 @@
 	// reused is set once a second request is sent.
 	reused      bool
 	usableUntil time.Time
+	idleSince   time.Time
 	// writing is set while a long body is being written.
 	writing bool
 	// stray is set once bytes came that belong to no request: the connection is
@@ -60,6 +61,7 @@
 		return
 	}
 	c.reader = bufio.NewReaderSize(socket, readBuffer)
+	c.targets.poster.Post(forward.ConnOpened{Replica: c.replica})
 	c.targets.mu.Lock()
 	c.socket = socket
 	x := c.current
@@ -134,10 +136,13 @@
 func (c *conn) lossOf(answered bool) forward.Loss {
 	c.targets.mu.Lock()
 	defer c.targets.mu.Unlock()
-	if c.reused && !answered {
+	switch {
+	case answered:
+		return forward.LostBroken
+	case c.reused:
 		return forward.LostStale
 	}
-	return forward.LostBroken
+	return forward.LostFresh
 }
 
 // answer reads one answer and reports it. An error ends the connection.
@@ -199,7 +204,8 @@
 
 // keep makes the connection idle. It is called with mu held.
 func (c *conn) keep(most time.Duration) {
-	c.usableUntil = time.Now().Add(most)
+	c.idleSince = time.Now()
+	c.usableUntil = c.idleSince.Add(most)
 	c.targets.idle[c.replica] = append(c.targets.idle[c.replica], c)
 }
 
@@ -253,10 +259,14 @@
 	if len(t.idle[c.replica]) == 0 {
 		delete(t.idle, c.replica)
 	}
-	if c.socket != nil {
+	opened := c.socket != nil
+	if opened {
 		c.close()
 	}
 	t.mu.Unlock()
+	if opened {
+		t.poster.Post(forward.ConnEnded{Replica: c.replica})
+	}
 	if x != nil {
 		t.poster.Post(forward.Lost{Attempt: x.attempt, Loss: loss})
 	}
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -19,6 +19,10 @@
 	// idleMost is how long an idle connection is kept for reuse if the replica
 	// does not state a shorter time.
 	idleMost = 10 * time.Second
+	// spareIdle is how long an idle connection is kept beside one that was used
+	// later. Replicas accept few connections, and those of a node that loses
+	// power stay open for a while.
+	spareIdle = time.Second
 	// idleShare is the part of the time stated by a replica after which its
 	// connection is not used again: its end may be on the way.
 	idleShare = 0.75
@@ -149,8 +153,9 @@
 	defer t.mu.Unlock()
 	for replica, list := range t.idle {
 		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.usableUntil) {
+		for i, c := range list {
+			spare := i < len(list)-1 && now.Sub(c.idleSince) > spareIdle
+			if now.Before(c.usableUntil) && !spare {
 				kept = append(kept, c)
 			} else {
 				c.close()
