--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -12,9 +12,10 @@
 const (
 	// hedgeQuantile is the share of attempts that end before a hedge is due.
 	hedgeQuantile = 0.93
-	// answerMargin is kept for building and sending an answer, besides the time
-	// that it travels.
-	answerMargin = 3 * time.Millisecond
+	// answerMargin and one answerMarginPart of the target time are kept for
+	// building and sending an answer on a busy VM, besides the time that it travels.
+	answerMargin     = 4 * time.Millisecond
+	answerMarginPart = 20
 	// hedgeDivisor caps the hedge delay at this part of the target time, so that
 	// the second attempt has at least twice as long as the first one had.
 	hedgeDivisor = 3
@@ -118,7 +119,7 @@
 	}
 	r.target = r.deadline
 	if route.Target > 0 {
-		r.target = now.Add(route.Target - ev.Transit - answerMargin)
+		r.target = now.Add(route.Target - ev.Transit - answerMargin - route.Target/answerMarginPart)
 	}
 	left := r.target.Sub(now)
 	r.hedgeAfter = min(e.delays.Hedge(delayKey(route), left), max(left/hedgeDivisor, retry.DefaultFloor))
