--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -34,7 +34,7 @@
 	// remoteSurcharge makes a replica in another data centre count as slower:
 	// its traffic is paid for, and a closer replica that is a little busier
 	// answers as fast.
-	remoteSurcharge = 0.6
+	remoteSurcharge = 1.5
 	// assumedNodes divides what nodes share until the members are known.
 	assumedNodes = 16
 	// membersHold is how long a node that disappeared from the list still counts:
