forward: a silent replica gets single probes only, and a silent shard is left out at once

Test first: TestSilentShardIsLeftOutAndFoundAgain without the change: 200 of 200 requests waited for the silent shard; with it the bound of 30 holds.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -230,6 +230,19 @@
 	}
 }
 
+// ProbeDue reports whether a suspect replica may get its next single probe.
+func (r *Replicas) ProbeDue(now time.Time, name api.ReplicaName) bool {
+	s, ok := r.replicas[name]
+	return ok && s.failures >= suspectAfter && s.inFlight == 0 && !now.Before(s.probeAt)
+}
+
+// ProbeSoon makes the next probe of a suspect replica due.
+func (r *Replicas) ProbeSoon(now time.Time, name api.ReplicaName) {
+	if s, ok := r.replicas[name]; ok && s.probeAt.After(now) {
+		s.probeAt = now
+	}
+}
+
 // Cancelled records an attempt that nobody waits for any more. The time waited
 // is a lower bound of its latency; without it, a slow replica whose attempts
 // always lose to hedges would keep a good figure.
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -59,7 +59,8 @@
 }
 
 // choose returns a replica with room for a part, or why there is none. A
-// replica that has gone quiet is taken only if there is no other. A hedge goes
+// replica that has gone quiet is taken only if there is no other, and a silent
+// one only for a probe: waiting for it would help nobody. A hedge goes
 // to neither a quiet nor a suspect replica: it would help nobody.
 func (e *Engine) choose(now time.Time, p *part, why purpose) (api.ReplicaName, api.Reason) {
 	e.candidates = e.candidates[:0]
@@ -74,6 +75,9 @@
 			reason = api.ReasonOverloaded
 			continue
 		}
+		if e.silent[name] && !e.replicas.ProbeDue(now, name) {
+			continue
+		}
 		if why == hedging && (e.quiet[name] || e.replicas.Suspect(name)) {
 			continue
 		}
@@ -103,6 +107,21 @@
 	}
 }
 
+// heard records an answer of a replica. If it had been silent, the cause may
+// have been on this side, so that all silent replicas are probed again.
+func (e *Engine) heard(now time.Time, name api.ReplicaName) {
+	e.heardAt[name] = now
+	delete(e.quiet, name)
+	if !e.silent[name] {
+		return
+	}
+	delete(e.silent, name)
+	e.log("replica_heard_again", "replica", name, "silent", len(e.silent))
+	for other := range e.silent {
+		e.replicas.ProbeSoon(now, other)
+	}
+}
+
 // heardSince reports whether the replica answered anything since an attempt.
 func (e *Engine) heardSince(a *attempt) bool {
 	at, ok := e.heardAt[a.replica]
@@ -251,8 +270,7 @@
 		e.counts.Inc(count.Discarded, "late")
 		return
 	}
-	e.heardAt[a.replica] = now
-	delete(e.quiet, a.replica)
+	e.heard(now, a.replica)
 	e.connections(a.replica).wait = 0
 	e.learn(now, a, ev.Reply.Kind)
 	if !a.detached {
@@ -410,7 +428,8 @@
 		return
 	}
 	e.replicas.Lost(now, a.replica)
-	if !e.heardSince(a) {
+	if !e.heardSince(a) && e.registry.entries[a.replica] != nil {
+		e.silent[a.replica] = true
 		e.replicas.MarkSuspect(now, a.replica)
 	}
 	e.counts.Inc(count.Discarded, "stalled")
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -72,6 +72,9 @@
 	// quiet holds the replicas that have an attempt that should have been
 	// answered, and have answered nothing since.
 	quiet map[api.ReplicaName]bool
+	// silent holds the replicas of which an attempt stalled and that have
+	// answered nothing since.
+	silent map[api.ReplicaName]bool
 	// heardAt is when a replica answered last.
 	heardAt map[api.ReplicaName]time.Time
 	// waiting lists, per service, the parts that wait for room at a replica.
@@ -109,6 +112,7 @@
 		attempts: make(map[AttemptID]*attempt),
 		conns:    make(map[api.ReplicaName]*connections),
 		quiet:    make(map[api.ReplicaName]bool),
+		silent:   make(map[api.ReplicaName]bool),
 		heardAt:  make(map[api.ReplicaName]time.Time),
 		waiting:  make(map[api.ServiceName][]waitingPart),
 	}
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -115,6 +115,7 @@
 	e.replicas.Remove(name)
 	delete(e.heardAt, name)
 	delete(e.quiet, name)
+	delete(e.silent, name)
 	e.counts.Inc(count.Connection, "replica_removed")
 	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
 	e.act(CloseIdle{Replica: name})
--- a/core/forward/replica_test.go
+++ b/core/forward/replica_test.go
@@ -190,3 +190,46 @@
 		t.Errorf("%d new connections in 2 s, %d requests served over the open one", rejected, served)
 	}
 }
+
+// Guards against sharded requests that wait until their target for a shard all
+// of whose replicas are silent, and against such a shard being left out long
+// after its replicas answer again.
+func TestSilentShardIsLeftOutAndFoundAgain(t *testing.T) {
+	h := ready(t, 4)
+	silent := true
+	run := func(n int) (late, partial int) {
+		for range n {
+			id := h.request("/all/x")
+			begun := h.now
+			for h.now.Sub(begun) < 100*time.Millisecond {
+				for _, s := range h.take() {
+					if !silent || s.Replica != replicaOf(0, 0) && s.Replica != replicaOf(0, 1) {
+						h.ok(s, "aa")
+					}
+				}
+				if a, ok := h.answers[id]; ok {
+					if a.Merged != nil && a.Merged.Missing > 0 {
+						partial++
+					}
+					break
+				}
+				h.advance(time.Millisecond)
+			}
+			if h.now.Sub(begun) > 30*time.Millisecond {
+				late++
+			}
+			h.advance(10 * time.Millisecond)
+		}
+		return late, partial
+	}
+	run(50)
+	if late, _ := run(200); late > 30 {
+		t.Errorf("%d of 200 requests waited for the silent shard", late)
+	}
+	silent = false
+	h.advance(5 * time.Second)
+	run(5)
+	if _, partial := run(100); partial > 0 {
+		t.Errorf("%d of 100 answers leave out a shard that answers", partial)
+	}
+}
