--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -221,6 +221,8 @@
 type Answer struct {
 	action
 	Request api.RequestID
+	// Route is the name of the route; empty if there is none.
+	Route   string
 	Outcome api.Outcome
 	Reason  api.Reason
 	// Reply is a replica's answer to be passed on unchanged; nil for a sharded
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -181,7 +181,7 @@
 	}
 	e.log("request_refused", "id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
 		"version", e.version(), "reason", reason, "patience_ms", ev.Patience.Milliseconds())
-	e.act(Answer{Request: ev.Request, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
+	e.act(Answer{Request: ev.Request, Route: name, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
 }
 
 func (e *Engine) version() uint64 {
@@ -319,7 +319,7 @@
 
 // answer builds the final answer.
 func (e *Engine) answer(r *request, reason api.Reason) Answer {
-	a := Answer{Request: r.id, Reason: reason}
+	a := Answer{Request: r.id, Route: r.route.Name, Reason: reason}
 	switch {
 	case r.route.Sharded() && r.enough(r.covered):
 		a.Outcome = api.Answered
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -42,10 +42,16 @@
 	id   string
 }
 
+// Observer takes the time from the arrival of a request to its final answer.
+type Observer interface {
+	Latency(route, outcome string, took time.Duration)
+}
+
 // Callers serves callers.
 type Callers struct {
 	loop    *Loop
 	names   Headers
+	observe Observer
 	server  *http.Server
 	closing atomic.Bool
 
@@ -54,8 +60,8 @@
 }
 
 // NewCallers returns a server that Serve starts.
-func NewCallers(loop *Loop, names Headers) *Callers {
-	c := &Callers{loop: loop, names: names, idle: make(map[net.Conn]time.Time)}
+func NewCallers(loop *Loop, names Headers, observe Observer) *Callers {
+	c := &Callers{loop: loop, names: names, observe: observe, idle: make(map[net.Conn]time.Time)}
 	c.server = &http.Server{
 		Handler:           c,
 		ReadHeaderTimeout: headerTimeout,
@@ -89,6 +95,7 @@
 		w.WriteHeader(status)
 		return
 	}
+	begun := time.Now()
 	message := c.message(r, body)
 	id, answers := c.loop.begin()
 	c.loop.Post(forward.Arrived{
@@ -97,6 +104,7 @@
 	select {
 	case a := <-answers:
 		c.write(w, r, &a)
+		c.observe.Latency(a.Route, a.Outcome.String(), time.Since(begun))
 	case <-r.Context().Done():
 		c.loop.forget(id)
 		c.loop.Post(forward.CallerGone{Request: id})
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -181,12 +181,12 @@
 // Limits returns the limits of the configuration in force, or nil.
 func (l *Loop) Limits() *routing.Limits { return l.limits.Load() }
 
-// Totals returns the engine's counters. It must not be called from Post.
-func (l *Loop) Totals() []count.Total {
+// Totals returns the engine's counters; false while the engine is busy.
+func (l *Loop) Totals() ([]count.Total, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.running {
-		return nil // the next reading has them
+		return nil, false
 	}
-	return l.engine.Counts().Totals()
+	return l.engine.Counts().Totals(), true
 }
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -20,6 +21,9 @@
 	reportInterval = time.Second
 )
 
+// latencyBuckets are from 1 ms to 16 s, two for each doubling of the time.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, math.Pow(2, 0.5), 29)
+
 // Metrics exports counters and gauges in the Prometheus text format.
 type Metrics struct {
 	scope    tally.Scope
@@ -62,6 +66,12 @@
 // Gauge sets a gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
+// Latency records how long a request of a route took until its final answer.
+func (m *Metrics) Latency(route, outcome string, took time.Duration) {
+	tags := map[string]string{"route": route, "outcome": outcome}
+	m.scope.Tagged(tags).Histogram("request_seconds", latencyBuckets).RecordDuration(took)
+}
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
