forward: a restarted node has a part of the constant budget at once

Change: 0.55 of the constant in steady state, 0.25 in the first window of a process; the test now also loses all nodes at once. With 0.6 and 0.3 it found 453 extra attempts for 2,001 requests (bound 452).

--- a/core/forward/budget_test.go
+++ b/core/forward/budget_test.go
@@ -7,8 +7,8 @@
 )
 
 // Guards against more extra attempts over all nodes than the bound in any
-// sliding window, while half of the attempts fail, nodes are replaced, and the
-// nodes disagree on their number for a moment.
+// sliding window, while half of the attempts fail and nodes are replaced, one
+// after the other and all at once.
 func TestExtraAttemptsOverAllNodesAreBounded(t *testing.T) {
 	const nodes, window, share, constant = 6, 10 * time.Second, 0.2, 52.0
 	rng := rand.New(rand.NewPCG(3, 4))
@@ -34,6 +34,11 @@
 		if tick%1000 == 999 { // rolling replacement
 			tier[(tick/1000)%nodes] = node(false, now)
 		}
+		if tick == 3500 { // loss of all
+			for i := range tier {
+				tier[i] = node(false, now)
+			}
+		}
 		h := tier[rng.IntN(nodes)]
 		h.advance(now.Sub(h.now))
 		s := sample{at: now}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -40,8 +40,13 @@
 	// membersHold is how long a node that disappeared from the list still counts:
 	// it may only have lost the store.
 	membersHold = 30 * time.Second
-	// budgetMargin covers the moments in which the nodes disagree on their number.
-	budgetMargin = 0.9
+	// steadyConstant and freshConstant are the parts of BudgetConstant that the
+	// nodes spend together, a process that replaces another one the latter for
+	// the length of a window. Their sum stays well below 1: after a loss of all nodes,
+	// what the former processes sent still counts. The rest covers moments in
+	// which the nodes disagree on their number.
+	steadyConstant = 0.55
+	freshConstant  = 0.25
 	// hedgePart is the part of the budget that hedges may use; the rest is kept
 	// for attempts that replace failed ones.
 	hedgePart = 0.6
@@ -233,13 +238,13 @@
 }
 
 // budgetConstant is this node's part of the extra attempts that do not depend
-// on the traffic. A process that replaces another one has none for the length
-// of a window, in which those of the other one still count.
+// on the traffic.
 func (e *Engine) budgetConstant(now time.Time) float64 {
+	part := steadyConstant
 	if !e.settings.FirstStart && now.Sub(e.started) < e.settings.BudgetWindow {
-		return 0
+		part = freshConstant
 	}
-	return budgetMargin * e.settings.BudgetConstant / float64(e.nodes)
+	return part * e.settings.BudgetConstant / float64(e.nodes)
 }
 
 func (e *Engine) budget(now time.Time, service api.ServiceName) *retry.Window {
