forward: the quarantine isolates requests that crash replicas, over all nodes through the store

A replica that refuses connections after it lost requests has crashed; the requests that were lost there are suspect (core/quarantine, unchanged). Of a sharded request, two lost parts are sent again before any answer, the others after one. Ruled out: a canary for each new request (a round trip more for every caller).

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -112,6 +112,7 @@
 func (e *Engine) heard(now time.Time, name api.ReplicaName) {
 	e.heardAt[name] = now
 	delete(e.quiet, name)
+	delete(e.losses, name)
 	if !e.silent[name] {
 		return
 	}
@@ -309,9 +310,12 @@
 		r.covered++
 		r.mayHaveRun = true
 		e.release(now, r, p, false)
+		e.survived(now, r)
+		e.releaseHeld(now, r)
 	case ReplyError:
 		r.mayHaveRun = true
 		r.failure = reply
+		e.survived(now, r)
 		e.again(now, r, a.part, api.ReasonFailed)
 	case ReplyRefused:
 		e.again(now, r, a.part, api.ReasonShed)
@@ -331,7 +335,7 @@
 		return
 	}
 	safe := r.route.Idempotent || !r.mayHaveRun
-	if !safe || p.sends >= r.route.MaxAttempts {
+	if !safe || r.alone || p.sends >= r.route.MaxAttempts {
 		e.giveUp(r, p, reason)
 		return
 	}
@@ -354,9 +358,17 @@
 	switch ev.Loss {
 	case LostStale:
 		e.replicas.Unsent(a.replica) // says nothing about the replica
+		e.lostOn(now, a)
 	case LostFresh:
 		e.replicas.Unsent(a.replica)
 		e.rejected(now, a)
+		e.lostOn(now, a)
+	case LostBroken:
+		e.replicas.Lost(now, a.replica)
+		e.lostOn(now, a)
+	case LostRefused:
+		e.replicas.Lost(now, a.replica)
+		e.crashed(now, a.replica)
 	default:
 		e.replicas.Lost(now, a.replica)
 	}
@@ -389,6 +401,11 @@
 	p := &r.parts[a.part]
 	if loss != LostRefused && loss != LostUnsent {
 		r.mayHaveRun = true
+		r.lost++
+		if r.route.Sharded() && !r.survived && r.lost > freeRetries && len(p.live) == 0 {
+			p.state = partHeld
+			return
+		}
 		e.again(now, r, a.part, api.ReasonConnectionLost)
 		return
 	}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -7,6 +7,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/quarantine"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/core/timerqueue"
@@ -81,7 +82,10 @@
 	// answered nothing since.
 	silent map[api.ReplicaName]bool
 	// heardAt is when a replica answered last.
-	heardAt map[api.ReplicaName]time.Time
+	heardAt    map[api.ReplicaName]time.Time
+	quarantine *quarantine.Registry
+	// losses holds, per replica, the attempts that were lost since it answered last.
+	losses map[api.ReplicaName][]loss
 	// waiting lists, per service, the parts that wait for room at a replica.
 	waiting map[api.ServiceName][]waitingPart
 	timers  timerqueue.Queue[timer]
@@ -103,23 +107,26 @@
 // New returns an engine without configuration.
 func New(s Settings) *Engine {
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	counts := count.NewSet()
 	e := &Engine{
-		settings: s,
-		rng:      rng,
-		counts:   count.NewSet(),
-		splitter: routing.NewSplitter(),
-		replicas: balance.New(rng, s.DataCentre),
-		registry: newRegistry(),
-		delays:   retry.NewDelay(hedgeQuantile, 0),
-		budgets:  make(map[api.ServiceName]*retry.Window),
-		nodes:    assumedNodes,
-		requests: make(map[api.RequestID]*request),
-		attempts: make(map[AttemptID]*attempt),
-		conns:    make(map[api.ReplicaName]*connections),
-		quiet:    make(map[api.ReplicaName]bool),
-		silent:   make(map[api.ReplicaName]bool),
-		heardAt:  make(map[api.ReplicaName]time.Time),
-		waiting:  make(map[api.ServiceName][]waitingPart),
+		settings:   s,
+		rng:        rng,
+		counts:     counts,
+		splitter:   routing.NewSplitter(),
+		replicas:   balance.New(rng, s.DataCentre),
+		registry:   newRegistry(),
+		delays:     retry.NewDelay(hedgeQuantile, 0),
+		budgets:    make(map[api.ServiceName]*retry.Window),
+		nodes:      assumedNodes,
+		requests:   make(map[api.RequestID]*request),
+		attempts:   make(map[AttemptID]*attempt),
+		conns:      make(map[api.ReplicaName]*connections),
+		quiet:      make(map[api.ReplicaName]bool),
+		silent:     make(map[api.ReplicaName]bool),
+		heardAt:    make(map[api.ReplicaName]time.Time),
+		quarantine: quarantine.New(counts),
+		losses:     make(map[api.ReplicaName][]loss),
+		waiting:    make(map[api.ServiceName][]waitingPart),
 	}
 	e.replicas.SetRemoteSurcharge(remoteSurcharge)
 	return e
@@ -159,9 +166,12 @@
 		e.registry.storeLost = true
 	case StoreBack:
 		e.storeBack(now)
+	case NoticesRead:
+		e.learnNotices(now, ev.Notices)
 	case Members:
 		e.members(now, ev.Nodes)
 	}
+	e.quarantine.Tick(now)
 	e.runTimers(now)
 	return e.out
 }
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -180,6 +181,12 @@
 // StoreBack says that the store answers again.
 type StoreBack struct{ event }
 
+// NoticesRead holds what another node published.
+type NoticesRead struct {
+	event
+	Notices []gossip.Notice
+}
+
 // Members is the number of nodes that are registered, this one included.
 type Members struct {
 	event
@@ -241,6 +248,12 @@
 	Body    []byte
 }
 
+// Publish makes notices known to the other nodes.
+type Publish struct {
+	action
+	Notices []gossip.Notice
+}
+
 // Log writes one line of key=value pairs.
 type Log struct {
 	action
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -20,6 +21,8 @@
 	sends   []Send
 	cancels []AttemptID
 	answers map[api.RequestID]Answer
+	// published holds the notices for other nodes.
+	published []gossip.Notice
 }
 
 func newHarness(t *testing.T, change func(*Settings)) *harness {
@@ -41,6 +44,8 @@
 		switch a := a.(type) {
 		case Send:
 			h.sends = append(h.sends, a)
+		case Publish:
+			h.published = append(h.published, a.Notices...)
 		case Cancel:
 			h.cancels = append(h.cancels, a.Attempt)
 		case Answer:
--- /dev/null
+++ b/core/forward/isolation.go
@@ -0,0 +1,129 @@
+package forward
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quarantine"
+)
+
+const (
+	// crashWindow is the time in which a refused connection explains a lost
+	// attempt as the end of the replica's process.
+	crashWindow = 2 * time.Second
+	// freeRetries is the number of lost parts of one request that are sent again
+	// before any part is answered: a request that crashes replicas must not take
+	// down a second replica of each shard.
+	freeRetries = 2
+	// comeBackAfterProbation is when a caller may return whose request is being
+	// tried alone for another caller.
+	comeBackAfterProbation = 200 * time.Millisecond
+)
+
+// loss is an attempt that was lost and may have crashed its replica.
+type loss struct {
+	fingerprint api.Fingerprint
+	at          time.Time
+}
+
+// admit asks the quarantine how a request may run. It refuses the request, or
+// returns whether it has to run alone.
+func (e *Engine) admit(now time.Time, ev Arrived, r *request) (alone, ok bool) {
+	verdict := e.quarantine.Admit(now, ev.Message.Fingerprint, quarantine.Options{Work: !r.route.Idempotent})
+	switch verdict.Kind {
+	case quarantine.Refuse:
+		e.refuse(now, ev, r.route, api.ReasonQuarantined, verdict.RetryAfter)
+		return false, false
+	case quarantine.Wait:
+		e.refuse(now, ev, r.route, api.ReasonQuarantined, comeBackAfterProbation)
+		return false, false
+	}
+	return verdict.Kind == quarantine.RunAlone, true
+}
+
+// lostOn remembers an attempt that may have crashed its replica.
+func (e *Engine) lostOn(now time.Time, a *attempt) {
+	list := e.losses[a.replica]
+	for len(list) > 0 && now.Sub(list[0].at) > crashWindow {
+		list = list[1:]
+	}
+	e.losses[a.replica] = append(list, loss{fingerprint: a.request.message.Fingerprint, at: now})
+}
+
+// crashed handles a replica whose process has ended: the requests that were
+// lost there shortly before are suspect.
+func (e *Engine) crashed(now time.Time, name api.ReplicaName) {
+	var fingerprints []api.Fingerprint
+	for _, l := range e.losses[name] {
+		if now.Sub(l.at) <= crashWindow {
+			fingerprints = append(fingerprints, l.fingerprint)
+		}
+	}
+	delete(e.losses, name)
+	if len(fingerprints) == 0 {
+		return
+	}
+	e.log("replica_crashed", "replica", name, "lost_requests", len(fingerprints))
+	e.publish(e.quarantine.Crashed(now, name, e.incarnation(name), fingerprints))
+}
+
+// incarnation returns a number for the life of a replica's process.
+func (e *Engine) incarnation(name api.ReplicaName) api.Incarnation {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	if entry := e.registry.entries[name]; entry != nil {
+		return api.Incarnation(h.Sum64() ^ uint64(entry.Born))
+	}
+	return api.Incarnation(h.Sum64())
+}
+
+// survived tells the quarantine that a replica answered a request.
+func (e *Engine) survived(now time.Time, r *request) {
+	if r.survived {
+		return
+	}
+	r.survived = true
+	e.publish(e.quarantine.Answered(now, r.message.Fingerprint))
+	e.endAlone(now, r)
+}
+
+// endAlone ends the isolation of a request, after its first answer or its end.
+func (e *Engine) endAlone(now time.Time, r *request) {
+	if r.alone {
+		r.alone = false
+		e.quarantine.Released(now, r.message.Fingerprint)
+	}
+}
+
+// releaseHeld sends the parts that waited for the first answer.
+func (e *Engine) releaseHeld(now time.Time, r *request) {
+	for i := range r.parts {
+		if r.parts[i].state != partHeld {
+			continue
+		}
+		if r.parts[i].sends == 0 {
+			e.dispatch(now, r, i)
+		} else {
+			e.again(now, r, i, api.ReasonConnectionLost)
+		}
+	}
+}
+
+// publish passes notices on to the other nodes.
+func (e *Engine) publish(notices []gossip.Notice) {
+	if len(notices) > 0 {
+		e.act(Publish{Notices: notices})
+	}
+}
+
+// learnNotices takes over what other nodes published.
+func (e *Engine) learnNotices(now time.Time, notices []gossip.Notice) {
+	for _, n := range notices {
+		if e.quarantine.Learn(now, n) {
+			e.log("notice_learned", "kind", n.Kind, "fingerprint", n.Fingerprint, "crashes", n.Crashes)
+			e.publish(e.quarantine.Respond(now, n))
+		}
+	}
+}
--- /dev/null
+++ b/core/forward/isolation_test.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// fatal is the fingerprint of a request that crashes each replica.
+const fatal api.Fingerprint = 666
+
+// group is several nodes over the same replicas, of which some are down after a
+// crash. What a node publishes reaches the others a second later.
+type group struct {
+	t     *testing.T
+	nodes []*harness
+	down  map[api.ReplicaName]time.Time // until when
+	now   time.Time
+	// crashes counts the attempts of the fatal request that reached a replica.
+	crashes  int
+	requests int
+}
+
+func newGroup(t *testing.T, nodes int) *group {
+	g := &group{t: t, down: make(map[api.ReplicaName]time.Time), now: start}
+	for range nodes {
+		h := ready(t, 4)
+		g.nodes = append(g.nodes, h)
+	}
+	return g
+}
+
+// run lets a node serve one request to its end and reports whether it was
+// answered.
+func (g *group) run(node int, path string, fingerprint api.Fingerprint) bool {
+	h := g.nodes[node]
+	g.requests++
+	id := api.RequestID(1000 + g.requests)
+	h.step(Arrived{
+		Request: id, Patience: 500 * time.Millisecond,
+		Message: &Message{Host: "h", Path: path, CallerRequest: fmt.Sprint("id-", id), Fingerprint: fingerprint},
+	})
+	for range 200 {
+		g.serve(h, fingerprint)
+		if a, ok := h.answers[id]; ok {
+			return a.Outcome == api.Answered
+		}
+		g.advance(5 * time.Millisecond)
+	}
+	g.t.Fatalf("request %d has no answer", id)
+	return false
+}
+
+// serve lets the replicas handle what a node sent.
+func (g *group) serve(h *harness, fingerprint api.Fingerprint) {
+	for sends := h.take(); len(sends) > 0; sends = h.take() {
+		for _, s := range sends {
+			switch {
+			case g.now.Before(g.down[s.Replica]):
+				h.step(Lost{Attempt: s.Attempt, Loss: LostRefused})
+			case fingerprint == fatal:
+				g.crashes++
+				g.down[s.Replica] = g.now.Add(3 * time.Second)
+				h.step(Lost{Attempt: s.Attempt, Loss: LostBroken})
+			default:
+				h.ok(s, "aa")
+			}
+		}
+	}
+}
+
+func (g *group) advance(d time.Duration) {
+	g.now = g.now.Add(d)
+	for _, h := range g.nodes {
+		h.advance(g.now.Sub(h.now))
+	}
+}
+
+// exchange passes on what the nodes published.
+func (g *group) exchange() {
+	for from, h := range g.nodes {
+		notices := h.published
+		h.published = nil
+		for to, other := range g.nodes {
+			if to != from && len(notices) > 0 {
+				other.step(NoticesRead{Notices: notices})
+			}
+		}
+	}
+}
+
+// Guards against a request that goes on crashing replicas because each node
+// sees only its own part: it comes back at another node each time. Innocent
+// requests go on being served.
+func TestRequestThatCrashesReplicasIsRefusedByAllNodes(t *testing.T) {
+	g := newGroup(t, 4)
+	after := 0 // arrivals later than four seconds after the third crash
+	var third time.Time
+	for i := range 60 {
+		before := g.crashes
+		g.run(i%4, "/one/fatal", fatal)
+		if g.crashes >= 3 && third.IsZero() {
+			third = g.now
+		}
+		if !third.IsZero() && g.now.Sub(third) > 4*time.Second {
+			after += g.crashes - before
+		}
+		g.advance(700 * time.Millisecond)
+		g.exchange()
+		served := 0
+		for n := range g.nodes {
+			for k := range 3 {
+				if g.run(n, "/all/x", api.Fingerprint(10_000+100*i+10*n+k)) {
+					served++
+				}
+			}
+		}
+		if served < 6 {
+			t.Errorf("round %d: only %d of 12 innocent requests are served", i, served)
+		}
+		g.advance(300 * time.Millisecond)
+	}
+	if after > 3 {
+		t.Errorf("%d arrivals of the fatal request after it was known, %d crashes in all", after, g.crashes)
+	}
+	t.Logf("%d crashes in all", g.crashes)
+}
+
+// Guards against a sharded request that takes down both replicas of every shard
+// before anybody has looked: two lost parts are sent again, the others only
+// after an answer.
+func TestLostPartsWaitForAnAnswer(t *testing.T) {
+	h := ready(t, 8)
+	fatalRequest := h.request("/all/x")
+	sent := 0
+	for sends := h.take(); len(sends) > 0; sends = h.take() {
+		sent += len(sends)
+		for _, s := range sends {
+			h.step(Lost{Attempt: s.Attempt, Loss: LostBroken})
+		}
+	}
+	if sent != 8+freeRetries {
+		t.Errorf("%d attempts of a request that crashes all replicas", sent)
+	}
+	h.answer(fatalRequest)
+
+	h = ready(t, 8)
+	innocent := h.request("/all/y")
+	for _, s := range h.take() { // all connections were cut
+		h.step(Lost{Attempt: s.Attempt, Loss: LostBroken})
+	}
+	for sends := h.take(); len(sends) > 0; sends = h.take() {
+		for _, s := range sends {
+			h.ok(s, "aa")
+		}
+	}
+	if a := h.answer(innocent); a.Outcome != api.Answered || a.Merged.Missing != 0 {
+		t.Errorf("answer %+v", a)
+	}
+}
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -43,6 +43,7 @@
 func (e *Engine) replicaSeen(now time.Time, reg Registration) {
 	old := e.registry.entries[reg.Replica]
 	if old != nil && (old.Service != reg.Service || old.Address != reg.Address || reg.restarted(old.Registration)) {
+		e.crashed(now, reg.Replica)
 		e.removeReplica(now, reg.Replica, "replaced")
 		old = nil
 	}
@@ -116,6 +117,7 @@
 	delete(e.heardAt, name)
 	delete(e.quiet, name)
 	delete(e.silent, name)
+	delete(e.losses, name)
 	e.counts.Inc(count.Connection, "replica_removed")
 	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
 	e.act(CloseIdle{Replica: name})
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -29,8 +29,10 @@
 type partState uint8
 
 const (
+	// partHeld waits for another part to be answered.
+	partHeld partState = iota
 	// partWaiting waits for room at a replica.
-	partWaiting partState = iota
+	partWaiting
 	// partRunning has at least one attempt on its way.
 	partRunning
 	// partCovered has an answer.
@@ -68,6 +70,13 @@
 	parts    []part
 	covered  int
 	missing  int
+	// alone is set while the request is suspected of crashing replicas: one part
+	// is sent once, and the others after its answer.
+	alone bool
+	// survived is set once a replica has answered.
+	survived bool
+	// lost is the number of attempts that were lost before any answer.
+	lost int
 	// mayHaveRun is set once a replica may have begun to work on the request.
 	mayHaveRun bool
 	extras     int
@@ -99,9 +108,17 @@
 		e.refuse(now, ev, route, reason, comeBackLater)
 		return
 	}
+	alone, ok := e.admit(now, ev, r)
+	if !ok {
+		return
+	}
 	e.requests[r.id] = r
+	r.alone = alone
 	for i := range r.parts {
 		e.dispatch(now, r, i)
+		if r.alone {
+			break
+		}
 	}
 	e.progress(now, r)
 }
@@ -232,7 +249,7 @@
 			continue
 		}
 		e.overdue(p)
-		if !r.route.Idempotent || len(p.live) != 1 || p.sends >= r.route.MaxAttempts {
+		if !r.route.Idempotent || r.alone || len(p.live) != 1 || p.sends >= r.route.MaxAttempts {
 			continue
 		}
 		if e.sendExtra(now, r, i, hedging) == api.ReasonNone {
@@ -248,6 +265,7 @@
 // finishIfDue ends a request that has its answer, cannot get one, or has run
 // out of time. It reports whether the request has ended.
 func (e *Engine) finishIfDue(now time.Time, r *request) bool {
+	e.giveUpHeld(r)
 	open := len(r.parts) - r.covered - r.missing
 	switch {
 	case open == 0:
@@ -264,6 +282,21 @@
 	return true
 }
 
+// giveUpHeld gives up the parts that wait for another part to be answered, if
+// none is left that could be.
+func (e *Engine) giveUpHeld(r *request) {
+	for i := range r.parts {
+		if s := r.parts[i].state; s == partRunning || s == partWaiting {
+			return
+		}
+	}
+	for i := range r.parts {
+		if p := &r.parts[i]; p.state == partHeld {
+			e.giveUp(r, p, api.ReasonCrashed)
+		}
+	}
+}
+
 // reason returns why a part is missing, or ReasonNone.
 func (r *request) reason() api.Reason {
 	for i := range r.parts {
@@ -279,6 +312,7 @@
 // than a new connection.
 func (e *Engine) finish(now time.Time, r *request, reason api.Reason) {
 	delete(e.requests, r.id)
+	e.endAlone(now, r)
 	answer := e.answer(r, reason)
 	for i := range r.parts {
 		e.release(now, r, &r.parts[i], reason == api.ReasonDeadline)
@@ -381,6 +415,7 @@
 		return
 	}
 	delete(e.requests, id)
+	e.endAlone(now, r)
 	for i := range r.parts {
 		e.release(now, r, &r.parts[i], true)
 	}
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -12,6 +12,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -40,12 +41,18 @@
 	Info(event string, pairs ...any)
 }
 
+// Publisher makes notices known to the other nodes. It must not block.
+type Publisher interface {
+	Publish(notices []gossip.Notice)
+}
+
 // Loop feeds events to an engine, one at a time, and carries out its actions.
 // Its methods are safe for concurrent use and do not block.
 type Loop struct {
 	engine  *forward.Engine
 	targets *Targets
 	log     Logger
+	notices Publisher
 	// started anchors the engine's clock: it runs with the monotonic clock, so
 	// that steps of the time of day do not disturb it.
 	started time.Time
@@ -66,9 +73,9 @@
 }
 
 // NewLoop returns a loop around an engine. Connect must be called before Post.
-func NewLoop(engine *forward.Engine, log Logger) *Loop {
+func NewLoop(engine *forward.Engine, log Logger, notices Publisher) *Loop {
 	l := &Loop{
-		engine: engine, log: log, started: time.Now(),
+		engine: engine, log: log, notices: notices, started: time.Now(),
 		pending: make(map[api.RequestID]chan forward.Answer),
 	}
 	l.timer = time.AfterFunc(time.Hour, func() { l.Post(forward.Timer{}) })
@@ -129,6 +136,8 @@
 		l.targets.closeIdle(a.Replica)
 	case forward.Answer:
 		l.answer(a)
+	case forward.Publish:
+		l.notices.Publish(a.Notices)
 	case forward.Log:
 		l.log.Info(a.Event, a.Fields...)
 	}
