--- a/core/limit/admission.go
+++ b/core/limit/admission.go
@@ -24,6 +24,9 @@
 	waitDivisor = 2
 	// rateWindow is the time over which the rate of ended parts is measured.
 	rateWindow = 200 * time.Millisecond
+	// rateAge is how long a measured rate is used: afterwards the limit has not
+	// been in use, and the rate may be that of an overload long over.
+	rateAge = 2 * time.Second
 	// rateWeight is the weight of a new window in the smoothed rate.
 	rateWeight = 0.3
 	// retryLeast and retryMost bound the time after which a refused caller may return.
@@ -39,6 +42,7 @@
 	// rate is the smoothed number of parts that end per second while the limit
 	// is in use; 0 if unknown. An idle service ends fewer than it could.
 	rate        float64
+	ratedAt     time.Time // when rate was measured last
 	ended       int
 	windowStart time.Time
 	// idle says that the limit was not in use at some time in the window.
@@ -71,7 +75,7 @@
 	s := a.get(now, name)
 	total := float64(s.admitted + parts)
 	if total > s.limit.value() && s.admitted > 0 {
-		wait := s.wait(total)
+		wait := s.wait(now, total)
 		if wait > min(MaxWait, deadline.Sub(now)/waitDivisor) {
 			return false, a.retryAfter(wait)
 		}
@@ -141,9 +145,10 @@
 	return wait + time.Duration(a.rng.Int64N(int64(wait/2)+1))
 }
 
-// wait is the time until all of the parts have ended at the measured rate.
-func (s *service) wait(parts float64) time.Duration {
-	if s.rate <= 0 {
+// wait is the time until all of the parts have ended at the measured rate; 0 if
+// none is known.
+func (s *service) wait(now time.Time, parts float64) time.Duration {
+	if s.rate <= 0 || now.Sub(s.ratedAt) > rateAge {
 		return 0
 	}
 	return seconds(parts / s.rate)
@@ -158,12 +163,17 @@
 		return
 	}
 	rate := float64(s.ended) / took.Seconds()
-	switch {
-	case s.idle:
-	case s.rate == 0:
+	if !s.idle {
+		s.addRate(now, rate)
+	}
+	s.restartWindow(now)
+}
+
+func (s *service) addRate(now time.Time, rate float64) {
+	if s.rate == 0 || now.Sub(s.ratedAt) > rateAge {
 		s.rate = rate
-	default:
+	} else {
 		s.rate += rateWeight * (rate - s.rate)
 	}
-	s.restartWindow(now)
+	s.ratedAt = now
 }
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -165,3 +165,33 @@
 		t.Errorf("refused for %v with %d parts in flight, limit %d", after, a.InFlight("s"), a.Limit("s"))
 	}
 }
+
+// Guards against refusals long after an overload, because the rate at which the
+// service answered under it still counts: while the limit is not in use, the
+// rate is not measured again.
+func TestRateMeasuredUnderOverloadIsForgotten(t *testing.T) {
+	a := NewAdmission(rand.New(rand.NewPCG(1, 2)))
+	now := start
+	for range 20 { // all but one are refused after a while
+		a.Admit(now, "s", 1, now.Add(time.Second))
+	}
+	for range 100 { // 20 parts a second end, some shed
+		now = now.Add(50 * time.Millisecond)
+		a.Done(now, "s", 1, api.TargetShed, 400*time.Millisecond)
+		a.Admit(now, "s", 1, now.Add(10*time.Second))
+	}
+	for a.InFlight("s") > 0 {
+		now = now.Add(time.Millisecond)
+		a.Done(now, "s", 1, api.TargetOK, 2*time.Millisecond)
+	}
+	for range 300 { // three seconds of little load
+		a.Admit(now, "s", 1, now.Add(time.Second))
+		now = now.Add(10 * time.Millisecond)
+		a.Done(now, "s", 1, api.TargetOK, 2*time.Millisecond)
+	}
+	for i := range 8 {
+		if ok, after := a.Admit(now, "s", 1, now.Add(time.Second)); !ok {
+			t.Fatalf("query %d of 8 at once is refused for %v, limit %d", i+1, after, a.Limit("s"))
+		}
+	}
+}
