--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -210,6 +210,7 @@
 	p.tried = append(p.tried, name)
 	p.sends++
 	p.hedgeAt = now.Add(r.hedgeAfter)
+	r.hedgeAt = earliest(r.hedgeAt, p.hedgeAt)
 	e.connections(name).used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
@@ -403,7 +404,7 @@
 		r.mayHaveRun = true
 		r.lost++
 		if r.route.Sharded() && !r.survived && r.lost > freeRetries && len(p.live) == 0 {
-			p.state = partHeld
+			p.state, r.holds = partHeld, true
 			return
 		}
 		e.again(now, r, a.part, api.ReasonConnectionLost)
--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -99,6 +99,10 @@
 
 // releaseHeld sends the parts that waited for the first answer.
 func (e *Engine) releaseHeld(now time.Time, r *request) {
+	if !r.holds {
+		return
+	}
+	r.holds = false
 	for i := range r.parts {
 		if r.parts[i].state != partHeld {
 			continue
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -83,6 +83,10 @@
 	// denied is why an extra attempt was not sent last.
 	denied     api.Reason
 	hedgeAfter time.Duration
+	// hedgeAt is when the first part that runs is due for a hedge, or earlier.
+	hedgeAt time.Time
+	// holds is set once a part waits for another one to be answered.
+	holds bool
 	// failure is the last error that a replica answered with.
 	failure *Reply
 	wakeAt  time.Time
@@ -113,7 +117,7 @@
 		return
 	}
 	e.requests[r.id] = r
-	r.alone = alone
+	r.alone, r.holds = alone, alone
 	for i := range r.parts {
 		e.dispatch(now, r, i)
 		if r.alone {
@@ -218,10 +222,10 @@
 	if r.target.After(now) && r.target.Before(wake) {
 		wake = r.target
 	}
-	wake = earliest(wake, e.hedge(now, r))
-	if e.requests[r.id] != r {
-		return
+	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) {
+		r.hedgeAt = e.hedge(now, r)
 	}
+	wake = earliest(wake, r.hedgeAt)
 	if r.wakeAt.IsZero() || wake.Before(r.wakeAt) {
 		r.wakeAt = wake
 		e.timers.Set(wake, timer{request: r.id})
@@ -285,6 +289,9 @@
 // giveUpHeld gives up the parts that wait for another part to be answered, if
 // none is left that could be.
 func (e *Engine) giveUpHeld(r *request) {
+	if !r.holds {
+		return
+	}
 	for i := range r.parts {
 		if s := r.parts[i].state; s == partRunning || s == partWaiting {
 			return
