forward: refuse a part of the sharded requests while replicas are overloaded

Pattern: more requests than the replicas that are left can serve in time, from callers who return. All were sent, and nearly all were late.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -309,6 +309,9 @@
 	case ReplyOK:
 		p.state, p.reply = partCovered, *reply
 		r.covered++
+		if r.halfAt.IsZero() && 2*r.covered >= len(r.parts) {
+			r.halfAt = now
+		}
 		r.mayHaveRun = true
 		e.release(now, r, p, false)
 		e.survived(now, r)
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -86,6 +86,8 @@
 	quarantine *quarantine.Registry
 	// losses holds, per replica, the attempts that were lost since it answered last.
 	losses map[api.ReplicaName][]loss
+	// pressures holds the admission of sharded requests, by their first shard.
+	pressures map[api.ServiceName]*pressure
 	// waiting lists, per service, the parts that wait for room at a replica.
 	waiting map[api.ServiceName][]waitingPart
 	timers  timerqueue.Queue[timer]
@@ -125,6 +127,7 @@
 		silent:     make(map[api.ReplicaName]bool),
 		heardAt:    make(map[api.ReplicaName]time.Time),
 		quarantine: quarantine.New(counts),
+		pressures:  make(map[api.ServiceName]*pressure),
 		losses:     make(map[api.ReplicaName][]loss),
 		waiting:    make(map[api.ServiceName][]waitingPart),
 	}
@@ -228,6 +231,7 @@
 	e.table = t
 	e.counts.Inc(count.Config, "adopted")
 	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services))
+	e.dropPressures()
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
 			delete(e.budgets, name)
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -69,7 +69,9 @@
 	target   time.Time
 	parts    []part
 	covered  int
-	missing  int
+	// halfAt is when half of the parts were answered.
+	halfAt  time.Time
+	missing int
 	// alone is set while the request is suspected of crashing replicas: one part
 	// is sent once, and the others after its answer.
 	alone bool
@@ -112,6 +114,10 @@
 		e.refuse(now, ev, route, reason, comeBackLater)
 		return
 	}
+	if e.overloadRefuses(now, route) {
+		e.refuse(now, ev, route, api.ReasonOverloaded, comeBack(e.rng))
+		return
+	}
 	alone, ok := e.admit(now, ev, r)
 	if !ok {
 		return
@@ -320,6 +326,7 @@
 func (e *Engine) finish(now time.Time, r *request, reason api.Reason) {
 	delete(e.requests, r.id)
 	e.endAlone(now, r)
+	e.observePressure(now, r)
 	answer := e.answer(r, reason)
 	for i := range r.parts {
 		e.release(now, r, &r.parts[i], reason == api.ReasonDeadline)
