forward, limit, relay: one baseline type, one ticker loop; smaller files

core/baseline follows a smoothed duration and its lowest value for limit and forward; attempt.go and request.go are split into choice, waiting and answer.

--- /dev/null
+++ b/core/forward/answer.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+// finish answers a request. Attempts still on their way are left to end by
+// themselves for a while if their replica may soon be done: that costs it less
+// than a new connection.
+func (e *Engine) finish(now time.Time, r *request, reason api.Reason) {
+	delete(e.requests, r.id)
+	e.endAlone(now, r)
+	e.observePressure(now, r)
+	answer := e.answer(r, reason)
+	for i := range r.parts {
+		e.release(now, r, &r.parts[i], reason == api.ReasonDeadline)
+	}
+	e.act(answer)
+	if answer.Outcome == api.NotRun {
+		e.counts.Inc(count.Refused, reason)
+	}
+	e.counts.Inc(count.SearchEnded, api.Reason(answer.Outcome.String()))
+	e.logEnd(now, r, &answer)
+}
+
+func (e *Engine) logEnd(now time.Time, r *request, a *Answer) {
+	e.log("request_ended", "id", r.message.CallerRequest, "route", r.route.Name, "version", r.version,
+		"outcome", a.Outcome, "reason", a.Reason, "took_ms", now.Sub(r.start).Milliseconds(),
+		"parts", len(r.parts), "covered", r.covered, "missing", r.missingServices(),
+		"max_attempts", r.route.MaxAttempts, "idempotent", r.route.Idempotent, "extra_attempts", r.extras, "denied", r.denied, "hedge_after_ms", r.hedgeAfter.Milliseconds())
+}
+
+// missingServices lists the services without an answer and why, for the log.
+func (r *request) missingServices() string {
+	out := ""
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.state == partCovered {
+			continue
+		}
+		if out != "" {
+			out += " "
+		}
+		out += string(p.service) + ":" + string(p.reason)
+		for _, name := range p.tried {
+			out += "/" + string(name)
+		}
+	}
+	return out
+}
+
+// answer builds the final answer.
+func (e *Engine) answer(r *request, reason api.Reason) Answer {
+	a := Answer{Request: r.id, Route: r.route.Name, Reason: reason}
+	switch {
+	case r.route.Sharded() && r.enough(r.covered):
+		a.Outcome = api.Answered
+		a.Merged = r.merged()
+	case !r.route.Sharded() && r.covered == 1:
+		a.Outcome = api.Answered
+		a.Reply = &r.parts[0].reply
+	case !r.route.Sharded() && r.failure != nil:
+		a.Outcome = api.Failed
+		a.Reply = r.failure
+	case !r.ranAnywhere():
+		a.Outcome = api.NotRun
+		a.RetryAfter = retryAfter(reason)
+	case r.failure != nil:
+		a.Outcome = api.Failed
+	default:
+		a.Outcome = api.Unknown
+	}
+	return a
+}
+
+// ranAnywhere reports whether a replica may have run the request or may yet do.
+func (r *request) ranAnywhere() bool {
+	if r.mayHaveRun {
+		return true
+	}
+	for i := range r.parts {
+		if len(r.parts[i].live) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func retryAfter(reason api.Reason) time.Duration {
+	if reason == api.ReasonShed || reason == api.ReasonOverloaded {
+		return comeBackSoon
+	}
+	return comeBackLater
+}
+
+func (r *request) merged() *Merged {
+	m := &Merged{Missing: len(r.parts) - r.covered}
+	bodies := make([][]byte, 0, r.covered)
+	for i := range r.parts {
+		if p := &r.parts[i]; p.state == partCovered {
+			m.Proofs = append(m.Proofs, p.reply.Proof)
+			bodies = append(bodies, p.reply.Body)
+		}
+	}
+	m.Body = mergeRecords(r.route.Merge, bodies)
+	return m
+}
+
+// reason returns why a part is missing, or ReasonNone.
+func (r *request) reason() api.Reason {
+	for i := range r.parts {
+		if r.parts[i].state == partMissing {
+			return r.parts[i].reason
+		}
+	}
+	return api.ReasonNone
+}
+
+// refuse answers a request that was not started.
+func (e *Engine) refuse(now time.Time, ev Arrived, route *routing.Route, reason api.Reason, retryAfter time.Duration) {
+	e.counts.Inc(count.Refused, reason)
+	name := ""
+	if route != nil {
+		name = route.Name
+	}
+	e.log("request_refused", "id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
+		"version", e.version(), "reason", reason, "patience_ms", ev.Patience.Milliseconds())
+	e.act(Answer{Request: ev.Request, Route: name, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
+}
--- /dev/null
+++ b/core/forward/choice.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// purpose says why an attempt is sent.
+type purpose uint8
+
+const (
+	// first is the first attempt of a part.
+	first purpose = iota
+	// replacing follows an attempt that failed.
+	replacing
+	// hedging runs beside an attempt that is slow.
+	hedging
+)
+
+// budgetPart is the part of the budget that an extra attempt may use.
+func (p purpose) budgetPart() float64 {
+	if p == hedging {
+		return hedgePart
+	}
+	return 1
+}
+
+// choose returns a replica with room for a part, or why there is none. A
+// replica that has gone quiet is taken only if there is no other, a silent one
+// only for a probe, and a hedge goes to neither a quiet nor a suspect replica:
+// waiting for any of them would help nobody.
+func (e *Engine) choose(now time.Time, p *part, why purpose) (api.ReplicaName, api.Reason) {
+	e.candidates = e.candidates[:0]
+	reason := api.ReasonNoReplica
+	var quiet []api.ReplicaName
+	for _, name := range e.registry.byService[p.service] {
+		entry := e.registry.entries[name]
+		if entry.Draining || slices.Contains(p.tried, name) {
+			continue
+		}
+		if !e.connections(name).hasRoom(now, e.quota(p.service, entry.Slots)) {
+			reason = api.ReasonOverloaded
+			continue
+		}
+		if e.silent[name] && !e.replicas.ProbeDue(now, name) {
+			continue
+		}
+		if why == hedging && (e.quiet[name] || e.replicas.Suspect(name)) {
+			continue
+		}
+		if e.quiet[name] {
+			quiet = append(quiet, name)
+			continue
+		}
+		e.candidates = append(e.candidates, name)
+	}
+	if len(e.candidates) == 0 {
+		e.candidates = append(e.candidates, quiet...)
+	}
+	name, ok := e.replicas.Pick(now, e.candidates, nil)
+	if !ok {
+		return "", reason
+	}
+	return name, api.ReasonNone
+}
+
+// overdue remembers that the replicas of a part's attempts have gone quiet,
+// unless they answered something since.
+func (e *Engine) overdue(p *part) {
+	for _, a := range p.live {
+		if !e.heardSince(a) {
+			e.quiet[a.replica] = true
+		}
+	}
+}
+
+// heard records an answer of a replica. If it had been silent, the cause may
+// have been on this side, so that all silent replicas are probed again.
+func (e *Engine) heard(now time.Time, name api.ReplicaName) {
+	e.heardAt[name] = now
+	delete(e.quiet, name)
+	delete(e.losses, name)
+	if !e.silent[name] {
+		return
+	}
+	delete(e.silent, name)
+	e.log("replica_heard_again", "replica", name, "silent", len(e.silent))
+	for other := range e.silent {
+		e.replicas.ProbeSoon(now, other)
+	}
+}
+
+// heardSince reports whether the replica answered anything since an attempt.
+func (e *Engine) heardSince(a *attempt) bool {
+	at, ok := e.heardAt[a.replica]
+	return ok && at.After(a.sentAt)
+}
--- a/core/forward/pressure.go
+++ b/core/forward/pressure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/baseline"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -53,14 +54,14 @@
 	// credits deals admissions evenly, per route.
 	credits map[string]float64
 	// usual holds the time until half of the parts are answered, per route.
-	usual map[string]*usualTime
+	usual map[string]*baseline.Trend
 	// ended and overloaded count requests since the last adjustment.
 	ended, overloaded int
 	since             time.Time
 }
 
 func newPressure(now time.Time, urgent int) *pressure {
-	return &pressure{admitted: 1, urgent: urgent, credits: make(map[string]float64), usual: make(map[string]*usualTime), since: now}
+	return &pressure{admitted: 1, urgent: urgent, credits: make(map[string]float64), usual: make(map[string]*baseline.Trend), since: now}
 }
 
 // admit reports whether a request of a route may start.
@@ -87,14 +88,14 @@
 func (p *pressure) observe(now time.Time, route string, half, timely time.Duration) {
 	usual := p.usual[route]
 	if usual == nil {
-		usual = &usualTime{}
+		usual = &baseline.Trend{}
 		p.usual[route] = usual
 	}
 	p.ended++
-	if half > timely && float64(half) > usualFactor*usual.lowest() {
+	if half > timely && float64(half) > usualFactor*usual.Lowest() {
 		p.overloaded++
 	}
-	usual.add(now, half)
+	usual.Add(now, half, usualWeight, usualAge)
 	if now.Sub(p.since) >= pressureSpan && p.ended >= pressureLeast {
 		p.adjust(now)
 	}
@@ -109,32 +110,6 @@
 	p.ended, p.overloaded, p.since = 0, 0, now
 }
 
-// usualTime is the lowest smoothed value of the last one to two periods.
-type usualTime struct {
-	smoothed       float64
-	low, lowBefore float64
-	since          time.Time
-}
-
-func (u *usualTime) add(now time.Time, d time.Duration) {
-	if u.smoothed == 0 {
-		u.smoothed = float64(d)
-	}
-	u.smoothed += usualWeight * (float64(d) - u.smoothed)
-	if u.low == 0 || now.Sub(u.since) >= usualAge {
-		u.lowBefore, u.low, u.since = u.low, u.smoothed, now
-	}
-	u.low = min(u.low, u.smoothed)
-}
-
-// lowest returns 0 before the first value.
-func (u *usualTime) lowest() float64 {
-	if u.lowBefore > 0 {
-		return min(u.low, u.lowBefore)
-	}
-	return u.low
-}
-
 // comeBack draws the time after which a refused caller may return.
 func comeBack(rng *rand.Rand) time.Duration {
 	return comeBackLeast + time.Duration(rng.Int64N(int64(comeBackSpread)))
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/baobabsail/baobabsail/core/baseline"
 )
 
 const (
@@ -46,18 +48,16 @@
 type aimd struct {
 	limit, least, most float64
 	// ignoreDelay leaves queueing delay out of account.
-	ignoreDelay    bool
-	latency        float64
-	low, lowBefore float64
-	lowSince       time.Time
-	pausedUntil    time.Time
+	ignoreDelay bool
+	trend       baseline.Trend
+	pausedUntil time.Time
 	// settled ends the fast growth of a new limit.
 	settled bool
 }
 
 func (a *aimd) value() float64 { return a.limit }
 
-func (a *aimd) smoothed() time.Duration { return time.Duration(a.latency) }
+func (a *aimd) smoothed() time.Duration { return time.Duration(a.trend.Smoothed()) }
 
 func (a *aimd) bound(most float64) {
 	a.most = most
@@ -72,7 +72,7 @@
 	switch {
 	case shed:
 		factor = shedFactor
-	case !a.ignoreDelay && a.latency > delayRatio*a.baseline()+float64(delaySlack):
+	case !a.ignoreDelay && a.trend.Smoothed() > delayRatio*a.trend.Lowest()+float64(delaySlack):
 		factor = delayFactor
 	}
 	if factor == 0 {
@@ -86,7 +86,7 @@
 		return
 	}
 	a.limit = max(a.limit*factor, a.least)
-	a.pausedUntil = now.Add(max(time.Duration(a.latency), minPause))
+	a.pausedUntil = now.Add(max(a.smoothed(), minPause))
 }
 
 // grow adds to the limit. A limit that was never lowered doubles per round trip.
@@ -98,26 +98,10 @@
 	a.limit = min(a.limit+step, a.most)
 }
 
-// measure smooths the latency. The baseline is the lowest smoothed value: with
-// the lowest single latency, latencies that vary look like a queue, and 6 % of
-// the queries were refused at a fifth of the capacity.
+// measure smooths the latency. With the lowest single latency as the baseline,
+// 6 % of the queries were refused at a fifth of the capacity.
 func (a *aimd) measure(now time.Time, latency time.Duration) {
-	if a.latency == 0 {
-		a.latency = float64(latency)
-	}
-	a.latency += smooth * (float64(latency) - a.latency)
-	if a.low == 0 || now.Sub(a.lowSince) >= baselineAge {
-		a.lowBefore, a.low, a.lowSince = a.low, a.latency, now
-	}
-	a.low = min(a.low, a.latency)
-}
-
-// baseline is the lowest smoothed latency of the last one to two periods.
-func (a *aimd) baseline() float64 {
-	if a.lowBefore > 0 {
-		return min(a.low, a.lowBefore)
-	}
-	return a.low
+	a.trend.Add(now, latency, smooth, baselineAge)
 }
 
 // Quota returns how many connections one of liveNodes nodes may hold to a
--- a/core/limit/overload_test.go
+++ b/core/limit/overload_test.go
@@ -24,12 +24,12 @@
 	if now.Before(g.pausedUntil) {
 		return
 	}
-	g.pausedUntil = now.Add(max(time.Duration(g.latency), minPause))
+	g.pausedUntil = now.Add(max(g.smoothed(), minPause))
 	if shed {
 		g.limit = max(g.limit*shedFactor, g.least)
 		return
 	}
-	ratio := min(max(1.5*g.baseline()/g.latency, 0.5), 1)
+	ratio := min(max(1.5*g.trend.Lowest()/g.trend.Smoothed(), 0.5), 1)
 	next := g.limit*ratio + math.Sqrt(g.limit)*0.25
 	if next < g.limit || busy {
 		g.limit = min(max(0.8*g.limit+0.2*next, g.least), g.most)
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -286,18 +286,11 @@
 // SweepIdle closes connections that were idle for longer than the
 // configuration allows, until ctx ends.
 func (c *Callers) SweepIdle(ctx context.Context) {
-	ticker := time.NewTicker(idleSweep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if limits := c.loop.Limits(); limits != nil && limits.IdleTimeout > 0 {
-				c.closeIdleSince(now.Add(-limits.IdleTimeout - idleSlack))
-			}
+	every(ctx, idleSweep, func(now time.Time) {
+		if limits := c.loop.Limits(); limits != nil && limits.IdleTimeout > 0 {
+			c.closeIdleSince(now.Add(-limits.IdleTimeout - idleSlack))
 		}
-	}
+	})
 }
 
 func (c *Callers) closeIdleSince(limit time.Time) {
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -135,15 +135,18 @@
 }
 
 // SweepIdle closes connections that are not used any more, until ctx ends.
-func (t *Targets) SweepIdle(ctx context.Context) {
-	ticker := time.NewTicker(poolSweep)
+func (t *Targets) SweepIdle(ctx context.Context) { every(ctx, poolSweep, t.sweep) }
+
+// every calls f in an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			t.sweep(now)
+			f(now)
 		}
 	}
 }
