forward: nodes share replicas by rank where there are more nodes than connections

A node prefers the replicas for which a hash of both names is low, at least one of each service. No effect at today's sizes.

--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -28,13 +28,14 @@
 }
 
 // choose returns a replica with room for a part, or why there is none. A
-// replica that has gone quiet is taken only if there is no other, a silent one
-// only for a probe, and a hedge goes to neither a quiet nor a suspect replica:
-// waiting for any of them would help nobody.
+// replica that has gone quiet, or that other nodes prefer, is taken only if there
+// is no other; a silent one only for a probe; and a hedge goes to neither a
+// quiet nor a suspect replica: waiting for any of them would help nobody.
 func (e *Engine) choose(now time.Time, p *part, why purpose) (api.ReplicaName, api.Reason) {
 	e.candidates = e.candidates[:0]
 	reason := api.ReasonNoReplica
-	var quiet []api.ReplicaName
+	preferred := e.preferredRank(p.service)
+	var others []api.ReplicaName
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
 		if entry.Draining || slices.Contains(p.tried, name) {
@@ -50,14 +51,14 @@
 		if why == hedging && (e.quiet[name] || e.replicas.Suspect(name)) {
 			continue
 		}
-		if e.quiet[name] {
-			quiet = append(quiet, name)
+		if e.quiet[name] || entry.rank > preferred {
+			others = append(others, name)
 			continue
 		}
 		e.candidates = append(e.candidates, name)
 	}
 	if len(e.candidates) == 0 {
-		e.candidates = append(e.candidates, quiet...)
+		e.candidates = append(e.candidates, others...)
 	}
 	name, ok := e.replicas.Pick(now, e.candidates, nil)
 	if !ok {
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabsail/baobabsail/core/api"
 )
 
@@ -10,6 +13,9 @@
 	// connectionShare is the part of a replica's connections that the nodes
 	// use; the rest covers connections that lost nodes left behind.
 	connectionShare = 0.85
+	// preferredShare is the same where nodes share the replicas by rank: chance
+	// gives some replicas more nodes than others.
+	preferredShare = 0.7
 	// rejectFirst and rejectMost bound the wait before another connection is
 	// opened to a replica that has rejected one; it doubles.
 	rejectFirst = 50 * time.Millisecond
@@ -49,6 +55,31 @@
 	return max(quota, 1)
 }
 
+// preferredRank returns the rank up to which a node prefers the replicas of a
+// service. If the nodes can have less than one connection each to a replica,
+// they share the replicas: a node prefers those of low rank, a hash of both
+// names, and at least the one of the lowest rank. No exchange is needed.
+func (e *Engine) preferredRank(service api.ServiceName) float64 {
+	most := e.table.Services[service].MaxConnections
+	if most == 0 || connectionShare*float64(most) >= float64(e.nodes) {
+		return 1
+	}
+	part := preferredShare * float64(most) / float64(e.nodes)
+	lowest := 1.0
+	for _, name := range e.registry.byService[service] {
+		if entry := e.registry.entries[name]; !entry.Draining {
+			lowest = min(lowest, entry.rank)
+		}
+	}
+	return max(part, lowest)
+}
+
+// rank returns a number from 0 to 1 for this node and a replica, evenly spread
+// over nodes.
+func (e *Engine) rank(name api.ReplicaName) float64 {
+	return float64(xxhash.Sum64String(e.settings.Node+"/"+string(name))) / math.MaxUint64
+}
+
 // hasRoom reports whether an attempt may go to a replica now: over an idle
 // connection, or over a new one if that is within the quota and the replica has
 // not just rejected one.
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -15,6 +15,8 @@
 
 // Settings describe one engine.
 type Settings struct {
+	// Node is the name of the node, different from all others'.
+	Node       string
 	DataCentre api.DataCentre
 	Seed       uint64
 	// BudgetWindow, BudgetShare and BudgetConstant bound the extra attempts of
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -21,6 +21,8 @@
 	sends   []Send
 	cancels []AttemptID
 	answers map[api.RequestID]Answer
+	// accepted is the number of connections that each replica accepts.
+	accepted int
 	// published holds the notices for other nodes.
 	published []gossip.Notice
 }
@@ -33,7 +35,7 @@
 	if change != nil {
 		change(&s)
 	}
-	h := &harness{t: t, e: New(s), now: start, answers: make(map[api.RequestID]Answer)}
+	h := &harness{t: t, e: New(s), now: start, answers: make(map[api.RequestID]Answer), accepted: 25}
 	h.step(Members{Nodes: 1})
 	return h
 }
@@ -80,7 +82,7 @@
 	var services []routing.Service
 	for i := range shards {
 		names = append(names, shard(i))
-		services = append(services, routing.Service{Name: shard(i), MaxConnections: 25})
+		services = append(services, routing.Service{Name: shard(i), MaxConnections: h.accepted})
 	}
 	one := []routing.Weighted{{Service: shard(0), Weight: 1}}
 	routes := []routing.Route{
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -22,6 +22,7 @@
 
 type registered struct {
 	Registration
+	rank float64 // see preferredRank
 	// removeAt is set while the registration is missing after an outage.
 	removeAt time.Time
 }
@@ -55,7 +56,7 @@
 	case old.Draining != reg.Draining:
 		e.log("replica_changed", "replica", reg.Replica, "service", reg.Service, "draining", reg.Draining)
 	}
-	e.registry.entries[reg.Replica] = &registered{Registration: reg}
+	e.registry.entries[reg.Replica] = &registered{Registration: reg, rank: e.rank(reg.Replica)}
 	e.replicas.Set(now, reg.Replica, balance.Spec{
 		Address: reg.Address, DataCentre: reg.DataCentre, Slots: reg.Slots,
 		Drained: reg.Draining, ColdFor: reg.ColdFor,
--- a/core/forward/replica_test.go
+++ b/core/forward/replica_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -233,3 +234,40 @@
 		t.Errorf("%d of 100 answers leave out a shard that answers", partial)
 	}
 }
+
+// Guards against more nodes holding connections to a replica than it accepts,
+// where there are more nodes than connections, and against a node without a
+// replica of some shard.
+func TestNodesShareReplicasThatAcceptFewConnections(t *testing.T) {
+	const nodes, shards, each, accepted = 63, 90, 3, 54
+	users := make(map[api.ReplicaName]int)
+	for n := range nodes {
+		h := newHarness(t, func(s *Settings) { s.Node = fmt.Sprint("node-", n) })
+		h.step(Members{Nodes: nodes})
+		h.accepted = accepted
+		h.table(1, shards)
+		h.replicas(shards, each)
+		used := make(map[api.ReplicaName]bool)
+		for range 20 {
+			h.request("/all/x")
+			for _, s := range h.take() {
+				used[s.Replica] = true
+				h.ok(s, "aa")
+			}
+		}
+		if len(used) < shards {
+			t.Errorf("node %d uses %d replicas of %d shards", n, len(used), shards)
+		}
+		for name := range used {
+			users[name]++
+		}
+	}
+	most := 0
+	for _, n := range users {
+		most = max(most, n)
+	}
+	t.Logf("at most %d of %d nodes use one replica, which accepts %d connections", most, nodes, accepted)
+	if most > accepted {
+		t.Errorf("%d nodes use one replica", most)
+	}
+}
