--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -171,6 +171,9 @@
 		e.registry.storeLost = true
 	case StoreBack:
 		e.storeBack(now)
+	case BudgetChanged:
+		e.settings.BudgetShare, e.settings.BudgetConstant = ev.Share, ev.Constant
+		clear(e.budgets) // they start empty, which is the careful side
 	case NoticesRead:
 		e.learnNotices(now, ev.Notices)
 	case Members:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -187,6 +187,13 @@
 	Notices []gossip.Notice
 }
 
+// BudgetChanged replaces the bound on extra attempts in the settings.
+type BudgetChanged struct {
+	event
+	Share    float64
+	Constant float64
+}
+
 // Members is the number of nodes that are registered, this one included.
 type Members struct {
 	event
