forward: a replica's failure whose status promises not run is not passed on

A replica that ran a request and answers 408, 421, 429 or 503 without its mark of a refusal would make the tier promise what is not true; the caller gets 502. After a stall, idle connections to the replica are closed as well. Test first: TestFailureThatLooksLikeARefusalIsNotPassedOn.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -172,7 +172,9 @@
 		e.releaseHeld(now, r)
 	case ReplyError:
 		r.mayHaveRun = true
-		r.failure = reply
+		if !reply.PromisesNotRun {
+			r.failure = reply
+		}
 		e.survived(now, r)
 		e.again(now, r, a.part, api.ReasonFailed)
 	case ReplyRefused:
@@ -310,6 +312,8 @@
 	e.counts.Inc(count.Discarded, "stalled")
 	e.log("attempt_stalled", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
 		"after_ms", now.Sub(a.sentAt).Milliseconds())
+	// Idle connections may have gone silent for the same reason.
 	e.act(Cancel{Attempt: id})
+	e.act(CloseIdle{Replica: a.replica})
 	e.resume(now, a.service)
 }
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -82,8 +82,9 @@
 	// Proof is the replica's evidence that it ran the request.
 	Proof string
 	Body  []byte
-	// Leaving is set if the replica ends the connection after this reply.
-	Leaving bool
+	// PromisesNotRun is set if callers take the status for a promise that the
+	// request has not run. It is false of a ReplyError, which must not reach them.
+	PromisesNotRun bool
 	// Wire is the driver's own form of the reply.
 	Wire any
 }
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -12,6 +12,8 @@
 const (
 	// hedgeQuantile is the share of attempts that end before a hedge is due.
 	hedgeQuantile = 0.93
+	// longestTimeout applies to a route without a timeout.
+	longestTimeout = 30 * time.Second
 	// answerMargin and one answerMarginPart of the target time are kept for
 	// building and sending an answer on a busy VM, besides the time that it travels.
 	answerMargin     = 4 * time.Millisecond
@@ -138,9 +140,12 @@
 		id: ev.Request, message: ev.Message, route: route, version: e.table.Version, start: now,
 		deadline: now.Add(route.Timeout),
 	}
+	if route.Timeout == 0 {
+		r.deadline = now.Add(longestTimeout)
+	}
 	if ev.Patience != 0 {
 		patience := now.Add(ev.Patience - ev.Transit - answerMargin)
-		if route.Timeout == 0 || patience.Before(r.deadline) {
+		if patience.Before(r.deadline) {
 			r.deadline = patience
 		}
 	}
--- a/core/forward/request_test.go
+++ b/core/forward/request_test.go
@@ -122,6 +122,17 @@
 	}
 }
 
+// Guards against a replica's failure reaching the caller with a status that
+// promises that the request has not run, although it has.
+func TestFailureThatLooksLikeARefusalIsNotPassedOn(t *testing.T) {
+	h := ready(t, 1)
+	id := h.request("/order/x")
+	h.reply(h.take()[0], Reply{Kind: ReplyError, Proof: "p", PromisesNotRun: true})
+	if a := h.answer(id); a.Outcome == api.NotRun || a.Outcome == api.Answered || a.Reply != nil {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 // Guards against work for a caller that has left.
 func TestCallerGoneCancelsAllAttempts(t *testing.T) {
 	h := ready(t, 3)
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -227,8 +227,9 @@
 func (c *conn) classify(response *http.Response, body []byte) forward.Reply {
 	h := response.Header
 	reply := forward.Reply{
-		Proof: h.Get(c.targets.names.Proof), Body: body, Leaving: response.Close,
-		Wire: &wireReply{status: response.StatusCode, header: h},
+		Proof: h.Get(c.targets.names.Proof), Body: body,
+		PromisesNotRun: promisesNotRun(response.StatusCode),
+		Wire:           &wireReply{status: response.StatusCode, header: h},
 	}
 	ok := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
@@ -246,6 +247,16 @@
 	return reply
 }
 
+// promisesNotRun reports whether callers send a request with this status again
+// even if it must not run twice.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // end removes the connection and reports the request that was on it.
 func (c *conn) end(loss forward.Loss) {
 	t := c.targets
