relay: a new connection is watched before the request is sent

Change: 2 ms are waited, in which the replica is busy with the connection anyway; a connection that ends then has carried nothing, the request goes elsewhere or waits without an extra attempt, and "not run" is known. An end after the request was sent is no longer taken for a full replica.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -219,10 +219,9 @@
 	case LostStale:
 		e.replicas.Unsent(a.replica) // says nothing about the replica
 		e.lostOn(now, a)
-	case LostFresh:
+	case LostLimited:
 		e.replicas.Unsent(a.replica)
-		e.rejected(now, a)
-		e.lostOn(now, a)
+		e.limited(now, a)
 	case LostBroken:
 		e.replicas.Lost(now, a.replica)
 		e.lostOn(now, a)
@@ -248,8 +247,8 @@
 		return "refused"
 	case LostUnsent:
 		return "unsent"
-	case LostFresh:
-		return "rejected"
+	case LostLimited:
+		return "limited"
 	case LostStale:
 		return "stale"
 	}
@@ -259,7 +258,7 @@
 func (e *Engine) settleLoss(now time.Time, a *attempt, loss Loss) {
 	r := a.request
 	p := &r.parts[a.part]
-	if loss != LostRefused && loss != LostUnsent {
+	if loss == LostBroken || loss == LostStale {
 		r.mayHaveRun = true
 		r.lost++
 		if r.route.Sharded() && !r.survived && r.lost > freeRetries && len(p.live) == 0 {
@@ -270,8 +269,11 @@
 		return
 	}
 	// Nothing arrived at the replica, so that another one may be tried without
-	// an extra attempt being spent.
+	// an extra attempt being spent, and a full one later.
 	p.sends--
+	if loss == LostLimited {
+		p.tried = slices.DeleteFunc(p.tried, func(name api.ReplicaName) bool { return name == a.replica })
+	}
 	if len(p.live) == 0 {
 		e.dispatch(now, r, a.part)
 	}
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -16,10 +16,10 @@
 	// preferredShare is the same where nodes share the replicas by rank: chance
 	// gives some replicas more nodes than others.
 	preferredShare = 0.7
-	// rejectFirst and rejectMost bound the wait before another connection is
-	// opened to a replica that has rejected one; it doubles.
-	rejectFirst = 50 * time.Millisecond
-	rejectMost  = time.Second
+	// pauseFirst and pauseMost bound the wait before another connection is
+	// opened to a replica that accepts no more; it doubles.
+	pauseFirst = 50 * time.Millisecond
+	pauseMost  = time.Second
 )
 
 // connections is what is known of the connections to one replica. Each carries
@@ -30,9 +30,9 @@
 	// used is the number of attempts on their way, each on its own connection,
 	// which may still be opening.
 	used int
-	// opensAt is when the next connection may be opened, after a rejection.
+	// opensAt is when the next connection may be opened, after one was not accepted.
 	opensAt time.Time
-	// wait is the time between the last rejection and opensAt.
+	// wait is the time between that and opensAt.
 	wait time.Duration
 }
 
@@ -82,7 +82,7 @@
 
 // hasRoom reports whether an attempt may go to a replica now: over an idle
 // connection, or over a new one if that is within the quota and the replica has
-// not just rejected one.
+// not just ended one.
 func (c *connections) hasRoom(now time.Time, quota int) bool {
 	if c.used >= quota {
 		return false
@@ -90,14 +90,14 @@
 	return c.used < c.open || !now.Before(c.opensAt)
 }
 
-// rejected handles a replica that ended a new connection at once. It probably
-// has no more to give: those of nodes that were lost count until it notices.
-func (e *Engine) rejected(now time.Time, a *attempt) {
+// limited handles a replica that accepts no more connections: those of nodes
+// that were lost count until it notices.
+func (e *Engine) limited(now time.Time, a *attempt) {
 	c := e.connections(a.replica)
 	if now.Before(c.opensAt) {
 		return // one of several at the same time
 	}
-	c.wait = min(max(2*c.wait, rejectFirst), rejectMost)
+	c.wait = min(max(2*c.wait, pauseFirst), pauseMost)
 	c.opensAt = now.Add(c.wait)
 	e.timers.Set(c.opensAt, timer{service: a.service})
 }
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -107,9 +107,9 @@
 	LostUnsent
 	// LostBroken means that the connection ended after the request was sent.
 	LostBroken
-	// LostFresh is LostBroken on a new connection, with no byte of an answer: the
-	// replica may accept no more connections.
-	LostFresh
+	// LostLimited means that the replica ended a new connection before anything
+	// was sent: it accepts no more.
+	LostLimited
 	// LostStale is LostBroken on a connection that had been used before, with no
 	// byte of an answer: the replica had probably closed it while idle.
 	LostStale
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,9 @@
 const (
 	// readBuffer holds the header of an answer and a small body.
 	readBuffer = 2 << 10
+	// acceptWait is how long a new connection is watched before the request is
+	// sent.
+	acceptWait = 2 * time.Millisecond
 	// replyBytes bounds the body of an answer.
 	replyBytes = 16 << 20
 )
@@ -69,12 +73,30 @@
 		c.keep(idleMost)
 	}
 	c.targets.mu.Unlock()
+	if x != nil && !c.accepted() {
+		c.end(forward.LostLimited)
+		return
+	}
 	if x != nil {
 		c.write(x)
 	}
 	c.read()
 }
 
+// accepted waits a moment to see whether the replica ends the new connection at
+// once because it has too many. The request is then known not to have run. The
+// replica spends longer on a new connection, so that no time is lost.
+func (c *conn) accepted() bool {
+	if err := c.socket.SetReadDeadline(time.Now().Add(acceptWait)); err != nil {
+		return false // the connection has ended
+	}
+	_, err := c.reader.Peek(1)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return c.socket.SetReadDeadline(time.Time{}) == nil
+}
+
 // write sends a request. A failure shows at the reading side as well, which
 // reports it.
 func (c *conn) write(x *exchange) {
@@ -136,13 +158,10 @@
 func (c *conn) lossOf(answered bool) forward.Loss {
 	c.targets.mu.Lock()
 	defer c.targets.mu.Unlock()
-	switch {
-	case answered:
-		return forward.LostBroken
-	case c.reused:
+	if c.reused && !answered {
 		return forward.LostStale
 	}
-	return forward.LostFresh
+	return forward.LostBroken
 }
 
 // answer reads one answer and reports it. An error ends the connection.
