--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -68,9 +68,10 @@
 	e.connections(name).used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
+	entry := e.registry.entries[name]
 	e.act(Send{
-		Attempt: a.id, Message: r.message, Replica: name,
-		Address: e.registry.entries[name].Address, Left: r.deadline.Sub(now),
+		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
+		Brief: entry.rank > e.preferredRank(p.service), Left: r.deadline.Sub(now),
 	})
 }
 
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -13,9 +13,10 @@
 	// connectionShare is the part of a replica's connections that the nodes
 	// use; the rest covers connections that lost nodes left behind.
 	connectionShare = 0.85
-	// preferredShare is the same where nodes share the replicas by rank: chance
-	// gives some replicas more nodes than others.
-	preferredShare = 0.7
+	// preferredShare is the part of a replica's connections that nodes use which
+	// prefer it. If all nodes lose power, those connections stay open for some
+	// seconds beside the new ones, so that less than half may be in use.
+	preferredShare = 0.45
 	// pauseFirst and pauseMost bound the wait before another connection is
 	// opened to a replica that accepts no more; it doubles.
 	pauseFirst = 50 * time.Millisecond
@@ -56,15 +57,15 @@
 }
 
 // preferredRank returns the rank up to which a node prefers the replicas of a
-// service. If the nodes can have less than one connection each to a replica,
-// they share the replicas: a node prefers those of low rank, a hash of both
+// service. If the preferred share is less than one connection for each node, the
+// nodes share the replicas: a node prefers those of low rank, a hash of both
 // names, and at least the one of the lowest rank. No exchange is needed.
 func (e *Engine) preferredRank(service api.ServiceName) float64 {
 	most := e.table.Services[service].MaxConnections
-	if most == 0 || connectionShare*float64(most) >= float64(e.nodes) {
+	part := preferredShare * float64(most) / float64(e.nodes)
+	if most == 0 || part >= 1 {
 		return 1
 	}
-	part := preferredShare * float64(most) / float64(e.nodes)
 	lowest := 1.0
 	for _, name := range e.registry.byService[service] {
 		if entry := e.registry.entries[name]; !entry.Draining {
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -215,6 +215,9 @@
 	Message *Message
 	Replica api.ReplicaName
 	Address string
+	// Brief is set if the connection should not be kept long: other nodes
+	// prefer the replica.
+	Brief bool
 	// Left is how long the caller still waits.
 	Left time.Duration
 }
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -42,6 +42,7 @@
 	closed  bool
 	// reused is set once a second request is sent.
 	reused      bool
+	brief       bool // not to be kept long
 	usableUntil time.Time
 	idleSince   time.Time
 	// writing is set while a long body is being written.
@@ -223,6 +224,9 @@
 
 // keep makes the connection idle. It is called with mu held.
 func (c *conn) keep(most time.Duration) {
+	if c.brief {
+		most = min(most, spareIdle)
+	}
 	c.idleSince = time.Now()
 	c.usableUntil = c.idleSince.Add(most)
 	c.targets.idle[c.replica] = append(c.targets.idle[c.replica], c)
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -69,7 +69,7 @@
 	t.mu.Lock()
 	c := t.takeIdle(a.Replica, a.Address)
 	if c == nil {
-		c = &conn{targets: t, replica: a.Replica, address: a.Address}
+		c = &conn{targets: t, replica: a.Replica, address: a.Address, brief: a.Brief}
 		c.current = x
 		t.attempts[a.Attempt] = c
 		t.mu.Unlock()
@@ -77,7 +77,7 @@
 		return
 	}
 	c.current = x
-	c.reused = true
+	c.reused, c.brief = true, a.Brief
 	t.attempts[a.Attempt] = c
 	t.mu.Unlock()
 	c.write(x)
