forward: a slow VM lets answers leave earlier; a far caller causes no hedges at once

Cause (trial, copy of a site file with 0.15 cores, 4 ms between data centres and 10 ms to clients): answers that left at the target time reached their callers late, because sending took longer than the fixed margin; and a caller whose connection is new leaves no time to the target there, so that every part was hedged at once. Test first: TestFarCallerCausesNoHedgeAtOnce, TestAnswersLeaveEarlierOnASlowVM. Change: the time from the target to the hand-over of such answers is measured; its 0.9 quantile and 2 ms are kept if that is more.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -60,6 +60,9 @@
 	case r.route.Sharded() && r.enough(r.covered):
 		a.Outcome = api.Answered
 		a.Merged = r.merged()
+		if reason == api.ReasonEarlyReturn {
+			a.DueAt = r.target
+		}
 	case !r.route.Sharded() && r.covered == 1:
 		a.Outcome = api.Answered
 		a.Reply = &r.parts[0].reply
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -7,6 +7,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
@@ -66,7 +67,9 @@
 	replicas *balance.Replicas
 	registry registry
 	delays   *retry.Delay
-	budgets  map[api.ServiceName]*retry.Window
+	// lag is how long after the target time answers are sent that leave then.
+	lag     quantile.Estimate
+	budgets map[api.ServiceName]*retry.Window
 	// started is the time of the first event.
 	started time.Time
 	nodes   int
@@ -151,6 +154,8 @@
 		e.arrived(now, ev)
 	case CallerGone:
 		e.callerGone(now, ev.Request)
+	case AnswerSent:
+		e.lag.Add(now, ev.Late)
 	case Replied:
 		e.replied(now, &ev)
 	case Lost:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -89,6 +89,13 @@
 	Wire any
 }
 
+// AnswerSent says how long after its target time an answer that left then was
+// handed to the caller's connection.
+type AnswerSent struct {
+	event
+	Late time.Duration
+}
+
 // Replied is a replica's answer to Send.
 type Replied struct {
 	event
@@ -250,6 +257,9 @@
 	Merged *Merged
 	// RetryAfter is when the caller may come back, if Outcome is NotRun.
 	RetryAfter time.Duration
+	// DueAt is the target time at which an answer leaves that lacks parts; zero
+	// for others. The driver reports AnswerSent for it.
+	DueAt time.Time
 }
 
 // Merged is the answer of a sharded route.
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -18,6 +18,11 @@
 	// building and sending an answer on a busy VM, besides the time that it travels.
 	answerMargin     = 4 * time.Millisecond
 	answerMarginPart = 20
+	// lagQuantile of the lags is kept instead if it is more, from lagSamples on,
+	// up to one lagDivisor of the target time.
+	lagQuantile = 0.9
+	lagSamples  = 20
+	lagDivisor  = 3
 	// hedgeDivisor caps the hedge delay at this part of the target time, so that
 	// the second attempt has at least twice as long as the first one had.
 	hedgeDivisor = 3
@@ -151,9 +156,12 @@
 	}
 	r.target = r.deadline
 	if route.Target > 0 {
-		r.target = now.Add(route.Target - ev.Transit - answerMargin - route.Target/answerMarginPart)
+		r.target = now.Add(route.Target - ev.Transit - e.answerMargin(route.Target))
 	}
 	left := r.target.Sub(now)
+	if left < hedgeDivisor*retry.DefaultFloor {
+		left = r.deadline.Sub(now) // the target cannot be met
+	}
 	r.hedgeAfter = min(e.delays.Hedge(delayKey(route), left), max(left/hedgeDivisor, retry.DefaultFloor))
 	if !route.Sharded() {
 		r.parts = []part{{service: e.splitter.Choose(route)}}
@@ -169,6 +177,16 @@
 	return r
 }
 
+// answerMargin returns the time kept for sending an answer at the target time:
+// a fixed part, or more on a VM that has been seen to need more.
+func (e *Engine) answerMargin(target time.Duration) time.Duration {
+	margin := answerMargin + target/answerMarginPart
+	if e.lag.Count() < lagSamples {
+		return margin
+	}
+	return min(max(margin, e.lag.Value(lagQuantile)+answerMargin/2), max(target/lagDivisor, margin))
+}
+
 // delayKey is the name under which the latencies of a route are observed. The
 // parts of all shards share it: they do the same work.
 func delayKey(route *routing.Route) api.ServiceName { return api.ServiceName(route.Name) }
--- a/core/forward/request_test.go
+++ b/core/forward/request_test.go
@@ -49,6 +49,54 @@
 	}
 }
 
+// Guards against a hedge of every part at once for a caller so far away that
+// the target cannot be met.
+func TestFarCallerCausesNoHedgeAtOnce(t *testing.T) {
+	h := ready(t, 4)
+	h.next++
+	h.step(Arrived{
+		Request: h.next, Patience: 800 * time.Millisecond, Transit: 200 * time.Millisecond,
+		Message: &Message{Host: "h", Path: "/all/x", CallerRequest: "far"},
+	})
+	h.advance(2 * time.Millisecond)
+	if n := len(h.take()); n != 4 {
+		t.Errorf("%d attempts for 4 parts after 2 ms", n)
+	}
+}
+
+// Guards against answers that leave at the target time and reach their callers
+// after it, because the VM needs long to send them.
+func TestAnswersLeaveEarlierOnASlowVM(t *testing.T) {
+	h := ready(t, 4)
+	leaves := func() time.Duration {
+		id := h.request("/all/x")
+		begun := h.now
+		sends := h.take()
+		for _, s := range sends[:3] {
+			h.ok(s, "aa")
+		}
+		for h.answers[id].Outcome == 0 {
+			h.advance(time.Millisecond)
+		}
+		took := h.now.Sub(begun)
+		h.step(AnswerSent{Late: 15 * time.Millisecond})
+		for _, s := range append(sends[3:], h.take()...) {
+			h.ok(s, "aa") // late, so that the replicas do not count as silent
+		}
+		h.advance(time.Second)
+		return took
+	}
+	if first := leaves(); first < 70*time.Millisecond || first > 75*time.Millisecond {
+		t.Errorf("the first answer leaves after %v", first)
+	}
+	for range 30 {
+		leaves()
+	}
+	if later := leaves(); later > 66*time.Millisecond || later < 50*time.Millisecond {
+		t.Errorf("an answer leaves after %v, although sending takes 15 ms", later)
+	}
+}
+
 // Guards against an answer below the smallest coverage: it waits beyond the
 // target, and fails as soon as the coverage cannot be reached.
 func TestCoverageBelowTheMinimumIsNoAnswer(t *testing.T) {
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -104,6 +104,9 @@
 	select {
 	case a := <-answers:
 		c.write(w, r, &a)
+		if !a.DueAt.IsZero() {
+			c.loop.Post(forward.AnswerSent{Late: c.loop.now().Sub(a.DueAt)})
+		}
 		c.observe.Latency(a.Route, a.Outcome.String(), time.Since(begun))
 	case <-r.Context().Done():
 		c.loop.forget(id)
