--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -51,6 +51,9 @@
 	// which the nodes disagree on their number.
 	steadyConstant = 0.55
 	freshConstant  = 0.25
+	// quarantineInterval is how often cases of the quarantine that are over are
+	// dropped; they last for an hour.
+	quarantineInterval = 10 * time.Second
 	// hedgePart is the part of the budget that hedges may use; the rest is kept
 	// for attempts that replace failed ones.
 	hedgePart = 0.6
@@ -89,6 +92,8 @@
 	// heardAt is when a replica answered last.
 	heardAt    map[api.ReplicaName]time.Time
 	quarantine *quarantine.Registry
+	// quarantineTick is when cases that are over were dropped last.
+	quarantineTick time.Time
 	// losses holds, per replica, the attempts that were lost since it answered last.
 	losses map[api.ReplicaName][]loss
 	// pressures holds the admission of sharded requests, by their first shard.
@@ -184,7 +189,10 @@
 	case Members:
 		e.members(now, ev.Nodes)
 	}
-	e.quarantine.Tick(now)
+	if now.Sub(e.quarantineTick) >= quarantineInterval {
+		e.quarantineTick = now
+		e.quarantine.Tick(now)
+	}
 	e.runTimers(now)
 	return e.out
 }
