--- a/cmd/baobabd/main.go
+++ b/cmd/baobabd/main.go
@@ -32,7 +32,9 @@
 	File string `arg:"" help:"Settings file; see docs/settings.md."`
 }
 
-type platformCommand struct{}
+type platformCommand struct {
+	Check string `help:"Check a settings file of the platform instead, and report every problem." placeholder:"FILE"`
+}
 
 type checkCommand struct {
 	File string `arg:"" help:"Settings file; see docs/settings.md."`
@@ -59,7 +61,7 @@
 		return program.ExitUsage
 	}
 	if parsed.Command() == "platform" {
-		return servePlatform(stdout, stderr)
+		return runPlatform(a.Platform, stdout, stderr)
 	}
 	file := a.Run.File
 	check := parsed.Command() == "check-settings <file>"
@@ -97,14 +99,23 @@
 	return program.ExitOK
 }
 
-// servePlatform runs a node on the users' platform, which names the settings
-// file in the environment and reads the log from standard output.
-func servePlatform(stdout, stderr io.Writer) int {
-	s, err := platform.LoadSettings()
+// runPlatform runs a node on the users' platform, which names the settings file
+// in the environment and reads the log from standard output, or checks a
+// settings file.
+func runPlatform(c platformCommand, stdout, stderr io.Writer) int {
+	read := platform.LoadSettings
+	if c.Check != "" {
+		read = func() (*platform.Settings, error) { return platform.ReadSettings(c.Check) }
+	}
+	s, err := read()
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "baobabd: %v\n", err)
 		return program.ExitUsage
 	}
+	if c.Check != "" {
+		_, _ = fmt.Fprintf(stdout, "%s: no problems\n", c.Check)
+		return program.ExitOK
+	}
 	if err := platform.Run(s, stdout); err != nil {
 		return program.ExitFailed
 	}
--- a/cmd/baobabd/main_test.go
+++ b/cmd/baobabd/main_test.go
@@ -39,6 +39,7 @@
 		{"run " + bad, program.ExitUsage, bad + ":1: callers.listen: is missing"},
 		{"run /absent", program.ExitUsage, "/absent:0: "},
 		{"run", program.ExitUsage, "expected"},
+		{"platform --check " + bad, program.ExitUsage, "node_name is missing"},
 		{"fly", program.ExitUsage, "fly"},
 	}
 	for _, c := range cases {
