--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -127,7 +127,8 @@
 	for _, n := range notices {
 		if e.quarantine.Learn(now, n) {
 			e.log("notice_learned", "kind", n.Kind, "fingerprint", n.Fingerprint, "crashes", n.Crashes)
-			e.publish(e.quarantine.Respond(now, n))
 		}
+		// A notice that changes nothing here may still explain a crash.
+		e.publish(e.quarantine.Respond(now, n))
 	}
 }
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -132,6 +132,9 @@
 	newer := n.Version > c.version || n.Version == c.version && to > c.state
 	// A conviction counts beside a later suspicion by a node that did not know of
 	// it, in whichever order the two arrive.
+	if !newer && to == cleared {
+		return c.endConviction(n.Version)
+	}
 	if !newer && (to != convicted || c.state != suspect) {
 		if n.Version == c.version && to == c.state {
 			c.extend(until)
@@ -146,12 +149,27 @@
 		c.clear(n.Version, until)
 		return true
 	}
+	if to == convicted {
+		c.convictedAt = n.Version
+	}
 	c.state, c.version = to, max(c.version, n.Version)
 	c.until = until
 	c.mergeCrashes(n)
 	return true
 }
 
+// endConviction handles a clearing that is older than what this node itself has
+// seen since: the suspicion stays, but a conviction that the clearing followed
+// ends, whichever of the two arrives first.
+func (c *record) endConviction(clearing uint64) bool {
+	c.clearedAt = max(c.clearedAt, clearing)
+	if c.state != convicted || c.convictedAt >= clearing {
+		return false
+	}
+	c.state, c.convictedAt = suspect, 0
+	return true
+}
+
 func (c *record) mergeCrashes(n gossip.Notice) {
 	c.addCrash(crash{n.Replica, n.Incarnation})
 	c.reported = max(c.reported, n.Crashes)
--- a/core/quarantine/learn_test.go
+++ b/core/quarantine/learn_test.go
@@ -113,3 +113,24 @@
 	elsewhere.Learn(epoch, cleared[0])
 	want(t, elsewhere, epoch, Run)
 }
+
+// Guards against a conviction that stays although its node took it back, at a
+// node with a later suspicion of its own: the conviction counts beside that
+// suspicion, and so must its end, in whichever order the two notices arrive.
+func TestTakenBackConvictionEndsBesideALaterSuspicion(t *testing.T) {
+	start := time.UnixMilli(1_800_000_000_000)
+	convicted := gossip.Notice{
+		Kind: gossip.NoticeConvicted, Fingerprint: fp, Replica: "r1", Incarnation: 1, Crashes: 2,
+		Version: uint64(start.UnixMilli()), TimeToLive: time.Hour,
+	}
+	back := gossip.Notice{Kind: gossip.NoticeCleared, Fingerprint: fp, Version: convicted.Version + 1, TimeToLive: time.Hour}
+	for _, order := range [][]gossip.Notice{{convicted, back}, {back, convicted}} {
+		r := newRegistry()
+		later := start.Add(50 * time.Millisecond)
+		crashOf(r, later, "r2", fp)
+		for _, n := range order {
+			r.Learn(later, n)
+		}
+		want(t, r, later, RunAlone)
+	}
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -112,6 +112,8 @@
 	// crash. Such a request is convicted only by a crash during a probation run,
 	// because a popular request is in flight at every crash.
 	wasGood bool
+	// convictedAt is the version of the conviction.
+	convictedAt uint64
 	// convictedBy is the crash by which this node itself convicted the request.
 	convictedBy crash
 	// convictedAlone is set if that crash ended an isolated run.
@@ -258,7 +260,7 @@
 	c.until = now.Add(suspicionTime)
 	if known && c.total() >= 2 && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
 		c.state = convicted
-		c.convictedBy, c.convictedAlone = by, alone
+		c.convictedBy, c.convictedAlone, c.convictedAt = by, alone, c.version
 		c.until = now.Add(convictionTime)
 		r.counts.Inc(count.Quarantine, "convicted")
 	} else {
