--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -80,6 +80,9 @@
 // heard records an answer of a replica. If it had been silent, the cause may
 // have been on this side, so that all silent replicas are probed again.
 func (e *Engine) heard(now time.Time, name api.ReplicaName) {
+	if e.registry.entries[name] == nil {
+		return // it was removed meanwhile
+	}
 	e.heardAt[name] = now
 	delete(e.quiet, name)
 	delete(e.losses, name)
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -183,7 +183,6 @@
 		e.storeBack(now)
 	case BudgetChanged:
 		e.settings.BudgetShare, e.settings.BudgetConstant = ev.Share, ev.Constant
-		clear(e.budgets) // they start empty, which is the careful side
 	case NoticesRead:
 		e.learnNotices(now, ev.Notices)
 	case Members:
@@ -282,9 +281,9 @@
 func (e *Engine) budget(now time.Time, service api.ServiceName) *retry.Window {
 	b := e.budgets[service]
 	if b == nil {
-		b = retry.NewWindow(e.settings.BudgetWindow, e.settings.BudgetShare)
+		b = retry.NewWindow(e.settings.BudgetWindow)
 		e.budgets[service] = b
 	}
-	b.SetConstant(e.budgetConstant(now))
+	b.SetBound(e.settings.BudgetShare, e.budgetConstant(now))
 	return b
 }
--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -45,6 +45,9 @@
 
 // lostOn remembers an attempt that may have crashed its replica.
 func (e *Engine) lostOn(now time.Time, a *attempt) {
+	if e.registry.entries[a.replica] == nil {
+		return // it was removed meanwhile
+	}
 	list := e.losses[a.replica]
 	for len(list) > 0 && now.Sub(list[0].at) > crashWindow {
 		list = list[1:]
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -180,8 +180,8 @@
 func TestWindowBoundsEverySlidingSpan(t *testing.T) {
 	const length, share, constant = 10 * time.Second, 0.2, 6.0
 	rng := rand.New(rand.NewPCG(7, 8))
-	w := NewWindow(length, share)
-	w.SetConstant(constant)
+	w := NewWindow(length)
+	w.SetBound(share, constant)
 	var requests, extras []time.Time
 	now := start
 	for range 20_000 {
@@ -214,7 +214,8 @@
 // Guards against hedges that take the whole budget, and against a refund that
 // gives back more or less than one attempt.
 func TestWindowRefundAndPart(t *testing.T) {
-	w := NewWindow(10*time.Second, 0.2)
+	w := NewWindow(10 * time.Second)
+	w.SetBound(0.2, 0)
 	for range 50 {
 		w.Earn(start)
 	}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -26,13 +26,14 @@
 	newest   int64 // number of the newest bucket since the epoch of the clock
 }
 
-// NewWindow returns an empty window with a constant of 0.
-func NewWindow(length time.Duration, share float64) *Window {
-	return &Window{width: max(length/windowBuckets, time.Millisecond), share: share}
+// NewWindow returns an empty window that allows nothing until SetBound.
+func NewWindow(length time.Duration) *Window {
+	return &Window{width: max(length/windowBuckets, time.Millisecond)}
 }
 
-// SetConstant changes the number of extra attempts allowed besides the share.
-func (w *Window) SetConstant(constant float64) { w.constant = constant }
+// SetBound changes the share of the requests and the number of extra attempts
+// besides that are allowed.
+func (w *Window) SetBound(share, constant float64) { w.share, w.constant = share, constant }
 
 // Earn records a request.
 func (w *Window) Earn(now time.Time) {
