--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -5,6 +5,8 @@
 package relay
 
 import (
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,6 +117,7 @@
 }
 
 func (l *Loop) step(ev forward.Event) {
+	defer endProcessOnPanic()
 	for _, a := range l.engine.Step(l.now(), ev) {
 		l.execute(a)
 	}
@@ -126,6 +129,19 @@
 	l.inFlight.Store(int64(l.engine.InFlight()))
 }
 
+// endProcessOnPanic ends the process after a broken invariant. The server of
+// callers would recover the panic of a handler's goroutine, and leave an engine
+// behind that serves nobody.
+func endProcessOnPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	stack := debug.Stack()
+	go panic(fmt.Sprintf("%v\n%s", v, stack))
+	select {} // until the process has ended
+}
+
 func (l *Loop) execute(a forward.Action) {
 	switch a := a.(type) {
 	case forward.Send:
