--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -232,9 +232,8 @@
 	default:
 		e.replicas.Lost(now, a.replica)
 	}
-	e.counts.Inc(count.Connection, lossReason(ev.Loss))
 	e.log("attempt_lost", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
-		"loss", lossReason(ev.Loss), "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached)
+		"loss", e.countLoss(ev.Loss), "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached)
 	if !a.detached {
 		e.settleLoss(now, a, ev.Loss)
 		e.progress(now, a.request)
@@ -242,17 +241,23 @@
 	e.resume(now, a.service)
 }
 
-func lossReason(l Loss) api.Reason {
+// countLoss counts a loss and returns its name for the log.
+func (e *Engine) countLoss(l Loss) string {
 	switch l {
 	case LostRefused:
+		e.counts.Inc(count.Connection, "refused")
 		return "refused"
 	case LostUnsent:
+		e.counts.Inc(count.Connection, "unsent")
 		return "unsent"
 	case LostLimited:
+		e.counts.Inc(count.Connection, "limited")
 		return "limited"
 	case LostStale:
+		e.counts.Inc(count.Connection, "stale")
 		return "stale"
 	}
+	e.counts.Inc(count.Connection, "broken")
 	return "broken"
 }
 
