--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -294,15 +294,24 @@
 			continue
 		}
 		a.detached = true
-		e.timers.Set(a.sentAt.Add(max(stallFactor*r.hedgeAfter, stallLeast)), timer{attempt: a.id})
+		e.timers.Set(a.sentAt.Add(r.stallTime()), timer{attempt: a.id})
 	}
 	p.live = nil
 }
 
+// stallTime is how long an attempt may go on without a sign of its replica.
+func (r *request) stallTime() time.Duration {
+	return max(stallFactor*r.hedgeAfter, stallLeast)
+}
+
 // cancel gives up an attempt whose caller is gone or has its final answer.
 func (e *Engine) cancel(now time.Time, a *attempt) {
 	e.take(a.id)
-	e.replicas.Cancelled(now, a.replica, now.Sub(a.sentAt))
+	if now.Sub(a.sentAt) >= a.request.stallTime() {
+		e.noAnswer(now, a)
+	} else {
+		e.replicas.Cancelled(now, a.replica, now.Sub(a.sentAt))
+	}
 	e.act(Cancel{Attempt: a.id})
 }
 
@@ -312,6 +321,16 @@
 	if a == nil {
 		return
 	}
+	e.noAnswer(now, a)
+	// Idle connections may have gone silent for the same reason.
+	e.act(Cancel{Attempt: id})
+	e.act(CloseIdle{Replica: a.replica})
+	e.resume(now, a.service)
+}
+
+// noAnswer handles an attempt that went on for longer than it should. Its
+// replica is silent if it has answered nothing else since.
+func (e *Engine) noAnswer(now time.Time, a *attempt) {
 	e.replicas.Lost(now, a.replica)
 	if !e.heardSince(a) && e.registry.entries[a.replica] != nil {
 		e.silent[a.replica] = true
@@ -320,8 +339,4 @@
 	e.counts.Inc(count.Discarded, "stalled")
 	e.log("attempt_stalled", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
 		"after_ms", now.Sub(a.sentAt).Milliseconds())
-	// Idle connections may have gone silent for the same reason.
-	e.act(Cancel{Attempt: id})
-	e.act(CloseIdle{Replica: a.replica})
-	e.resume(now, a.service)
 }
--- a/core/forward/replica_test.go
+++ b/core/forward/replica_test.go
@@ -272,3 +272,29 @@
 		t.Errorf("%d nodes use one replica", most)
 	}
 }
+
+// Guards against each request waiting until its deadline for a service all of
+// whose replicas are silent: after the first, the others are refused at once.
+func TestRequestsToASilentServiceAreRefusedAtOnce(t *testing.T) {
+	for _, path := range []string{"/one/x", "/order/x"} {
+		h := ready(t, 1)
+		waited := 0
+		for range 30 {
+			id := h.request(path)
+			begun := h.now
+			for h.answers[id].Outcome == 0 {
+				h.advance(10 * time.Millisecond)
+			}
+			if h.now.Sub(begun) > 100*time.Millisecond {
+				waited++
+			} else if a := h.answer(id); a.Outcome != api.NotRun {
+				t.Errorf("%s: answer %+v", path, a)
+			}
+			h.take()
+			h.advance(10 * time.Millisecond)
+		}
+		if waited > 8 { // two at first, then single probes
+			t.Errorf("%s: %d of 30 requests waited", path, waited)
+		}
+	}
+}
