relay: a request that crosses the end of its connection is not passed on

Change: connections are marked before they are closed, and the handler drops a request on a marked one; the shutdown closes idle connections itself. A handler whose caller has left aborts the connection instead of ending with an empty success. Tests: TestRequestThatCrossesTheEndOfItsConnection, TestShutdownClosesIdleConnections.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -247,7 +247,8 @@
 	}
 	e.table = t
 	e.counts.Inc(count.Config, "adopted")
-	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services))
+	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services),
+		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
 	e.dropPressures()
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,11 +24,6 @@
 	headerBytes = 64 << 10
 	// defaultBodyBytes bounds a body while no configuration is known.
 	defaultBodyBytes = 1 << 20
-	// idleSweep is how often idle connections are checked.
-	idleSweep = 500 * time.Millisecond
-	// idleSlack is added to the configured idle time: a caller that reuses a
-	// connection just before that time must not meet its end.
-	idleSlack = 2 * time.Second
 )
 
 // wireRequest is a caller's request in the form that is sent to targets.
@@ -55,19 +49,21 @@
 	server  *http.Server
 	closing atomic.Bool
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
+	listener net.Listener // guarded by mu
+
+	mu    sync.Mutex
+	conns map[net.Conn]*callerConn
 }
 
 // NewCallers returns a server that Serve starts.
 func NewCallers(loop *Loop, names Headers, observe Observer) *Callers {
-	c := &Callers{loop: loop, names: names, observe: observe, idle: make(map[net.Conn]time.Time)}
+	c := &Callers{loop: loop, names: names, observe: observe, conns: make(map[net.Conn]*callerConn)}
 	c.server = &http.Server{
 		Handler:           c,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         c.connState,
-		ConnContext:       withTransit,
+		ConnContext:       c.connContext,
 		// Without this handler, OPTIONS * would be answered here.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -75,17 +71,23 @@
 }
 
 // Serve accepts connections until Shutdown.
-func (c *Callers) Serve(l net.Listener) error { return c.server.Serve(l) }
+func (c *Callers) Serve(l net.Listener) error {
+	c.mu.Lock()
+	c.listener = l
+	c.mu.Unlock()
+	return c.server.Serve(l)
+}
 
 // CloseAfterAnswers ends each connection after its next answer.
 func (c *Callers) CloseAfterAnswers() { c.closing.Store(true) }
 
-// Shutdown closes the listener and idle connections, and waits for the requests
-// in flight.
-func (c *Callers) Shutdown(ctx context.Context) error { return c.server.Shutdown(ctx) }
-
 // ServeHTTP forwards one request.
 func (c *Callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := connOf(r)
+	if conn.closed.Load() {
+		// The request crossed the end of its connection: it must not be passed on.
+		panic(http.ErrAbortHandler)
+	}
 	if c.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -99,7 +101,7 @@
 	message := c.message(r, body)
 	id, answers := c.loop.begin()
 	c.loop.Post(forward.Arrived{
-		Request: id, Message: message, Patience: c.patience(r), Transit: transitOf(r),
+		Request: id, Message: message, Patience: c.patience(r), Transit: conn.transit(),
 	})
 	select {
 	case a := <-answers:
@@ -111,6 +113,9 @@
 	case <-r.Context().Done():
 		c.loop.forget(id)
 		c.loop.Post(forward.CallerGone{Request: id})
+		// Without this, an empty success would be sent to a caller that has closed
+		// only its own side.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -274,35 +279,3 @@
 	}
 	return http.StatusBadGateway
 }
-
-// connState keeps the list of idle connections.
-func (c *Callers) connState(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateIdle {
-		c.idle[conn] = time.Now()
-		return
-	}
-	delete(c.idle, conn)
-}
-
-// SweepIdle closes connections that were idle for longer than the
-// configuration allows, until ctx ends.
-func (c *Callers) SweepIdle(ctx context.Context) {
-	every(ctx, idleSweep, func(now time.Time) {
-		if limits := c.loop.Limits(); limits != nil && limits.IdleTimeout > 0 {
-			c.closeIdleSince(now.Add(-limits.IdleTimeout - idleSlack))
-		}
-	})
-}
-
-func (c *Callers) closeIdleSince(limit time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if since.Before(limit) {
-			_ = conn.Close() // the server removes it
-			delete(c.idle, conn)
-		}
-	}
-}
--- /dev/null
+++ b/entry/relay/callers_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/forward"
+)
+
+// newCallers returns a server around an engine without configuration.
+func newCallers(t *testing.T) (*Callers, string) {
+	t.Helper()
+	loop := NewLoop(forward.New(forward.Settings{BudgetWindow: time.Second}), quiet{}, quiet{})
+	loop.Connect(NewTargets(loop, names))
+	c := NewCallers(loop, names, quiet{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = c.Serve(l) }()
+	t.Cleanup(func() { _ = c.server.Close() })
+	return c, l.Addr().String()
+}
+
+// Guards against a request being passed on whose connection this node has just
+// closed as idle: its caller would get no answer to a request that runs.
+func TestRequestThatCrossesTheEndOfItsConnection(t *testing.T) {
+	c, _ := newCallers(t)
+	own := &callerConn{}
+	own.closed.Store(true)
+	r := httptest.NewRequest("GET", "/x", nil)
+	r = r.WithContext(context.WithValue(r.Context(), callerConnKey{}, own))
+	defer func() {
+		if v := recover(); v != http.ErrAbortHandler {
+			t.Errorf("recovered %v", v)
+		}
+		if n := c.loop.nextID.Load(); n != 0 {
+			t.Errorf("%d requests were passed on", n)
+		}
+	}()
+	c.ServeHTTP(httptest.NewRecorder(), r)
+}
+
+// Guards against idle connections that are never closed, or closed while in use,
+// and against a shutdown that waits for them.
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	c, address := newCallers(t)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		_, _ = fmt.Fprint(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("answer %v, error %v", response, err)
+		}
+		_ = response.Body.Close()
+		if left := c.closeUnused(time.Now().Add(-time.Minute), time.Time{}); left != 1 {
+			t.Fatalf("%d connections left", left)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := c.Shutdown(ctx); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := reader.ReadByte(); err == nil {
+		t.Error("the idle connection is open")
+	}
+	if _, err := net.Dial("tcp", address); err == nil {
+		t.Error("the listener is open")
+	}
+}
