--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -232,8 +232,9 @@
 	default:
 		e.replicas.Lost(now, a.replica)
 	}
+	loss := e.countLoss(ev.Loss)
 	e.log("attempt_lost", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
-		"loss", e.countLoss(ev.Loss), "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached)
+		"loss", loss, "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached)
 	if !a.detached {
 		e.settleLoss(now, a, ev.Loss)
 		e.progress(now, a.request)
