--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -19,9 +19,6 @@
 const (
 	// readBuffer holds the header of an answer and a small body.
 	readBuffer = 2 << 10
-	// acceptWait is how long a new connection is watched before the request is
-	// sent.
-	acceptWait = 2 * time.Millisecond
 	// replyBytes bounds the body of an answer.
 	replyBytes = 16 << 20
 )
@@ -88,7 +85,7 @@
 // once because it has too many. The request is then known not to have run. The
 // replica spends longer on a new connection, so that no time is lost.
 func (c *conn) accepted() bool {
-	if err := c.socket.SetReadDeadline(time.Now().Add(acceptWait)); err != nil {
+	if err := c.socket.SetReadDeadline(time.Now().Add(c.targets.acceptWait)); err != nil {
 		return false // the connection has ended
 	}
 	_, err := c.reader.Peek(1)
--- a/entry/relay/conn_test.go
+++ b/entry/relay/conn_test.go
@@ -238,6 +238,7 @@
 		}
 	}()
 	f.replica.address = l.Addr().String()
+	f.targets.acceptWait = 5 * time.Second // the listener may be slow to run
 	if _, _, loss := f.result(f.send("")); loss != forward.LostLimited && loss != forward.LostUnsent {
 		t.Errorf("loss %d", loss)
 	}
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -28,6 +28,9 @@
 	idleShare = 0.75
 	// poolSweep is how often idle connections are checked.
 	poolSweep = time.Second
+	// defaultAcceptWait is enough for a replica in the same region to end a
+	// connection that it has no room for, and less than it spends on a new one.
+	defaultAcceptWait = 2 * time.Millisecond
 	// bodyAside is the size from which a body is written by a goroutine of its
 	// own, because the target may answer before it has read it.
 	bodyAside = 8 << 10
@@ -40,6 +43,9 @@
 type Targets struct {
 	poster Poster
 	names  Headers
+	// acceptWait is how long a new connection is watched before the request is
+	// sent.
+	acceptWait time.Duration
 
 	mu       sync.Mutex
 	idle     map[api.ReplicaName][]*conn
@@ -49,7 +55,7 @@
 // NewTargets returns an empty set of connections.
 func NewTargets(poster Poster, names Headers) *Targets {
 	return &Targets{
-		poster: poster, names: names,
+		poster: poster, names: names, acceptWait: defaultAcceptWait,
 		idle:     make(map[api.ReplicaName][]*conn),
 		attempts: make(map[forward.AttemptID]*conn),
 	}
