quarantine: a new conviction waits for an explanation before it refuses

Cause: a node convicts a search by a crash of its isolated run before it hears that another node ran the fatal search on the same target.

Ruled out: publishing nothing until the explanation is due. Peers that do not know of the conviction would start a third run of a fatal request.

Change: the conviction is published at once, as before. For 250 ms after a node convicts or learns a conviction, Admit answers Wait in place of Refuse; Tick names the requests whose conviction stands, and a conviction that is taken back lets waiting searches ask again.

Tests: TestSearchWaitsWhileAConvictionMayBeExplained failed before (the search was refused at once).

--- a/core/node/control.go
+++ b/core/node/control.go
@@ -217,7 +217,13 @@
 		return
 	}
 	changed := n.quarantine.Learn(now, notice)
-	n.publish(now, n.quarantine.Respond(now, notice))
+	response := n.quarantine.Respond(now, notice)
+	n.publish(now, response)
+	for _, r := range response {
+		if r.Kind == gossip.NoticeCleared {
+			n.retryProbation(now, r.Fingerprint)
+		}
+	}
 	if notice.Kind == gossip.NoticeSuspect || notice.Kind == gossip.NoticeConvicted {
 		n.markStale(notice.Fingerprint)
 	}
--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -160,3 +160,47 @@
 		}
 	}
 }
+
+// Guards against a search that is refused for a crash which a peer explains
+// within moments, and against one that is held back to its deadline when no
+// explanation comes.
+func TestSearchWaitsWhileAConvictionMayBeExplained(t *testing.T) {
+	for _, explained := range []bool{true, false} {
+		r := newRig(t)
+		notice := gossip.Notice{
+			Kind: gossip.NoticeConvicted, Fingerprint: quarantine.Fingerprint(api.Query{Service: "s"}), Crashes: 2,
+			Version: 9, TimeToLive: time.Hour,
+		}
+		tell := func(n gossip.Notice) {
+			r.step(event.PeerReceived{Message: gossip.Message{
+				From:    gossip.Member{Name: "e2", Life: 2, Address: "10.0.0.9:1", Heartbeat: n.Version},
+				Notices: []gossip.Notice{n},
+			}})
+		}
+		tell(notice)
+		if _, sent := r.search(1); sent {
+			t.Fatal("a convicted search is sent")
+		}
+		if a, answered := find[event.AnswerSearch](r.acts); answered {
+			t.Fatalf("refused at once: %+v", a)
+		}
+		if explained {
+			notice.Kind, notice.Version = gossip.NoticeCleared, 10
+			tell(notice)
+			if _, sent := find[event.SendSearch](r.acts); !sent {
+				t.Error("a search whose conviction is taken back is not sent")
+			}
+			continue
+		}
+		var a event.AnswerSearch
+		answered := false
+		for end := r.now.Add(300 * time.Millisecond); !answered && r.now.Before(end); {
+			r.now = r.now.Add(10 * time.Millisecond)
+			r.step(event.Timer{})
+			a, answered = find[event.AnswerSearch](r.acts)
+		}
+		if !answered || a.Answer.Outcome != api.NotRun || a.Answer.Reason != api.ReasonQuarantined {
+			t.Errorf("answered %v: %+v", answered, a.Answer)
+		}
+	}
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -238,7 +238,9 @@
 	n.act(actions...)
 	n.crashed(now, crashes)
 	n.decide(now, n.claims.Tick(now))
-	n.quarantine.Tick(now)
+	for _, fp := range n.quarantine.Tick(now) {
+		n.retryProbation(now, fp)
+	}
 	n.refreshNotices(now)
 	n.resolveOverdue(now)
 	n.runTimers(now)
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -11,7 +11,8 @@
 
 // Respond returns what this node has to tell its peers after it learned a
 // notice: that it knows a suspect to be answered before, or that it takes back
-// a conviction of its own.
+// a conviction of its own. Requests that wait on a conviction taken back should
+// ask Admit again.
 func (r *Registry) Respond(now time.Time, n gossip.Notice) []gossip.Notice {
 	switch n.Kind {
 	case gossip.NoticeSuspect, gossip.NoticeConvicted:
@@ -112,10 +113,14 @@
 	default:
 		r.good.remove(n.Fingerprint)
 	}
-	if before != c.state {
-		r.counts.Inc(count.Quarantine, "learned")
+	if before == c.state {
+		return false
+	}
+	if c.state == convicted {
+		c.refusedFrom = now.Add(explanationTime)
 	}
-	return before != c.state
+	r.counts.Inc(count.Quarantine, "learned")
+	return true
 }
 
 // learn merges a notice into a case and reports whether it was used.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -35,6 +35,11 @@
 	// clearedTime is how long a clearing is remembered and repeated to peers; at
 	// least as long as a notice that it supersedes may be on its way.
 	clearedTime = time.Hour
+	// explanationTime is how long a new conviction only holds a request back. A
+	// peer whose own request crashed the same target says so within the time in
+	// which it tells a crash from a cut, a reconnect of up to 100 ms, and the way
+	// between two regions.
+	explanationTime = 250 * time.Millisecond
 	// extensionStep is the smallest extension that a repeated notice can make.
 	// Without it, transit times would add up as nodes repeat one another.
 	extensionStep = time.Minute
@@ -69,8 +74,9 @@
 	// Released when the run has ended, in the same step as and after a call of
 	// Answered or Crashed for it, before waiting requests ask again.
 	RunAlone
-	// Wait means that a probation run of the same fingerprint is in progress;
-	// ask again when it has ended or when Learn reports a change.
+	// Wait means that a probation run of the same fingerprint is in progress, or
+	// that its conviction may still be explained by another request; ask again
+	// when the run has ended or when Learn, Respond or Tick reports a change.
 	Wait
 	// Refuse means that the request is convicted.
 	Refuse
@@ -114,6 +120,9 @@
 	wasGood bool
 	// convictedAt is the version of the conviction.
 	convictedAt uint64
+	// refusedFrom is when the conviction begins to refuse; zero once Tick has
+	// reported it.
+	refusedFrom time.Time
 	// convictedBy is the crash by which this node itself convicted the request.
 	convictedBy crash
 	// convictedAlone is set if that crash ended an isolated run.
@@ -141,6 +150,9 @@
 		switch c.state {
 		case convicted:
 			c.until = now.Add(convictionTime)
+			if now.Before(c.refusedFrom) {
+				return Verdict{Kind: Wait}
+			}
 			r.counts.Inc(count.Quarantine, "refused")
 			return Verdict{Kind: Refuse, RetryAfter: convictionTime}
 		case suspect:
@@ -261,6 +273,7 @@
 	if known && c.total() >= 2 && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
 		c.state = convicted
 		c.convictedBy, c.convictedAlone, c.convictedAt = by, alone, c.version
+		c.refusedFrom = now.Add(explanationTime)
 		c.until = now.Add(convictionTime)
 		r.counts.Inc(count.Quarantine, "convicted")
 	} else {
@@ -342,20 +355,32 @@
 	return max(known+1, uint64(max(now.UnixMilli(), 0)))
 }
 
-// Tick drops the cases that are over.
-func (r *Registry) Tick(now time.Time) {
+// Tick drops the cases that are over. It returns the fingerprints that are
+// refused from now on, so that waiting requests ask Admit again.
+func (r *Registry) Tick(now time.Time) []api.Fingerprint {
+	var refused []api.Fingerprint
 	for _, fp := range r.sorted() {
-		r.live(now, fp)
+		c := r.live(now, fp)
+		if c == nil || c.refusedFrom.IsZero() || now.Before(c.refusedFrom) {
+			continue
+		}
+		c.refusedFrom = time.Time{}
+		if c.state == convicted {
+			refused = append(refused, fp)
+		}
 	}
+	return refused
 }
 
-// Wake returns when the first case ends, or the zero time.
+// Wake returns when the first case ends or begins to refuse, or the zero time.
 func (r *Registry) Wake() time.Time {
-	var at time.Time
+	var first time.Time
 	for _, c := range r.cases {
-		if at.IsZero() || c.until.Before(at) {
-			at = c.until
+		for _, at := range [...]time.Time{c.until, c.refusedFrom} {
+			if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+				first = at
+			}
 		}
 	}
-	return at
+	return first
 }
