confsync: a just-started entry hears its peers before it makes a change

Change: an entry works on no change in its first second, and, if its settings name peers, not before it has heard one, for 3 s at most, which is less than the 5 s that an operator waits. An entry that is cut off from its peers for longer, or hears only others that have just started, can still accept such a change.

The scripted worlds of confsync begin with entries that have run for a while; the random test restarts entries as before.

--- a/core/confsync/fake_test.go
+++ b/core/confsync/fake_test.go
@@ -53,6 +53,8 @@
 		w.nodes = append(w.nodes, nil)
 		w.lives = append(w.lives, 0)
 		w.restart(i)
+		// The entries have run for long enough to make changes.
+		w.nodes[i].startedAt = epoch.Add(-peerHearing)
 	}
 	return w
 }
--- a/core/confsync/peers.go
+++ b/core/confsync/peers.go
@@ -34,6 +34,7 @@
 // Receive takes the configuration part of a message from a peer.
 func (s *Syncer) Receive(now time.Time, msg gossip.Message) Exchange {
 	before := s.adoptions
+	s.heardPeer = true
 	theirs := config.Position{Generation: msg.Generation, Revision: msg.Revision}
 	if msg.Document != nil {
 		s.takeDocument(now, theirs, msg.Document)
--- a/core/confsync/propose.go
+++ b/core/confsync/propose.go
@@ -58,9 +58,10 @@
 	return s.flush()
 }
 
-// startNext starts the first proposal of the queue.
+// startNext starts the first proposal of the queue, unless the entry has just
+// started.
 func (s *Syncer) startNext(now time.Time) {
-	if len(s.proposals) == 0 || s.proposals[0].started {
+	if len(s.proposals) == 0 || s.proposals[0].started || now.Before(s.changesFrom()) {
 		return
 	}
 	s.proposals[0].started = true
@@ -73,6 +74,7 @@
 	for len(s.proposals) > 0 && !now.Before(s.proposals[0].deadline) {
 		s.giveUp(now, s.proposals[0])
 	}
+	s.startNext(now)
 	if len(s.proposals) == 0 {
 		return
 	}
--- a/core/confsync/syncer.go
+++ b/core/confsync/syncer.go
@@ -41,6 +41,12 @@
 	// firstReadSpread spreads the first reads of entries that start together and
 	// leaves peers the time to send the document.
 	firstReadSpread = 500 * time.Millisecond
+	// An entry that has just started makes no change before its peers had the time
+	// to show it a newer document than that of a store which was restored from an
+	// older copy: two rounds of the exchange, and longer while no peer has been
+	// heard, because an entry that is cut off passes over its peers for 2 s.
+	peerHearing    = 2 * gossip.Interval
+	maxPeerHearing = 3 * time.Second
 	// recheckDelay is the pause before a read that checks news from a watch or a
 	// peer, and between the reads that resolve a lost write.
 	recheckDelay = 200 * time.Millisecond
@@ -77,6 +83,8 @@
 	Name       api.EntryName
 	Life       api.Life
 	DataCentre api.DataCentre
+	// Peers is set if the settings name other entries.
+	Peers bool
 }
 
 // Syncer holds the adopted configuration of one entry.
@@ -112,6 +120,9 @@
 	watchHeard time.Time
 	cancelNow  time.Time // when SetMembers asked to end the watch; zero if not
 
+	startedAt time.Time
+	heardPeer bool
+
 	proposals []*proposal // the first is being worked on
 
 	wantWhole    bool // changes from peers did not fit: ask for the document
@@ -131,6 +142,7 @@
 // firstReadSpread.
 func (s *Syncer) Start(now time.Time) []event.Action {
 	s.started = true
+	s.startedAt = now
 	s.nextPoll = now.Add(time.Duration(s.rng.Int64N(int64(firstReadSpread))))
 	return s.flush()
 }
@@ -173,6 +185,9 @@
 		earlier(s.watchHeard.Add(WatchSilence))
 	}
 	earlier(s.cancelNow)
+	if len(s.proposals) > 0 && !s.proposals[0].started {
+		earlier(s.changesFrom())
+	}
 	for _, p := range s.proposals {
 		earlier(p.deadline)
 		earlier(p.retryAt)
@@ -180,6 +195,14 @@
 	return wake
 }
 
+// changesFrom returns when the first change may be worked on.
+func (s *Syncer) changesFrom() time.Time {
+	if s.settings.Peers && !s.heardPeer {
+		return s.startedAt.Add(maxPeerHearing)
+	}
+	return s.startedAt.Add(peerHearing)
+}
+
 // Document returns the adopted document, or nil before the first adoption. It
 // must not be changed.
 func (s *Syncer) Document() *config.Document { return s.doc }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -146,7 +146,7 @@
 	n.claims = once.New(settings.Life, n.newOp, n.counts)
 	n.quarantine = quarantine.New(n.counts)
 	n.config = confsync.New(confsync.Settings{
-		Life: settings.Life, Name: settings.Name, DataCentre: settings.DataCentre,
+		Life: settings.Life, Name: settings.Name, DataCentre: settings.DataCentre, Peers: len(settings.Peers) > 0,
 	}, n.newOp, n.rng, n.counts)
 	seeds := make([]gossip.Seed, 0, len(settings.Peers))
 	for _, p := range settings.Peers {
