testbed: a sign of a drain counts once its node can tell the others

The copies of the VM list at the others lag until 12,600 ms.

Change: a sign that comes to a node which is cut from its peers binds that node from then on, and the others from the end of the cut, if the node lives until then. All other signs count as before.

--- a/core/testbed/fault.go
+++ b/core/testbed/fault.go
@@ -143,6 +143,9 @@
 		h.w.Trace.Parted++
 	}
 	h.CutPeers, h.CutStore = peers, store
+	if !peers {
+		h.tellSigns()
+	}
 	h.w.Trace.disturb(h.w.now, h)
 }
 
--- a/core/testbed/host.go
+++ b/core/testbed/host.go
@@ -26,6 +26,7 @@
 	ready    bool // the balancer sends to the host
 	CutPeers bool
 	CutStore bool
+	untold   []Signal // signs of drains that came during a cut
 	backlog  []event.Event
 	wakeAt   time.Time
 	spins    int
@@ -47,7 +48,7 @@
 	}
 	h.life = api.Life(w.lives*1_000 + uint64(h.index))
 	h.up, h.paused, h.leaving, h.ready = true, false, false, false
-	h.backlog, h.wakeAt = nil, time.Time{}
+	h.backlog, h.wakeAt, h.untold = nil, time.Time{}, nil
 	h.requests, h.changes = make(map[api.RequestID]*Request), make(map[api.RequestID]*Change)
 	h.forwards = make(map[api.RequestID]func(event.ForwardResult, api.WorkAnswer))
 	h.conns, h.calls = make(map[api.ConnID]*conn), make(map[api.AttemptID]*call)
@@ -205,18 +206,37 @@
 		return
 	}
 	if c := h.conns[conn]; c != nil && load.Draining {
-		h.w.Trace.signal(h.w.now, c.target.Name, load.Incarnation)
+		h.noteSign(c.target.Name, load.Incarnation)
 	}
 }
 
 func (h *Host) noteVMs(vms []event.VM) {
 	for _, t := range h.w.Targets {
 		if slices.Contains(vms, event.VM{Name: t.vm, Leaving: true}) && t.Draining {
-			h.w.Trace.signal(h.w.now, t.Name, t.incarnation)
+			h.noteSign(t.Name, t.incarnation)
 		}
 	}
 }
 
+// noteSign records a sign of a drain. One that the host cannot tell its peers
+// counts for them from the end of its cut, if it lives until then.
+func (h *Host) noteSign(replica api.ReplicaName, incarnation api.Incarnation) {
+	sign := Signal{Replica: replica, Incarnation: incarnation, At: h.w.now, Cut: h.CutPeers, Host: h.index}
+	h.w.Trace.signal(sign)
+	if sign.Cut {
+		h.untold = append(h.untold, sign)
+	}
+}
+
+// tellSigns makes the signs that came during a cut count for all hosts.
+func (h *Host) tellSigns() {
+	for _, sign := range h.untold {
+		sign.At, sign.Cut = h.w.now, false
+		h.w.Trace.signal(sign)
+	}
+	h.untold = nil
+}
+
 // act carries out one action.
 func (h *Host) act(a event.Action) {
 	switch a := a.(type) {
--- a/core/testbed/oracle.go
+++ b/core/testbed/oracle.go
@@ -247,6 +247,9 @@
 			if run.Replica != s.Replica || run.Incarnation != s.Incarnation || run.Received.Sub(s.At) <= drainBound {
 				continue
 			}
+			if s.Cut && run.Host != s.Host {
+				continue
+			}
 			if c.undisturbed(run.Host, s.At.Add(-drainBound), run.Received) {
 				c.fail("P6", "node %d sends %s to %s %v after the first sign of its drain", run.Host, run.Tag, run.Replica, run.Received.Sub(s.At))
 			}
--- a/core/testbed/trace.go
+++ b/core/testbed/trace.go
@@ -97,11 +97,16 @@
 	Doc *config.Document
 }
 
-// Signal is the first sign of a drain that any node got.
+// Signal is the first sign of a drain that any node got and could tell its
+// peers.
 type Signal struct {
 	Replica     api.ReplicaName
 	Incarnation api.Incarnation
 	At          time.Time
+	// Cut is set for a sign that came to a node which was cut from its peers: it
+	// binds that node only. Host is the node.
+	Cut  bool
+	Host int
 }
 
 // Silence is a connection that went silent.
@@ -176,9 +181,11 @@
 	t.Disturbed = append(t.Disturbed, Disturbance{at, h.index})
 }
 
-func (t *Trace) signal(at time.Time, replica api.ReplicaName, incarnation api.Incarnation) {
-	same := func(s Signal) bool { return s.Replica == replica && s.Incarnation == incarnation }
+func (t *Trace) signal(sign Signal) {
+	same := func(s Signal) bool {
+		return s.Replica == sign.Replica && s.Incarnation == sign.Incarnation && s.Cut == sign.Cut && (!s.Cut || s.Host == sign.Host)
+	}
 	if !slices.ContainsFunc(t.Signals, same) {
-		t.Signals = append(t.Signals, Signal{replica, incarnation, at})
+		t.Signals = append(t.Signals, sign)
 	}
 }
