quarantine, gossip: crashes seen by nodes that could not talk convict

One node saw the first crash, another, which was cut from its peers for 2 s, the second. (1) The push of its notices was lost in the cut, and the periodic exchange repeats four notices at a time of several dozen, all suspects of one crash. (2) A node that learns a second crash by a notice merged it and left the request a suspect, so that its next run took a third target.

A second crash that a notice adds convicts a request that no target has answered, as a second crash seen by the node itself does; a run in progress decides itself, and a peer that vouches has the conviction taken back.

--- a/core/gossip/exchange.go
+++ b/core/gossip/exchange.go
@@ -122,8 +122,9 @@
 
 type peer struct {
 	Member
-	heard time.Time // when the heartbeat last grew
-	hot   int       // messages that still tell it as a newly joined member
+	heard  time.Time // when the heartbeat last grew
+	hot    int       // messages that still tell it as a newly joined member
+	missed bool      // a message to it was not delivered since it was last heard
 }
 
 type lostPeer struct {
@@ -303,7 +304,7 @@
 			out.Fresh = append(out.Fresh, n)
 		}
 	}
-	out.Sends = x.push(out.Fresh, m.From.Name)
+	out.Sends = append(x.push(out.Fresh, m.From.Name), x.catchUp(now, m.From.Name)...)
 	if len(m.Members) == 0 {
 		out.Sends = append(out.Sends, x.welcome(now, m.From)...)
 	}
@@ -318,8 +319,27 @@
 
 // Failed reports that a message to a peer was not delivered. A member is
 // dropped only for its silence, since one failure may be of the path.
-func (x *Exchange) Failed(now time.Time, name api.EntryName) {
+func (x *Exchange) Failed(name api.EntryName) {
 	x.counts.Inc(count.Peer, "failed")
+	if p := x.peers[name]; p != nil {
+		p.missed = true
+	}
+}
+
+// catchUp tells a peer that is heard again after a failed message all notices:
+// it may have missed a push, and the periodic exchange repeats a few at a time.
+func (x *Exchange) catchUp(now time.Time, name api.EntryName) []Send {
+	p := x.peers[name]
+	if p == nil || !p.missed {
+		return nil
+	}
+	p.missed = false
+	m := x.direct(p)
+	m.Notices = x.notices.choose(now, welcomeNotices, welcomeNotices, x.rng)
+	if len(m.Notices) == 0 {
+		return nil
+	}
+	return []Send{x.send(p.Name, p.Address, m)}
 }
 
 // Leave marks this node as leaving and pushes that to its peers.
--- a/core/gossip/exchange_test.go
+++ b/core/gossip/exchange_test.go
@@ -315,3 +315,32 @@
 		t.Error("expired notices held")
 	}
 }
+
+// Guards against notices that take many rounds to reach a peer which was cut
+// off when they were pushed: the periodic exchange repeats four at a time.
+func TestPeerThatMissedAPushCatchesUp(t *testing.T) {
+	const published = 60
+	f := newFleet(2, 1, 0)
+	f.run(3 * time.Second)
+	a, b := f.nodes[0], f.nodes[1]
+	for i := range published {
+		a.Publish(f.clock(0), Notice{Kind: NoticeSuspect, Fingerprint: api.Fingerprint(i + 1), Crashes: 1, Version: 1, TimeToLive: time.Hour})
+		a.Failed(nameOf(1))
+	}
+	heartbeat := func() Message {
+		f.now = f.now.Add(Interval)
+		return b.Tick(f.clock(1))[0].Message
+	}
+	learned := 0
+	for _, s := range a.Receive(f.clock(0), heartbeat()).Sends {
+		learned += len(b.Receive(f.clock(1), s.Message).Fresh)
+	}
+	if learned != published {
+		t.Errorf("%d of %d notices with the first message", learned, published)
+	}
+	for _, s := range a.Receive(f.clock(0), heartbeat()).Sends {
+		if len(s.Message.Notices) > 0 {
+			t.Errorf("told again: %d notices", len(s.Message.Notices))
+		}
+	}
+}
--- a/core/node/forward.go
+++ b/core/node/forward.go
@@ -164,7 +164,7 @@
 // peerFailed handles a message that a peer did not take. Work orders that were
 // passed on to it are handled here, or answered if this was tried before.
 func (n *Node) peerFailed(now time.Time, peer api.EntryName) {
-	n.peers.Failed(now, peer)
+	n.peers.Failed(peer)
 	n.pausePeer(now, peer, "paused")
 	for _, id := range slices.Sorted(maps.Keys(n.works)) {
 		w := n.works[id]
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -10,13 +10,15 @@
 )
 
 // Respond returns what this node has to tell its peers after it learned a
-// notice: that it knows a suspect to be answered before, or that it takes back
-// a conviction of its own. Requests that wait on a conviction taken back should
+// notice: that it knows a suspect to be answered before, that it convicts one by
+// crashes which several nodes saw, or that it takes back a conviction of its
+// own. Requests that wait on a conviction taken back should
 // ask Admit again.
 func (r *Registry) Respond(now time.Time, n gossip.Notice) []gossip.Notice {
 	switch n.Kind {
 	case gossip.NoticeSuspect, gossip.NoticeConvicted:
-		return append(r.vouch(now, n.Fingerprint), r.exonerate(now, n)...)
+		out := append(r.vouch(now, n.Fingerprint), r.convictMerged(now, n)...)
+		return append(out, r.exonerate(now, n)...)
 	case gossip.NoticeVouched:
 		return r.vouchedFor(now, n.Fingerprint)
 	}
@@ -36,6 +38,20 @@
 	}}
 }
 
+// convictMerged convicts a suspect that no target has ever answered when a
+// peer's notice adds a second crash to the one that this node knows of: nodes
+// that could not talk each hold one against it. A run in progress decides
+// itself.
+func (r *Registry) convictMerged(now time.Time, n gossip.Notice) []gossip.Notice {
+	c := r.live(now, n.Fingerprint)
+	if c == nil || c.state != suspect || c.wasGood || c.running || len(c.crashes) < convictingCrashes {
+		return nil
+	}
+	c.version = nextVersion(now, c.version)
+	r.convict(now, c, crash{n.Replica, n.Incarnation}, false)
+	return []gossip.Notice{c.notice(now, n.Fingerprint)}
+}
+
 // vouchedFor takes a peer's word that a request was answered before. A
 // conviction of this node that did not follow from an isolated run is void.
 func (r *Registry) vouchedFor(now time.Time, fp api.Fingerprint) []gossip.Notice {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -47,6 +47,8 @@
 	// good fingerprint, about 300 for each case.
 	goodLimit = 65_536
 	caseLimit = 4_096
+	// convictingCrashes is the number of crashes that convict a request.
+	convictingCrashes = 2
 	// crashLimit bounds the crashes remembered of one fingerprint.
 	crashLimit = 8
 )
@@ -270,12 +272,8 @@
 	c.version = nextVersion(now, c.version)
 	c.state = suspect
 	c.until = now.Add(suspicionTime)
-	if known && c.total() >= 2 && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
-		c.state = convicted
-		c.convictedBy, c.convictedAlone, c.convictedAt = by, alone, c.version
-		c.refusedFrom = now.Add(explanationTime)
-		c.until = now.Add(convictionTime)
-		r.counts.Inc(count.Quarantine, "convicted")
+	if known && c.total() >= convictingCrashes && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
+		r.convict(now, c, by, alone)
 	} else {
 		r.counts.Inc(count.Quarantine, "suspect")
 	}
@@ -283,6 +281,15 @@
 	return c.notice(now, fp), true
 }
 
+// convict marks a case as convicted by a crash, at the version of the case.
+func (r *Registry) convict(now time.Time, c *record, by crash, alone bool) {
+	c.state = convicted
+	c.convictedBy, c.convictedAlone, c.convictedAt = by, alone, c.version
+	c.refusedFrom = now.Add(explanationTime)
+	c.until = now.Add(convictionTime)
+	r.counts.Inc(count.Quarantine, "convicted")
+}
+
 // wasGood reports whether a target had answered a request before its first crash.
 func (r *Registry) wasGood(fp api.Fingerprint) bool {
 	if c := r.cases[fp]; c != nil {
