node: a drain heard before the configuration counts

The first message of its peer brings the notice of the drain and the position of the configuration; the notice names a replica that e1 does not know yet and was dropped, and a notice that is held is not fresh a second time. e1 then sends to r2 for 1.7 s, until r2 exits.

Change: when a document names new replicas, the notices of drains that are in force are applied to them. Replicas that were known before keep their state, because a drain may have been taken back since.

Tests: TestDrainHeardBeforeTheConfigurationCounts fails without it.

--- a/core/gossip/exchange.go
+++ b/core/gossip/exchange.go
@@ -257,6 +257,9 @@
 	return x.push(fresh, "")
 }
 
+// Draining returns the notices of drains that are in force.
+func (x *Exchange) Draining(now time.Time) []Notice { return x.notices.ofKind(now, NoticeDraining) }
+
 // Refresh takes notices that are still valid, without pushing them: they ride
 // on the periodic exchange. It serves to keep the time to live up to date.
 func (x *Exchange) Refresh(now time.Time, ns ...Notice) {
--- a/core/gossip/notices.go
+++ b/core/gossip/notices.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// ofKind returns the notices of a kind that are in force, by subject.
+func (h *notices) ofKind(now time.Time, kind NoticeKind) []Notice {
+	var out []Notice
+	for _, s := range h.order {
+		if e := h.bySubject[s]; s.kind == kind && now.Before(e.until) {
+			out = append(out, e.notice)
+		}
+	}
+	return out
+}
+
 // choose returns notices within a budget of bytes: those with the most rounds
 // left first, random ones among equals, and not new ones within cold bytes.
 func (h *notices) choose(now time.Time, budget, cold int, rng *rand.Rand) []Notice {
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -73,6 +73,7 @@
 	}
 	n.document = doc
 	n.replicas.Configure(now, doc)
+	n.drainNewReplicas(now, before)
 	n.concurrent.Configure(doc)
 	n.holdings.Configure(doc)
 	n.claims.Configure(doc.ClaimPartitions, doc.ClaimWindow)
@@ -86,6 +87,17 @@
 	n.pushDocument(now)
 }
 
+// drainNewReplicas applies the drains that were heard of replicas before the
+// configuration named them. Those of known replicas were applied when they were
+// heard, and may have been taken back since.
+func (n *Node) drainNewReplicas(now time.Time, before *config.Document) {
+	for _, notice := range n.peers.Draining(now) {
+		if before == nil || before.Replicas[notice.Replica] == nil {
+			n.replicas.SetDraining(now, notice.Replica, notice.Incarnation)
+		}
+	}
+}
+
 func (n *Node) configureServices(before, doc *config.Document) {
 	for _, name := range doc.ServiceNames() {
 		n.budget.Configure(name, doc.Services[name].Rule.ExtraLoad)
--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -22,7 +22,20 @@
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{t: t, n: New(Settings{Name: "e1", Life: 1, Seed: 1}), now: start, conns: map[api.ReplicaName]api.ConnID{}}
+	r := bareRig(t)
+	r.connect()
+	return r
+}
+
+// bareRig returns a node that has just been created.
+func bareRig(t *testing.T) *rig {
+	return &rig{t: t, n: New(Settings{Name: "e1", Life: 1, Seed: 1}), now: start, conns: map[api.ReplicaName]api.ConnID{}}
+}
+
+// connect lets the node read its configuration and open its connections.
+func (r *rig) connect() {
+	t := r.t
+	t.Helper()
 	replica := func(service api.ServiceName, address string) *config.Replica {
 		return &config.Replica{Service: service, Address: address, DataCentre: "dc", VM: "vm", Slots: 2, Connections: 8}
 	}
@@ -57,7 +70,6 @@
 	if len(r.conns) != 2 {
 		t.Fatalf("connected to %v", r.conns)
 	}
-	return r
 }
 
 func (r *rig) load(version uint64) api.TargetLoad {
@@ -204,3 +216,17 @@
 		}
 	}
 }
+
+// Guards against a drain that a node forgets because it hears of it before it
+// has a configuration, as the first message of a peer brings both.
+func TestDrainHeardBeforeTheConfigurationCounts(t *testing.T) {
+	r := bareRig(t)
+	r.step(event.PeerReceived{Message: gossip.Message{
+		From:    gossip.Member{Name: "e2", Life: 2, Address: "10.0.0.9:1", Heartbeat: 1},
+		Notices: []gossip.Notice{{Kind: gossip.NoticeDraining, Replica: "rs", Incarnation: 5, Version: 1, TimeToLive: time.Minute}},
+	}})
+	r.connect()
+	if send, sent := r.search(1); sent {
+		t.Fatalf("sent to a draining replica: %+v", send)
+	}
+}
