node: a drain read without a connection hits the process that runs

The node that reads in the VM list that a VM leaves has no open connection to its target. It knows the process before the last restart only, holds the drain against that one, and tells its peers so. All of them go on sending to the process that runs.

Ruled out: a notice for all incarnations. It would shut out the process that takes the place of the draining one.

Change: without an open connection the drain applies to the next incarnation that the node sees, which it then tells its peers. Until then the peers are told of a drain without an incarnation, for 3 s; they apply it to the process that they are connected to.

Tests: TestDrainOfAnUnknownProcessHitsTheOneThatRuns fails without the change (sent to the process that drains). TestDrainToldWithoutAnIncarnationCounts passed before and guards the receiving side.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -194,6 +194,18 @@
 	return s.drain(incarnation)
 }
 
+// DrainNext drains a replica whose process may have been replaced since it was
+// last seen: the next incarnation that is observed drains, and none is used
+// until then. It reports whether this is news.
+func (r *Replicas) DrainNext(name api.ReplicaName) bool {
+	s, ok := r.replicas[name]
+	if !ok || s.drainPending {
+		return false
+	}
+	s.drainPending = true
+	return true
+}
+
 // ClearDraining forgets all drain signals of a replica but the document's.
 func (r *Replicas) ClearDraining(name api.ReplicaName) {
 	if s, ok := r.replicas[name]; ok {
@@ -259,12 +271,19 @@
 	if load.Incarnation != s.incarnation {
 		s.restarted(now, load.Incarnation)
 	}
+	if s.drainPending {
+		s.drainPending = false
+		drained = s.drain(load.Incarnation)
+	}
 	if load.Held != nil {
 		s.held = load.Held
 	}
 	s.reported = min(float64(max(load.Running+load.Queued, 0)), loadMost*s.slots)
 	s.reportedAt = now
-	return load.Draining && s.drain(load.Incarnation)
+	if load.Draining && s.drain(load.Incarnation) {
+		drained = true
+	}
+	return drained
 }
 
 // restarted begins a new incarnation. The first one seen is not known to be cold.
@@ -275,10 +294,6 @@
 		s.failures, s.failureRate = 0, 0
 	}
 	s.former, s.incarnation = s.incarnation, incarnation
-	if s.drainPending {
-		s.drainPending = false
-		s.drain(incarnation)
-	}
 }
 
 // drain remembers a drained incarnation and reports whether it was news.
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -93,7 +93,7 @@
 func (n *Node) drainNewReplicas(now time.Time, before *config.Document) {
 	for _, notice := range n.peers.Draining(now) {
 		if before == nil || before.Replicas[notice.Replica] == nil {
-			n.replicas.SetDraining(now, notice.Replica, notice.Incarnation)
+			n.drain(now, notice.Replica, notice.Incarnation)
 		}
 	}
 }
@@ -223,7 +223,7 @@
 // learnNotice acts on a notice of a peer.
 func (n *Node) learnNotice(now time.Time, notice gossip.Notice) {
 	if notice.Kind == gossip.NoticeDraining {
-		if n.replicas.SetDraining(now, notice.Replica, notice.Incarnation) {
+		if n.drain(now, notice.Replica, notice.Incarnation) {
 			n.holdings.Invalidate()
 		}
 		return
--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,21 @@
 	}
 }
 
+// reopen lets the node connect to a new process of a replica.
+func (r *rig) reopen(replica api.ReplicaName, incarnation api.Incarnation) {
+	r.t.Helper()
+	for end := r.now.Add(2 * time.Second); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
+		if open, ok := find[event.OpenConn](r.acts); ok && open.Replica == replica {
+			load := r.load(1)
+			load.Incarnation = incarnation
+			r.step(event.ConnOpened{Conn: open.Conn, Load: load})
+			return
+		}
+		r.step(event.Timer{})
+	}
+	r.t.Fatalf("no new connection to %s", replica)
+}
+
 func (r *rig) load(version uint64) api.TargetLoad {
 	return api.TargetLoad{Incarnation: 5, Slots: 2, Held: []api.ShardVersions{{Epoch: 1, Shard: "a", Versions: []uint64{version}}}}
 }
@@ -230,3 +246,52 @@
 		t.Fatalf("sent to a draining replica: %+v", send)
 	}
 }
+
+// Guards against a drain that is held against a process which is gone already:
+// a node without a connection reads that the VM leaves, but knows only the
+// process before the one that runs there.
+func TestDrainOfAnUnknownProcessHitsTheOneThatRuns(t *testing.T) {
+	r := newRig(t)
+	r.step(event.ConnEnded{Conn: r.conns["rs"], End: event.ConnRefused})
+	r.step(event.VMListRead{VMs: []event.VM{{Name: "vm", Leaving: true}}})
+	told := func(actions []event.Action) (out []api.Incarnation) {
+		for _, a := range actions {
+			send, ok := a.(event.SendPeer)
+			if !ok {
+				continue
+			}
+			for _, n := range send.Message.Notices {
+				if n.Kind == gossip.NoticeDraining && n.Replica == "rs" {
+					out = append(out, n.Incarnation)
+				}
+			}
+		}
+		return out
+	}
+	r.reopen("rs", 6)
+	if send, sent := r.search(1); sent {
+		t.Fatalf("sent to the process that drains: %+v", send)
+	}
+	r.step(event.PeerReceived{Message: gossip.Message{From: gossip.Member{Name: "e2", Life: 2, Address: "10.0.0.9:1", Heartbeat: 1}}})
+	var incarnations []api.Incarnation
+	for end := r.now.Add(time.Second); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
+		r.step(event.Timer{})
+		incarnations = append(incarnations, told(r.acts)...)
+	}
+	if !slices.Contains(incarnations, 6) {
+		t.Errorf("told the peer of the drain of %v", incarnations)
+	}
+}
+
+// Guards against a node that ignores a peer's notice of a drain because it names
+// no incarnation: the process that the node is connected to is meant.
+func TestDrainToldWithoutAnIncarnationCounts(t *testing.T) {
+	r := newRig(t)
+	r.step(event.PeerReceived{Message: gossip.Message{
+		From:    gossip.Member{Name: "e2", Life: 2, Address: "10.0.0.9:1", Heartbeat: 1},
+		Notices: []gossip.Notice{{Kind: gossip.NoticeDraining, Replica: "rs", Version: 1, TimeToLive: time.Second}},
+	}})
+	if send, sent := r.search(1); sent {
+		t.Fatalf("sent to a draining replica: %+v", send)
+	}
+}
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -22,8 +22,14 @@
 	// drainNoticeTime is the validity of a drain notice. It covers the longest
 	// drain that is expected; the incarnation keeps it from the next process.
 	drainNoticeTime = 10 * time.Minute
+	// unknownDrainTime is the validity of a notice that cannot name the
+	// incarnation: the time within which a drain is known everywhere (P6).
+	unknownDrainTime = 3 * time.Second
 )
 
+// unknownIncarnation stands for a process that a node is not connected to.
+const unknownIncarnation api.Incarnation = 0
+
 // lostAttempt is an attempt that ended without an answer and whose cause is
 // not known yet.
 type lostAttempt struct {
@@ -86,18 +92,39 @@
 
 // draining stops new work to a replica and tells the peers, if this is news.
 func (n *Node) draining(now time.Time, replica api.ReplicaName) {
-	if n.replicas.SetDraining(now, replica, 0) {
-		n.tellDraining(now, replica, n.replicas.Incarnation(replica))
+	if !n.drain(now, replica, unknownIncarnation) {
+		return
+	}
+	incarnation := n.replicas.Incarnation(replica)
+	if n.conns.Open(replica) == 0 {
+		incarnation = unknownIncarnation
+	}
+	n.tellDraining(now, replica, incarnation)
+}
+
+// drain stops new work to an incarnation of a replica and reports whether this
+// is news. An unknown incarnation is the one that the node is connected to, or
+// else the next one that it sees, because the last one may be gone.
+func (n *Node) drain(now time.Time, replica api.ReplicaName, incarnation api.Incarnation) bool {
+	if incarnation == unknownIncarnation && n.conns.Open(replica) == 0 {
+		return n.replicas.DrainNext(replica)
 	}
+	return n.replicas.SetDraining(now, replica, incarnation)
 }
 
-// tellDraining tells the peers that an incarnation of a replica is leaving.
+// tellDraining tells the peers that an incarnation of a replica is leaving. An
+// unknown one is told for a short time only, because a later process is not
+// meant.
 func (n *Node) tellDraining(now time.Time, replica api.ReplicaName, incarnation api.Incarnation) {
 	n.holdings.Invalidate()
-	n.publish(now, []gossip.Notice{{
+	notice := gossip.Notice{
 		Kind: gossip.NoticeDraining, Replica: replica, Incarnation: incarnation,
 		Version: 1, TimeToLive: drainNoticeTime,
-	}})
+	}
+	if incarnation == unknownIncarnation {
+		notice.Version, notice.TimeToLive = uint64(now.UnixMilli()), unknownDrainTime
+	}
+	n.publish(now, []gossip.Notice{notice})
 	n.act(logEvent("replica_draining", "replica", string(replica)))
 }
 
