fanout: a restarted search is not called "not run"

No replica has room until the deadline. The restart forgets that parts had run, and the search is answered not_run with a Retry-After (P4).

Change: what may have run before a restart is kept, and the end of an attempt in flight counts as a possible run wherever it is cancelled. Such a search ends as unknown.

Tests: TestRestartedSearchIsNotCalledNotRun fails without the change.

--- a/core/fanout/finish.go
+++ b/core/fanout/finish.go
@@ -103,9 +103,6 @@
 			}
 			continue
 		}
-		if len(p.live) > 0 {
-			p.ran = true
-		}
 		q.cancelPart(p)
 		p.reason = q.unsettledReason(p, reason)
 		p.state = partMissing
@@ -134,15 +131,12 @@
 // NotRun only if no part can have run.
 func (q *Query) nothingCovered(reason api.Reason) api.SearchAnswer {
 	answer := api.SearchAnswer{Outcome: api.NotRun, Reason: reason, RetryAfter: comeBackAfter, Coverage: q.coverage()}
-	for i := range q.parts {
-		p := &q.parts[i]
-		if p.reason == api.ReasonFailed {
-			answer.Outcome = api.Failed
-			return answer
-		}
-		if p.ran {
-			answer.Outcome = api.Unknown
-		}
+	failed := func(p part) bool { return p.reason == api.ReasonFailed }
+	switch {
+	case slices.ContainsFunc(q.parts, failed):
+		answer.Outcome = api.Failed
+	case q.mayHaveRun():
+		answer.Outcome = api.Unknown
 	}
 	return answer
 }
--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
@@ -60,6 +61,7 @@
 	env      Env
 	parts    []part
 	restarts int
+	ran      bool // a target may have run a part before a restart
 
 	covered      uint64 // width of covered parts
 	total        uint64 // width of all parts
@@ -281,17 +283,25 @@
 	}
 }
 
+// cancelPart ends the attempts of a part. Targets may have run them by now.
 func (q *Query) cancelPart(p *part) {
+	p.ran = p.ran || len(p.live) > 0
 	for _, a := range p.live {
 		q.env.Cancel(a.id)
 	}
 	p.live = p.live[:0]
 }
 
+// mayHaveRun reports whether a target may have run any part.
+func (q *Query) mayHaveRun() bool {
+	return q.ran || slices.ContainsFunc(q.parts, func(p part) bool { return p.ran })
+}
+
 // restart drops everything gathered and begins again at another snapshot.
 func (q *Query) restart(now time.Time, choice snapshot.Choice, canaries []Canary) {
 	q.restarts++
 	q.cancelAll()
+	q.ran = q.mayHaveRun()
 	q.Choice = choice
 	q.Shards = choice.Map.Shards
 	q.Canaries = canaries
--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -180,8 +180,10 @@
 	}
 }
 
-// Guards against an answer that mixes two snapshots after a restart (P1).
-func TestRestartDropsEverythingGathered(t *testing.T) {
+// restarted returns a search of two shards whose first part was answered before
+// the version was dropped and it began again at another snapshot.
+func restarted(t *testing.T) (*Query, *fakeEnv) {
+	t.Helper()
 	q, env := begin(t, 2, nil)
 	next := choice(2, 6, 4)
 	q.Replied(start, 0, env.sent[0].id, reply(q, env.sent[0], "old"))
@@ -206,6 +208,12 @@
 	if q.Snapshot() != next.Snapshot {
 		t.Fatalf("snapshot %+v", q.Snapshot())
 	}
+	return q, env
+}
+
+// Guards against an answer that mixes two snapshots after a restart (P1).
+func TestRestartDropsEverythingGathered(t *testing.T) {
+	q, env := restarted(t)
 	for _, s := range env.sent[len(env.sent)-4:] {
 		q.Replied(start, s.part, s.id, reply(q, s, "new"))
 	}
@@ -215,6 +223,25 @@
 	}
 }
 
+// Guards against "not run" for a search of which a part was answered before it
+// began again at another snapshot (P4).
+func TestRestartedSearchIsNotCalledNotRun(t *testing.T) {
+	q, env := restarted(t)
+	env.busy["a"], env.busy["b"] = true, true
+	for _, s := range slices.Clone(env.sent[len(env.sent)-4:]) {
+		q.Lost(start, s.part, s.id, false)
+	}
+	for n := 0; n < 1000; n++ {
+		if _, done := q.Done(); done {
+			break
+		}
+		q.Tick(q.Wake())
+	}
+	if a := answerOf(t, q); a.Outcome == api.NotRun {
+		t.Fatalf("answer %+v", a)
+	}
+}
+
 // Guards against a late answer to an attempt that was given up (P3).
 func TestLateAndRepeatedAnswersAreIgnored(t *testing.T) {
 	q, env := begin(t, 1, nil)
