testbed: a host that stops late is started again

The check then misses the newest configuration there (P8).

Change: the host is started again a second later if it is still stopping.

--- a/core/testbed/fault.go
+++ b/core/testbed/fault.go
@@ -54,11 +54,7 @@
 					}
 				})
 			}
-			w.After(3*time.Second, func() {
-				if !h.up {
-					h.Boot()
-				}
-			})
+			w.After(3*time.Second, func() { w.bootAfterStop(h) })
 		}},
 		{"repartition", 2 * time.Second, "P2", func(w *World) { w.repartition() }},
 		{"version change", time.Second, "P1", func(w *World) { w.advance(true, 15*time.Millisecond) }},
@@ -161,6 +157,16 @@
 	return w.Hosts[0]
 }
 
+// bootAfterStop starts a host again once its graceful stop has ended.
+func (w *World) bootAfterStop(h *Host) {
+	switch {
+	case !h.up:
+		h.Boot()
+	case h.leaving:
+		w.After(time.Second, func() { w.bootAfterStop(h) })
+	}
+}
+
 func (w *World) loseHost(back time.Duration) {
 	h := w.anyHost()
 	h.Kill()
