quarantine: requests that shared their crashes with others are tried alone

A popular search, which no target had answered since the nodes were restarted, was in flight at two of the crashes and is convicted for an hour, as the fatal one is (its second crash convicts a request that was never answered, wherever it ran).

Change: such a request is convicted without an isolated run only if it was the only one of its kind at one of its crashes. Crashes are first held against all requests in flight and then judged, so that their order does not decide. A node that only hears of crashes leaves the judgement to the node that saw them all.

Tests: TestTwoSuspectsOfTheSameCrashesAreTriedAlone and TestCrashesReportedByOneNodeAreJudgedThere; the first fails without the change. A fatal request that shares both crashes with another may now take a third target.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -38,13 +38,16 @@
 	}}
 }
 
-// convictMerged convicts a suspect that no target has ever answered when a
-// peer's notice adds a second crash to the one that this node knows of: nodes
-// that could not talk each hold one against it. A run in progress decides
-// itself.
+// convictMerged convicts a suspect that no target has ever answered when the
+// crashes known here are more than any node has reported: nodes that could not
+// talk each hold one against it. A node that knows them all has judged itself,
+// and a run in progress decides.
 func (r *Registry) convictMerged(now time.Time, n gossip.Notice) []gossip.Notice {
 	c := r.live(now, n.Fingerprint)
-	if c == nil || c.state != suspect || c.wasGood || c.running || len(c.crashes) < convictingCrashes {
+	if c == nil || c.state != suspect || c.wasGood || c.running {
+		return nil
+	}
+	if len(c.crashes) < convictingCrashes || len(c.crashes) <= c.reported || !r.soleSuspect(n.Fingerprint, c) {
 		return nil
 	}
 	c.version = nextVersion(now, c.version)
--- a/core/quarantine/learn_test.go
+++ b/core/quarantine/learn_test.go
@@ -230,3 +230,47 @@
 		}
 	}
 }
+
+// Guards against the conviction of an innocent request that was in flight at
+// the same two crashes as the cause, before either was suspected: both are tried
+// alone, which clears the one and convicts the other.
+func TestTwoSuspectsOfTheSameCrashesAreTriedAlone(t *testing.T) {
+	const cause = api.Fingerprint(2)
+	r := newRegistry()
+	crashOf(r, epoch, "a", fp, cause)
+	crashOf(r, epoch, "b", fp, cause)
+	crashOf(r, epoch, "d", 3, 4) // another crash with two suspects
+	crashOf(r, epoch, "b2", 3)
+	if v := r.Admit(epoch, 3, search); v.Kind != Wait {
+		t.Errorf("the only suspect at one of two crashes: %+v", v)
+	}
+	for _, suspected := range []api.Fingerprint{fp, cause} {
+		if v := r.Admit(epoch, suspected, search); v.Kind != RunAlone {
+			t.Fatalf("fingerprint %d: %+v", suspected, v)
+		}
+		r.Placed(epoch, suspected, "c")
+	}
+	r.Answered(epoch, fp)
+	crashOf(r, epoch, "c", cause)
+	later := epoch.Add(explanationTime)
+	want(t, r, later, Run)
+	if v := r.Admit(later, cause, search); v.Kind != Refuse {
+		t.Errorf("the cause: %+v", v)
+	}
+}
+
+// Guards against a conviction by a node that only hears of the crashes: the
+// node that saw both has judged the request itself, with all that ran beside it.
+func TestCrashesReportedByOneNodeAreJudgedThere(t *testing.T) {
+	const cause = api.Fingerprint(2)
+	saw, heard := newRegistry(), newRegistry()
+	notices := crashOf(saw, epoch, "a", fp, 3)
+	notices = append(notices, crashOf(saw, epoch, "b", fp, cause)...)
+	for _, n := range notices {
+		heard.Learn(epoch, n)
+		if out := heard.Respond(epoch, n); len(out) != 0 {
+			t.Fatalf("responds %+v", out)
+		}
+	}
+	want(t, heard, epoch.Add(explanationTime), RunAlone)
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -246,39 +246,71 @@
 		}
 		return cmp.Compare(a, b)
 	})
-	var out []gossip.Notice
+	by := crash{replica, incarnation}
+	var held []holding
 	for _, fp := range slices.Compact(fps) {
-		if n, changed := r.crashed(now, crash{replica, incarnation}, fp); changed {
-			out = append(out, n)
+		if h, changed := r.hold(now, by, fp); changed {
+			held = append(held, h)
 		}
 	}
+	var out []gossip.Notice
+	for _, h := range held {
+		r.judge(now, by, h)
+		out = append(out, h.record.notice(now, h.fingerprint))
+	}
 	return out
 }
 
-func (r *Registry) crashed(now time.Time, by crash, fp api.Fingerprint) (gossip.Notice, bool) {
+// holding is a crash that has just been held against a request.
+type holding struct {
+	fingerprint api.Fingerprint
+	record      *record
+	known       bool // the request was a suspect before
+	alone       bool // the crash ended its isolated run
+}
+
+// hold makes a request that was in flight at a crash a suspect. It reports
+// whether this is news.
+func (r *Registry) hold(now time.Time, by crash, fp api.Fingerprint) (holding, bool) {
 	c := r.live(now, fp)
 	if c == nil {
 		c = r.open(fp)
 	}
 	if c.state == convicted || slices.Contains(c.crashes, by) {
-		return gossip.Notice{}, false
+		return holding{}, false
 	}
-	alone := c.running && c.runsOn == by.replica
-	if alone {
+	h := holding{fingerprint: fp, record: c, known: c.state == suspect, alone: c.running && c.runsOn == by.replica}
+	if h.alone {
 		c.endRun()
 	}
-	known := c.state == suspect
 	c.addCrash(by)
 	c.version = nextVersion(now, c.version)
 	c.state = suspect
 	c.until = now.Add(suspicionTime)
-	if known && c.total() >= convictingCrashes && (!c.wasGood || alone && !r.suspectsOther(by, fp)) {
-		r.convict(now, c, by, alone)
-	} else {
-		r.counts.Inc(count.Quarantine, "suspect")
-	}
 	r.good.remove(fp)
-	return c.notice(now, fp), true
+	return h, true
+}
+
+// judge convicts a suspect for its second crash, unless another request may
+// have caused it. A suspect that was answered before is convicted only after an
+// isolated run, and not if another request ran on the same target. One that was
+// not, and ran beside others, must have been the only such request at one of
+// its crashes; else all of them are tried alone.
+func (r *Registry) judge(now time.Time, by crash, h holding) {
+	c := h.record
+	guilty := false
+	switch {
+	case !h.known || c.total() < convictingCrashes:
+	case h.alone:
+		guilty = !c.wasGood || !r.suspectsOther(by, h.fingerprint)
+	default:
+		guilty = !c.wasGood && r.soleSuspect(h.fingerprint, c)
+	}
+	if guilty {
+		r.convict(now, c, by, h.alone)
+		return
+	}
+	r.counts.Inc(count.Quarantine, "suspect")
 }
 
 // convict marks a case as convicted by a crash, at the version of the case.
@@ -310,6 +342,12 @@
 	return false
 }
 
+// soleSuspect reports whether a request was the only one in flight at one of its
+// crashes that no target has ever answered.
+func (r *Registry) soleSuspect(fp api.Fingerprint, c *record) bool {
+	return slices.ContainsFunc(c.crashes, func(by crash) bool { return !r.suspectsOther(by, fp) })
+}
+
 // open starts a case.
 func (r *Registry) open(fp api.Fingerprint) *record {
 	r.makeRoom()
