node: a leaving VM read before the configuration counts

Cause: a node that starts while a VM leaves reads the VM list first. It notes the VM as gone, finds no replica there because it has no configuration yet, and never looks again.

Change: when a document names new replicas, those on leaving VMs drain.

Tests: TestLeavingVMReadBeforeTheConfigurationCounts fails without it.

--- a/core/node/control.go
+++ b/core/node/control.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -91,11 +93,19 @@
 // configuration named them. Those of known replicas were applied when they were
 // heard, and may have been taken back since.
 func (n *Node) drainNewReplicas(now time.Time, before *config.Document) {
+	isNew := func(replica api.ReplicaName) bool { return before == nil || before.Replicas[replica] == nil }
 	for _, notice := range n.peers.Draining(now) {
-		if before == nil || before.Replicas[notice.Replica] == nil {
+		if isNew(notice.Replica) {
 			n.drain(now, notice.Replica, notice.Incarnation)
 		}
 	}
+	for _, vm := range slices.Sorted(maps.Keys(n.vmsGone)) {
+		for _, replica := range n.document.ReplicasOn(vm) {
+			if n.vmsGone[vm] && isNew(replica) {
+				n.draining(now, replica)
+			}
+		}
+	}
 }
 
 func (n *Node) configureServices(before, doc *config.Document) {
--- a/core/node/faults_test.go
+++ b/core/node/faults_test.go
@@ -247,6 +247,17 @@
 	}
 }
 
+// Guards against a node that starts while a VM leaves, and reads the VM list
+// before the configuration tells it what runs there.
+func TestLeavingVMReadBeforeTheConfigurationCounts(t *testing.T) {
+	r := bareRig(t)
+	r.step(event.VMListRead{VMs: []event.VM{{Name: "vm", Leaving: true}}})
+	r.connect()
+	if send, sent := r.search(1); sent {
+		t.Fatalf("sent to a draining replica: %+v", send)
+	}
+}
+
 // Guards against a drain that is held against a process which is gone already:
 // a node without a connection reads that the VM leaves, but knows only the
 // process before the one that runs there.
