quarantine: the request with the most crashes against it is convicted

Change: a request that was never answered is convicted beside others if none that shares a crash with it has as many against it.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -47,7 +47,7 @@
 	if c == nil || c.state != suspect || c.wasGood || c.running {
 		return nil
 	}
-	if len(c.crashes) < convictingCrashes || len(c.crashes) <= c.reported || !r.soleSuspect(n.Fingerprint, c) {
+	if len(c.crashes) < convictingCrashes || len(c.crashes) <= c.reported || !r.mainSuspect(n.Fingerprint, c) {
 		return nil
 	}
 	c.version = nextVersion(now, c.version)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -294,8 +294,8 @@
 // judge convicts a suspect for its second crash, unless another request may
 // have caused it. A suspect that was answered before is convicted only after an
 // isolated run, and not if another request ran on the same target. One that was
-// not, and ran beside others, must have been the only such request at one of
-// its crashes; else all of them are tried alone.
+// not, and ran beside others, must have more crashes against it than each of
+// them; else they are tried alone.
 func (r *Registry) judge(now time.Time, by crash, h holding) {
 	c := h.record
 	guilty := false
@@ -304,7 +304,7 @@
 	case h.alone:
 		guilty = !c.wasGood || !r.suspectsOther(by, h.fingerprint)
 	default:
-		guilty = !c.wasGood && r.soleSuspect(h.fingerprint, c)
+		guilty = !c.wasGood && r.mainSuspect(h.fingerprint, c)
 	}
 	if guilty {
 		r.convict(now, c, by, h.alone)
@@ -342,10 +342,19 @@
 	return false
 }
 
-// soleSuspect reports whether a request was the only one in flight at one of its
-// crashes that no target has ever answered.
-func (r *Registry) soleSuspect(fp api.Fingerprint, c *record) bool {
-	return slices.ContainsFunc(c.crashes, func(by crash) bool { return !r.suspectsOther(by, fp) })
+// mainSuspect reports whether no other request that no target has ever answered
+// was in flight at one of the crashes of this one and has as many against it.
+func (r *Registry) mainSuspect(fp api.Fingerprint, c *record) bool {
+	for other, o := range r.cases {
+		if other != fp && !o.wasGood && len(o.crashes) >= len(c.crashes) && o.sharesCrash(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *record) sharesCrash(o *record) bool {
+	return slices.ContainsFunc(c.crashes, func(by crash) bool { return slices.Contains(o.crashes, by) })
 }
 
 // open starts a case.
