testbed: a host that starts reads the VM list

The driver reads the list when it starts.

Change: a host keeps the copy of the list that it sees, and a process that starts reads it.

--- a/core/testbed/caller.go
+++ b/core/testbed/caller.go
@@ -178,6 +178,9 @@
 		if h != first {
 			lag = 10 * time.Second
 		}
-		w.After(lag, func() { h.feed(event.VMListRead{VMs: list}) }) // also in its next life
+		w.After(lag, func() {
+			h.vms[vm] = leaving
+			h.feed(event.VMListRead{VMs: list})
+		})
 	}
 }
--- a/core/testbed/host.go
+++ b/core/testbed/host.go
@@ -26,7 +26,8 @@
 	ready    bool // the balancer sends to the host
 	CutPeers bool
 	CutStore bool
-	untold   []Signal // signs of drains that came during a cut
+	untold   []Signal            // signs of drains that came during a cut
+	vms      map[api.VMName]bool // the copy of the VM list that it reads: which leave
 	backlog  []event.Event
 	wakeAt   time.Time
 	spins    int
@@ -64,6 +65,19 @@
 	h.node = node.New(s)
 	w.Trace.disturb(w.now, h)
 	h.feed(event.Timer{})
+	h.readVMs()
+}
+
+// readVMs lets a process that has started read the VM list.
+func (h *Host) readVMs() {
+	if len(h.vms) == 0 {
+		return
+	}
+	var list []event.VM
+	for _, vm := range slices.Sorted(maps.Keys(h.vms)) {
+		list = append(list, event.VM{Name: vm, Leaving: h.vms[vm]})
+	}
+	h.later(h.w.hop(), event.VMListRead{VMs: list})
 }
 
 // Kill ends the process at once.
--- a/core/testbed/world.go
+++ b/core/testbed/world.go
@@ -103,7 +103,7 @@
 	}
 	w.configureTargets(doc)
 	for i := range hosts {
-		h := &Host{w: w, index: i, name: api.EntryName(fmt.Sprintf("e%d", i)), address: fmt.Sprintf("10.0.0.%d:7000", i+1)}
+		h := &Host{w: w, vms: make(map[api.VMName]bool), index: i, name: api.EntryName(fmt.Sprintf("e%d", i)), address: fmt.Sprintf("10.0.0.%d:7000", i+1)}
 		w.Hosts = append(w.Hosts, h)
 	}
 	for _, h := range w.Hosts {
