--- a/core/testbed/target.go
+++ b/core/testbed/target.go
@@ -2,13 +2,9 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/config"
 	"github.com/baobabsail/baobabsail/core/event"
@@ -347,87 +343,4 @@
 	}
 }
 
-// Crash ends the process of the target; it is back as a new one after a time.
-func (t *Target) Crash(back time.Duration) {
-	t.exit(event.ConnReset)
-	t.w.After(back, t.Boot)
-}
-
-func (t *Target) exit(how event.ConnEnd) {
-	if !t.up {
-		return
-	}
-	t.up = false
-	t.running, t.queued = nil, nil
-	for _, c := range slices.Clone(t.conns) {
-		c.end(how)
-	}
-}
-
-// Boot starts a new process, which is slow at first.
-func (t *Target) Boot() {
-	if t.up {
-		return
-	}
-	t.up, t.Draining, t.Frozen, t.Mute = true, false, false, false
-	t.incarnation++
-	t.coldUntil = t.w.now.Add(time.Second)
-	if doc := t.w.Store.document(); doc != nil {
-		t.hold(doc)
-	}
-}
-
-// Drain announces that the target leaves; it exits when it is idle.
-func (t *Target) Drain(back time.Duration) {
-	if !t.up || t.Draining {
-		return
-	}
-	t.Draining = true
-	incarnation := t.incarnation
-	t.w.After(stopAfter, func() {
-		if t.incarnation != incarnation || !t.up {
-			return
-		}
-		if n := len(t.running) + len(t.queued); n > 0 {
-			t.w.Trace.broke("P7", "target %s leaves with %d requests in flight", t.Name, n)
-		}
-		t.exit(event.ConnClosed)
-		t.w.After(back, t.Boot)
-	})
-}
-
 // ---- content of the fake index ----
-
-func tagOf(q api.Query) string {
-	if len(q.Conditions) == 0 {
-		return ""
-	}
-	return q.Conditions[0].Value
-}
-
-func workTag(service api.ServiceName, key api.IdempotencyKey) string {
-	return fmt.Sprintf("%s/%x", service, key)
-}
-
-// answerRows returns the rows of some shards for a query, and whether more
-// match. Each row names its epoch, version and query.
-func answerRows(q api.Query, shards []api.ShardName, at api.Snapshot) ([]api.Row, bool) {
-	var rows []api.Row
-	for _, shard := range shards {
-		for i := range rowsPerShard {
-			key := fmt.Sprintf("%s/%d", shard, i)
-			n := xxhash.Sum64String(fmt.Sprintf("%s@%d", key, at.Version)) % 100
-			rows = append(rows, api.Row{Key: key, Fields: []api.Field{
-				{Name: "n", Value: strconv.FormatUint(n, 10)},
-				{Name: "epoch", Value: strconv.FormatUint(at.Epoch, 10)},
-				{Name: "version", Value: strconv.FormatUint(at.Version, 10)},
-				{Name: "tag", Value: tagOf(q)},
-			}})
-		}
-	}
-	slices.SortFunc(rows, func(a, b api.Row) int { return api.CompareRows(&q, &a, &b) })
-	if q.Limit > 0 && len(rows) > q.Limit {
-		return rows[:q.Limit], true
-	}
-	return rows, false
-}
