relay: the configured limit on header bytes is enforced

Cause: the limit was fixed at 64 KiB (docs/platform.md, Not done); a greater header than the configuration allows was passed on to replicas.

Change: a request whose target and header fields are longer than max_header_bytes is answered 431 and its connection closed. The fixed bound of the server is now 1 MiB.

Tests: TestRequestsBeyondTheConfiguredLimits failed before (503 in place of 431).

--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -20,8 +20,10 @@
 	// headerTimeout bounds the time for a request's header before the
 	// configuration says more.
 	headerTimeout = 15 * time.Second
-	// headerBytes bounds the header; the configuration's limit is checked as well.
-	headerBytes = 64 << 10
+	// headerBytes bounds the header beside the configuration's limit.
+	headerBytes = 1 << 20
+	// fieldBytes is the length of a header field beside its name and value.
+	fieldBytes = len(": \r\n")
 	// defaultBodyBytes bounds a body while no configuration is known.
 	defaultBodyBytes = 1 << 20
 )
@@ -91,7 +93,7 @@
 	if c.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, status := c.readBody(r)
+	body, status := c.read(r)
 	if status != 0 {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(status)
@@ -119,6 +121,26 @@
 	}
 }
 
+// read returns the body of a request within the limits, or the status of a
+// refusal.
+func (c *Callers) read(r *http.Request) ([]byte, int) {
+	if limits := c.loop.Limits(); limits != nil && limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	}
+	return c.readBody(r)
+}
+
+// headerSize returns the length of the target and the header fields.
+func headerSize(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + fieldBytes
+		}
+	}
+	return size
+}
+
 // readBody returns the body, or the status of a refusal.
 func (c *Callers) readBody(r *http.Request) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
--- a/entry/relay/callers_test.go
+++ b/entry/relay/callers_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 // newCallers returns a server around an engine without configuration.
@@ -81,3 +83,30 @@
 		t.Error("the listener is open")
 	}
 }
+
+// Guards against a header or a body beyond the configured limits being passed
+// on, and against the refusal of one within them.
+func TestRequestsBeyondTheConfiguredLimits(t *testing.T) {
+	c, _ := newCallers(t)
+	c.loop.limits.Store(&routing.Limits{HeaderBytes: 1000, BodyBytes: 100})
+	for _, k := range []struct {
+		what         string
+		header, body int
+		want         int
+	}{
+		{"within", 500, 100, http.StatusServiceUnavailable}, // no configuration
+		{"header", 1001, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"body", 0, 101, http.StatusRequestEntityTooLarge},
+	} {
+		r := httptest.NewRequest("POST", "/x", strings.NewReader(strings.Repeat("b", k.body)))
+		r.Header.Set("X-Filler", strings.Repeat("h", k.header))
+		w := httptest.NewRecorder()
+		c.ServeHTTP(w, r)
+		if w.Code != k.want {
+			t.Errorf("%s: status %d, want %d", k.what, w.Code, k.want)
+		}
+		if refused := k.want != http.StatusServiceUnavailable; refused && w.Header().Get("Connection") != "close" {
+			t.Errorf("%s: the connection is kept", k.what)
+		}
+	}
+}
