forward: waiting parts take the room of cancelled attempts

Cause, found by reading: when a caller leaves or a deadline passes, its attempts are cancelled and their connections are free, but the parts that wait for room at the service were not looked at until the next answer or loss there. With all connections of a service held by callers who leave at once, the others waited on.

Change: the end of cancelled attempts resumes the parts that wait.

Tests: TestWaitingPartTakesTheRoomOfAnEndedRequest failed before in both cases (no attempt of the request that waits).

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -287,9 +287,11 @@
 }
 
 // release ends the interest in the attempts of a part. They are cancelled at
-// once, or else later if they stall.
+// once, or else later if they stall. Parts that wait take the room of cancelled
+// ones.
 func (e *Engine) release(now time.Time, r *request, p *part, cancel bool) {
-	for _, a := range slices.Clone(p.live) {
+	live := slices.Clone(p.live)
+	for _, a := range live {
 		if cancel {
 			e.cancel(now, a)
 			continue
@@ -298,6 +300,9 @@
 		e.timers.Set(a.sentAt.Add(r.stallTime()), timer{attempt: a.id})
 	}
 	p.live = nil
+	if cancel && len(live) > 0 {
+		e.resume(now, p.service)
+	}
 }
 
 // stallTime is how long an attempt may go on without a sign of its replica.
--- a/core/forward/request_test.go
+++ b/core/forward/request_test.go
@@ -278,3 +278,32 @@
 		t.Errorf("answer %+v", a)
 	}
 }
+
+// Guards against a part that waits for room although there is some: the caller
+// whose request took it has left, or its time has run out.
+func TestWaitingPartTakesTheRoomOfAnEndedRequest(t *testing.T) {
+	for _, c := range []struct {
+		what string
+		end  func(h *harness, first api.RequestID)
+	}{
+		{"caller gone", func(h *harness, first api.RequestID) { h.step(CallerGone{Request: first}) }},
+		{"deadline", func(h *harness, _ api.RequestID) { h.advance(150 * time.Millisecond) }},
+	} {
+		h := newHarness(t, nil)
+		h.accepted = 1
+		h.table(1, 1)
+		h.replicas(1, 1)
+		first := h.requestFor("/one/a", 150*time.Millisecond)
+		if len(h.take()) != 1 {
+			t.Fatal("the first request is not sent")
+		}
+		h.requestFor("/one/b", 2*time.Second)
+		if len(h.take()) != 0 {
+			t.Fatal("the replica takes more than it accepts")
+		}
+		c.end(h, first)
+		if got := len(h.take()); got != 1 {
+			t.Errorf("%s: %d attempts of the request that waits", c.what, got)
+		}
+	}
+}
