--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -34,6 +34,9 @@
 func (e *Engine) dispatch(now time.Time, r *request, i int) {
 	p := &r.parts[i]
 	name, reason := e.choose(now, p, first)
+	if !now.Before(r.deadline) {
+		reason = api.ReasonDeadline
+	}
 	switch reason {
 	case api.ReasonNone:
 		e.send(now, r, i, name)
@@ -196,7 +199,7 @@
 		return
 	}
 	safe := r.route.Idempotent || !r.mayHaveRun
-	if !safe || r.alone || p.sends >= r.route.MaxAttempts {
+	if !safe || r.alone || p.sends >= r.route.MaxAttempts || !now.Before(r.deadline) {
 		e.giveUp(r, p, reason)
 		return
 	}
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 const (
@@ -46,11 +47,25 @@
 	return c
 }
 
+// adoptLimits takes the numbers of connections from a configuration. That of a
+// service which it no longer names holds while there are replicas: requests of
+// the former configuration still go there.
+func (e *Engine) adoptLimits(t *routing.Table) {
+	for service := range e.accepted {
+		if len(e.registry.byService[service]) == 0 {
+			delete(e.accepted, service)
+		}
+	}
+	for name, service := range t.Services {
+		e.accepted[name] = service.MaxConnections
+	}
+}
+
 // quota returns how many connections this node may use at one replica: its
 // part of what the replica accepts, and no more than keeps its slots busy.
 func (e *Engine) quota(service api.ServiceName, slots int) int {
 	quota := 2 * max(slots, 1)
-	if most := e.table.Services[service].MaxConnections; most > 0 {
+	if most := e.accepted[service]; most > 0 {
 		quota = min(quota, int(connectionShare*float64(most)/float64(e.nodes)))
 	}
 	return max(quota, 1)
@@ -61,7 +76,7 @@
 // nodes share the replicas: a node prefers those of low rank, a hash of both
 // names, and at least the one of the lowest rank. No exchange is needed.
 func (e *Engine) preferredRank(service api.ServiceName) float64 {
-	most := e.table.Services[service].MaxConnections
+	most := e.accepted[service]
 	part := preferredShare * float64(most) / float64(e.nodes)
 	if most == 0 || part >= 1 {
 		return 1
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -73,6 +73,9 @@
 	// lag is how long after the target time answers are sent that leave then.
 	lag     quantile.Estimate
 	budgets map[api.ServiceName]*retry.Window
+	// accepted is the number of connections that each replica of a service
+	// accepts, 0 for any number.
+	accepted map[api.ServiceName]int
 	// started is the time of the first event.
 	started time.Time
 	nodes   int
@@ -129,6 +132,7 @@
 		registry:   newRegistry(),
 		delays:     retry.NewDelay(hedgeQuantile, 0),
 		budgets:    make(map[api.ServiceName]*retry.Window),
+		accepted:   make(map[api.ServiceName]int),
 		nodes:      assumedNodes,
 		requests:   make(map[api.RequestID]*request),
 		attempts:   make(map[AttemptID]*attempt),
@@ -170,7 +174,7 @@
 	case ConnEnded:
 		e.connEnded(ev.Replica)
 	case TableRead:
-		e.adopt(ev.Table)
+		e.adopt(now, ev.Table)
 	case ReplicaSeen:
 		e.replicaSeen(now, ev.Registration)
 	case ReplicaGone:
@@ -240,7 +244,7 @@
 }
 
 // adopt takes over a newer configuration; an older one is ignored.
-func (e *Engine) adopt(t *routing.Table) {
+func (e *Engine) adopt(now time.Time, t *routing.Table) {
 	if e.table != nil && t.Version <= e.table.Version {
 		e.counts.Inc(count.Config, "not_newer")
 		return
@@ -250,11 +254,13 @@
 	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services),
 		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
 	e.dropPressures()
+	e.adoptLimits(t)
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
 			delete(e.budgets, name)
 		}
 	}
+	e.resumeAll(now)
 }
 
 func (e *Engine) members(now time.Time, nodes int) {
@@ -267,6 +273,7 @@
 	}
 	e.log("members_changed", "nodes", nodes, "before", e.nodes)
 	e.nodes, e.nodesAt = nodes, now
+	e.resumeAll(now)
 }
 
 // budgetConstant is this node's part of the extra attempts that do not depend
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -75,9 +75,14 @@
 	h.now = end
 }
 
-// table adopts routes: /all/ to the given number of shards, /one/ to shard 0,
-// and /order/ to shard 0 for requests that must not run twice.
+// table adopts newTable.
 func (h *harness) table(version uint64, shards int) {
+	h.step(TableRead{Table: h.newTable(version, shards)})
+}
+
+// newTable has the routes /all/ to the given number of shards, /one/ to shard 0,
+// and /order/ to shard 0 for requests that must not run twice.
+func (h *harness) newTable(version uint64, shards int) *routing.Table {
 	var names []api.ServiceName
 	var services []routing.Service
 	for i := range shards {
@@ -100,7 +105,7 @@
 			Timeout: 2 * time.Second, Target: 200 * time.Millisecond, MaxAttempts: 2,
 		},
 	}
-	h.step(TableRead{Table: routing.NewTable(version, routes, services, routing.Limits{})})
+	return routing.NewTable(version, routes, services, routing.Limits{})
 }
 
 func shard(i int) api.ServiceName { return api.ServiceName(fmt.Sprintf("s%02d", i)) }
--- a/core/forward/waiting.go
+++ b/core/forward/waiting.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,18 +32,23 @@
 
 // resume sends parts that wait for room at a service until there is none.
 func (e *Engine) resume(now time.Time, service api.ServiceName) {
-	for len(e.waiting[service]) > 0 {
-		w := e.waiting[service][0]
+	for at := 0; at < len(e.waiting[service]); {
+		w := e.waiting[service][at]
 		p := &w.request.parts[w.part]
-		if e.requests[w.request.id] != w.request || p.state != partWaiting {
-			e.popWaiting(service)
+		ended := e.requests[w.request.id] != w.request || p.state != partWaiting
+		if ended || !now.Before(w.request.deadline) {
+			e.dequeue(service, at)
 			continue
 		}
 		name, reason := e.choose(now, p, first)
+		if reason == api.ReasonOverloaded && len(p.tried) == 0 {
+			return // no part has room
+		}
 		if reason == api.ReasonOverloaded {
-			return
+			at++ // a replica that it was sent to may have room for others
+			continue
 		}
-		e.popWaiting(service)
+		e.dequeue(service, at)
 		if reason == api.ReasonNone && w.extra && !e.spend(now, w.request, p, replacing) {
 			reason = api.ReasonBudget
 		}
@@ -52,12 +58,21 @@
 			e.giveUp(w.request, p, reason)
 		}
 		e.progress(now, w.request)
+		at = 0 // the queue may have changed
+	}
+	if len(e.waiting[service]) == 0 {
+		delete(e.waiting, service)
 	}
-	delete(e.waiting, service)
 }
 
-func (e *Engine) popWaiting(service api.ServiceName) {
-	queue := e.waiting[service]
-	queue[0] = waitingPart{}
-	e.waiting[service] = queue[1:]
+func (e *Engine) dequeue(service api.ServiceName, at int) {
+	e.waiting[service] = slices.Delete(e.waiting[service], at, at+1)
+}
+
+// resumeAll looks at all parts that wait, after a change of how many connections
+// this node may use.
+func (e *Engine) resumeAll(now time.Time) {
+	for _, service := range slices.Sorted(maps.Keys(e.waiting)) {
+		e.resume(now, service)
+	}
 }
