forward: a node leaves the slow replicas that it prefers

Change: if all preferred replicas of a part with room are expected to take more than twice the hedge delay, those that other nodes prefer are candidates as well. A replica that has gone quiet comes after both.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -254,6 +254,16 @@
 	return time.Duration(s.latency), s.high.Value(highQuantile)
 }
 
+// Expected returns the latency that the next attempt is expected to take, without
+// other attempts on its way: the smoothed one, which fades if it is old.
+func (r *Replicas) Expected(now time.Time, name api.ReplicaName) time.Duration {
+	s, ok := r.replicas[name]
+	if !ok {
+		return 0
+	}
+	return time.Duration(s.expected(now))
+}
+
 // InFlight returns the number of own attempts in flight on a replica.
 func (r *Replicas) InFlight(name api.ReplicaName) int {
 	if s, ok := r.replicas[name]; ok {
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -33,7 +33,7 @@
 // never reached a replica.
 func (e *Engine) dispatch(now time.Time, r *request, i int) {
 	p := &r.parts[i]
-	name, reason := e.choose(now, p, first)
+	name, reason := e.choose(now, r, p, first)
 	if !now.Before(r.deadline) {
 		reason = api.ReasonDeadline
 	}
@@ -82,7 +82,7 @@
 // replica has room, or returns why not.
 func (e *Engine) sendExtra(now time.Time, r *request, i int, why purpose) api.Reason {
 	p := &r.parts[i]
-	name, reason := e.choose(now, p, why)
+	name, reason := e.choose(now, r, p, why)
 	if reason == api.ReasonNone && !e.spend(now, r, p, why) {
 		reason = api.ReasonBudget
 	}
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -27,15 +27,21 @@
 	return 1
 }
 
+// slowFactor times the hedge delay is the latency from which a replica is slow:
+// those that other nodes prefer are then used as well.
+const slowFactor = 2
+
 // choose returns a replica with room for a part, or why there is none. A
-// replica that has gone quiet, or that other nodes prefer, is taken only if there
-// is no other; a silent one only for a probe; and a hedge goes to neither a
-// quiet nor a suspect replica: waiting for any of them would help nobody.
-func (e *Engine) choose(now time.Time, p *part, why purpose) (api.ReplicaName, api.Reason) {
+// replica that has gone quiet is taken only if there is no other, one that other
+// nodes prefer only if there is no other or the others are slow; a silent one
+// only for a probe; and a hedge goes to neither a quiet nor a suspect replica:
+// waiting for any of them would help nobody.
+func (e *Engine) choose(now time.Time, r *request, p *part, why purpose) (api.ReplicaName, api.Reason) {
 	e.candidates = e.candidates[:0]
+	slow := true
 	reason := api.ReasonNoReplica
 	preferred := e.preferredRank(p.service)
-	var others []api.ReplicaName
+	var quiet, shared []api.ReplicaName
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
 		if entry.Draining || slices.Contains(p.tried, name) {
@@ -51,14 +57,21 @@
 		if why == hedging && (e.quiet[name] || e.replicas.Suspect(name)) {
 			continue
 		}
-		if e.quiet[name] || entry.rank > preferred {
-			others = append(others, name)
-			continue
+		switch {
+		case e.quiet[name]:
+			quiet = append(quiet, name)
+		case entry.rank > preferred:
+			shared = append(shared, name)
+		default:
+			e.candidates = append(e.candidates, name)
+			slow = slow && e.replicas.Expected(now, name) > slowFactor*r.hedgeAfter
 		}
-		e.candidates = append(e.candidates, name)
+	}
+	if slow {
+		e.candidates = append(e.candidates, shared...)
 	}
 	if len(e.candidates) == 0 {
-		e.candidates = append(e.candidates, others...)
+		e.candidates = append(e.candidates, quiet...)
 	}
 	name, ok := e.replicas.Pick(now, e.candidates, nil)
 	if !ok {
--- a/core/forward/replica_test.go
+++ b/core/forward/replica_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -298,3 +300,48 @@
 		}
 	}
 }
+
+// Guards against a node that goes on using a slow replica because other nodes
+// prefer the fast ones of its shard.
+func TestSlowPreferredReplicaIsLeft(t *testing.T) {
+	const shards, slow = 8, 60 * time.Millisecond
+	h := newHarness(t, func(s *Settings) { s.Node = "node-1" })
+	h.step(Members{Nodes: 40})
+	h.table(1, shards)
+	h.replicas(shards, 2)
+	preferred := make(map[api.ReplicaName]bool)
+	run := func(times int, slowOnes map[api.ReplicaName]bool) (toSlow int) {
+		for range times {
+			h.request("/all/x")
+			var late []Send
+			for _, s := range h.take() {
+				preferred[s.Replica] = true
+				if slowOnes[s.Replica] {
+					toSlow++
+					late = append(late, s)
+					continue
+				}
+				h.advance(time.Millisecond)
+				h.ok(s, "aa")
+			}
+			h.advance(slow)
+			for _, s := range late {
+				h.ok(s, "aa")
+			}
+			for _, s := range h.take() { // hedges
+				h.ok(s, "aa")
+			}
+			h.advance(200 * time.Millisecond)
+		}
+		return toSlow
+	}
+	run(40, nil)
+	one := slices.Sorted(maps.Keys(preferred))[0]
+	if got := run(40, map[api.ReplicaName]bool{one: true}); got > 12 {
+		t.Errorf("%d of 40 requests went to the slow replica first", got)
+	}
+	// The others keep to what they prefer.
+	if len(preferred) > shards+2 {
+		t.Errorf("%d replicas of %d shards in use", len(preferred), shards)
+	}
+}
--- a/core/forward/waiting.go
+++ b/core/forward/waiting.go
@@ -40,7 +40,7 @@
 			e.dequeue(service, at)
 			continue
 		}
-		name, reason := e.choose(now, p, first)
+		name, reason := e.choose(now, w.request, p, first)
 		if reason == api.ReasonOverloaded && len(p.tried) == 0 {
 			return // no part has room
 		}
