gossip: members that were apart exchange their whole lists

Members of the other side were told one at a time.

Change: a node that hears a member which it did not list sends it its whole list, unless the list has more than 100 members.

Tests: TestMembersApartExchangeTheirLists fails without it (3 of 7 members known after the first contact).

Tried and left out: to ask the first peer that writes to a started node for all notices.

--- a/core/gossip/exchange.go
+++ b/core/gossip/exchange.go
@@ -292,7 +292,8 @@
 		return out
 	}
 	x.ensureBeat(now)
-	out.MembersChanged = x.hear(now, m.From, joinRounds, true)
+	joined := x.hear(now, m.From, joinRounds, true)
+	out.MembersChanged = joined
 	hot := joinRounds
 	if len(m.Members) > bulkEntries {
 		hot = 0
@@ -308,7 +309,9 @@
 		}
 	}
 	out.Sends = append(x.push(out.Fresh, m.From.Name), x.catchUp(now, m.From.Name)...)
-	if len(m.Members) == 0 {
+	// A member that was apart for long has as much to learn as one that knows
+	// nobody. Of a large group the list is left to the periodic exchange.
+	if len(m.Members) == 0 || joined && len(x.names) <= bulkEntries {
 		out.Sends = append(out.Sends, x.welcome(now, m.From)...)
 	}
 	if x.asksForList(now) {
--- a/core/gossip/exchange_test.go
+++ b/core/gossip/exchange_test.go
@@ -344,3 +344,25 @@
 		}
 	}
 }
+
+// Guards against a member list that stays incomplete after a partition of a
+// group of 60, because members of the other side are told one at a time.
+func TestMembersApartExchangeTheirLists(t *testing.T) {
+	f := newFleet(8, 1, 0)
+	f.side = func(i int) int { return i % 2 }
+	f.run(20 * time.Second)
+	f.side = func(int) int { return 0 }
+	left, right := f.nodes[0], f.nodes[1]
+	message := left.periodic(f.clock(0))
+	if len(message.Members) == 0 {
+		t.Fatal("no periodic message of a member that knows others")
+	}
+	for _, s := range right.Receive(f.clock(1), message).Sends {
+		if s.Address == addressOf(0) {
+			left.Receive(f.clock(0), s.Message)
+		}
+	}
+	if got := len(left.names); got != 7 {
+		t.Errorf("%d of 7 members known after the first contact", got)
+	}
+}
