testbed: a connection replaced at the moment of its first lost request counts

The check looked for a connection opened strictly after the first use.

Change: one opened at that moment counts as well.

--- a/core/testbed/oracle_tier.go
+++ b/core/testbed/oracle_tier.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if !slices.ContainsFunc(c.Dials, func(d Dial) bool {
-			return d.Host == s.Host && d.Replica == s.Replica && d.At.After(s.Used) && !d.At.After(until)
+			return d.Host == s.Host && d.Replica == s.Replica && !d.At.Before(s.Used) && !d.At.After(until)
 		}) {
 			c.fail("P10", "node %d does not replace its silent connection to %s in %v", s.Host, s.Replica, silenceBound)
 		}
