quarantine: a vouched request that shared its isolated run is taken back

The node that convicts the popular search has just started and does not know that it was answered before; a peer vouches for it 1 ms later, which did not void a conviction from an isolated run, although with that knowledge the other suspect of the same crash would have kept the node from convicting.

Change: what a peer vouches for is taken back unless its isolated run shared the target with no other suspect.

Tests: TestVouchedRequestBesideAnotherSuspectIsTakenBack fails without it.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -56,7 +56,8 @@
 }
 
 // vouchedFor takes a peer's word that a request was answered before. A
-// conviction of this node that did not follow from an isolated run is void.
+// conviction of this node is void unless it followed from an isolated run that
+// shared its target with no other suspect.
 func (r *Registry) vouchedFor(now time.Time, fp api.Fingerprint) []gossip.Notice {
 	c := r.live(now, fp)
 	if c == nil {
@@ -65,7 +66,10 @@
 	}
 	known := c.wasGood
 	c.wasGood, c.vouched = true, true
-	if known || c.state != convicted || c.convictedBy == (crash{}) || c.convictedAlone {
+	if known || c.state != convicted || c.convictedBy == (crash{}) {
+		return nil
+	}
+	if c.convictedAlone && !r.suspectsOther(c.convictedBy, fp) {
 		return nil
 	}
 	return []gossip.Notice{r.takeBack(now, fp, c)}
--- a/core/quarantine/learn_test.go
+++ b/core/quarantine/learn_test.go
@@ -275,3 +275,26 @@
 	}
 	want(t, heard, epoch.Add(explanationTime), RunAlone)
 }
+
+// Guards against the conviction of a popular request by a node that has just
+// started: its isolated run shared the target with another request that was
+// never answered, and a peer vouches for it afterwards.
+func TestVouchedRequestBesideAnotherSuspectIsTakenBack(t *testing.T) {
+	const cause = api.Fingerprint(2)
+	for _, beside := range []bool{true, false} {
+		r := newRegistry()
+		crashOf(r, epoch, "a", fp)
+		want(t, r, epoch, RunAlone)
+		r.Placed(epoch, fp, "b")
+		if beside {
+			r.Learn(epoch, crashOf(newRegistry(), epoch, "b", cause)[0])
+		}
+		crashOf(r, epoch, "b", fp)
+		r.Respond(epoch, gossip.Notice{Kind: gossip.NoticeVouched, Fingerprint: fp, Version: 1, TimeToLive: time.Minute})
+		expected := Refuse
+		if beside {
+			expected = Run
+		}
+		want(t, r, epoch.Add(explanationTime), expected)
+	}
+}
