fanout: a resumed part may restart the search

The node's process ends with a panic.

Change: after a restart the part no longer waits.

Tests: TestResumedPartMayRestartTheSearch panics without it.

--- a/core/fanout/query.go
+++ b/core/fanout/query.go
@@ -163,9 +163,11 @@
 	if q.done || i >= len(q.parts) || q.parts[i].state != partWaiting {
 		return true
 	}
+	restarts := q.restarts
 	q.dispatch(now, i)
 	q.evaluate(now)
-	return q.done || q.parts[i].state != partWaiting
+	// A restart may have left fewer parts, or another one at this index.
+	return q.done || q.restarts != restarts || q.parts[i].state != partWaiting
 }
 
 // Wake returns when Tick has to be called next.
--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -223,6 +223,36 @@
 	}
 }
 
+// Guards against a panic when the part that is resumed ends its snapshot, and
+// the search begins again at one with fewer shards.
+func TestResumedPartMayRestartTheSearch(t *testing.T) {
+	q, env := begin(t, 2, func(p *Plan) {
+		p.Shards = slices.Clone(p.Shards)
+		p.Shards[1].Replicas = []api.ReplicaName{"c"}
+	})
+	next := choice(2, 6, 1)
+	env.next = &next
+	q.Lost(start, 1, env.sent[1].id, false) // "c" was the only one
+	env.busy["c"] = true
+	for n := 0; n < 20 && q.Snapshot().Epoch == 1; n++ {
+		for _, s := range slices.Clone(env.sent) {
+			if s.part == 0 {
+				gone := reply(q, s)
+				gone.Outcome = api.TargetVersionGone
+				q.Replied(start, 0, s.id, gone)
+			}
+		}
+		q.Shards[1].Replicas = nil
+		q.ResumePart(start, 1)
+		if q.Snapshot().Epoch == 1 {
+			q.Tick(q.Wake())
+		}
+	}
+	if q.Snapshot() != next.Snapshot {
+		t.Fatalf("snapshot %+v", q.Snapshot())
+	}
+}
+
 // Guards against "not run" for a search of which a part was answered before it
 // began again at another snapshot (P4).
 func TestRestartedSearchIsNotCalledNotRun(t *testing.T) {
