fanout: the test of a resumed part reaches the restart

It now lets the search restart only while the part is resumed. With the former query.go it panics there (query.go:168); it passes with the change.

--- a/core/fanout/query_test.go
+++ b/core/fanout/query_test.go
@@ -226,30 +226,27 @@
 // Guards against a panic when the part that is resumed ends its snapshot, and
 // the search begins again at one with fewer shards.
 func TestResumedPartMayRestartTheSearch(t *testing.T) {
-	q, env := begin(t, 2, func(p *Plan) {
-		p.Shards = slices.Clone(p.Shards)
-		p.Shards[1].Replicas = []api.ReplicaName{"c"}
-	})
-	next := choice(2, 6, 1)
-	env.next = &next
-	q.Lost(start, 1, env.sent[1].id, false) // "c" was the only one
-	env.busy["c"] = true
-	for n := 0; n < 20 && q.Snapshot().Epoch == 1; n++ {
-		for _, s := range slices.Clone(env.sent) {
-			if s.part == 0 {
-				gone := reply(q, s)
-				gone.Outcome = api.TargetVersionGone
-				q.Replied(start, 0, s.id, gone)
-			}
-		}
-		q.Shards[1].Replicas = nil
-		q.ResumePart(start, 1)
-		if q.Snapshot().Epoch == 1 {
-			q.Tick(q.Wake())
-		}
+	env := &fakeEnv{busy: map[api.ReplicaName]bool{"c": true}, counts: count.NewSet()}
+	first, next := choice(1, 5, 2), choice(2, 6, 1)
+	first.Map.Shards[1].Replicas = []api.ReplicaName{"c"} // part 1 waits for room
+	q := New(Plan{
+		Query: api.Query{Service: "alarm"}, Choice: first, Shards: first.Map.Shards,
+		Wanted: api.Whole, Limit: 100, Start: start, Deadline: start.Add(timeLimit), HedgeDelay: hedgeDelay,
+	}, env)
+	q.Begin(start)
+	for n := 0; n < 10 && q.versionGaps == 0; n++ {
+		s := env.sent[len(env.sent)-1]
+		gone := reply(q, s)
+		gone.Outcome = api.TargetVersionGone
+		q.Replied(start, 0, s.id, gone)
+		q.Tick(q.Wake())
 	}
-	if q.Snapshot() != next.Snapshot {
-		t.Fatalf("snapshot %+v", q.Snapshot())
+	if q.Snapshot() != first.Snapshot || q.parts[1].state != partWaiting {
+		t.Fatalf("snapshot %+v, part %+v", q.Snapshot(), q.parts[1])
+	}
+	env.next = &next
+	if !q.ResumePart(start, 1) || q.Snapshot() != next.Snapshot {
+		t.Fatalf("snapshot %+v after the part was resumed", q.Snapshot())
 	}
 }
 
