--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -98,14 +98,6 @@
 	r.counts.Inc(count.Quarantine, "convicted")
 }
 
-// wasGood reports whether a target had answered a request before its first crash.
-func (r *Registry) wasGood(fp api.Fingerprint) bool {
-	if c := r.cases[fp]; c != nil {
-		return c.wasGood
-	}
-	return r.good.has(fp)
-}
-
 // suspectsOther reports whether a crash is held against another request, which
 // no target has ever answered. That one ran on the same target, sent by this
 // node or another, and is more likely to be the cause.
