--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -12,8 +12,7 @@
 // Respond returns what this node has to tell its peers after it learned a
 // notice: that it knows a suspect to be answered before, that it convicts one by
 // crashes which several nodes saw, or that it takes back a conviction of its
-// own. Requests that wait on a conviction taken back should
-// ask Admit again.
+// own. Requests that wait on a conviction taken back should ask Admit again.
 func (r *Registry) Respond(now time.Time, n gossip.Notice) []gossip.Notice {
 	switch n.Kind {
 	case gossip.NoticeSuspect, gossip.NoticeConvicted:
