--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -33,10 +33,11 @@
 // never reached a replica.
 func (e *Engine) dispatch(now time.Time, r *request, i int) {
 	p := &r.parts[i]
-	name, reason := e.choose(now, r, p, first)
 	if !now.Before(r.deadline) {
-		reason = api.ReasonDeadline
+		e.giveUp(r, p, api.ReasonDeadline)
+		return
 	}
+	name, reason := e.choose(now, r, p, first)
 	switch reason {
 	case api.ReasonNone:
 		e.send(now, r, i, name)
