--- a/core/testbed/oracle_tier.go
+++ b/core/testbed/oracle_tier.go
@@ -16,6 +16,7 @@
 	})
 }
 
+// drains checks that a draining target gets no new requests.
 func (c *checker) drains() {
 	for _, s := range c.Signals {
 		for _, run := range c.Runs {
@@ -56,6 +57,7 @@
 	}
 }
 
+// configuration checks that nodes go forward only and that accepted changes stay.
 func (c *checker) configuration() {
 	type life struct {
 		host int
