--- a/core/gossip/exchange_test.go
+++ b/core/gossip/exchange_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -179,11 +180,14 @@
 	}
 }
 
+// partitionSeed repeats TestPartitionHeals with other random numbers.
+var partitionSeed = flag.Uint64("partition.seed", 12, "seed of TestPartitionHeals")
+
 // Guards against two sides that stay apart after a partition, and against
 // notices of one side that the other never gets.
 func TestPartitionHeals(t *testing.T) {
 	for _, n := range []int{8, 60} {
-		f := newFleet(n, 12, 0.1)
+		f := newFleet(n, *partitionSeed, 0.1)
 		f.run(20 * time.Second)
 		f.side = func(i int) int { return i % 2 }
 		f.run(10 * time.Minute)
