forward: counters and log fields that tell a slow node from a slow call

The logs could not say whether a range was asked for again because the other node was slow or this one, and the counters not which of three reasons it had; nor whether an answer was late for want of parts or since the node was busy. call_not_accepted now has the time allowed and whether any other node had answered (heard), the counter retried/range is split by reason, late/parts and late/node are new, request_ended of a divided request has its target. No change of behaviour.

--- a/core/count/count.go
+++ b/core/count/count.go
@@ -45,6 +45,8 @@
 	Quarantine Kind = "quarantine"
 	// Sent counts requests sent to targets.
 	Sent Kind = "sent"
+	// Late counts answers of sharded requests after their target time.
+	Late Kind = "late"
 )
 
 // Key is a counter: a group and a reason or detail within it.
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -24,6 +24,7 @@
 		e.counts.Inc(count.Refused, reason)
 	}
 	e.counts.Inc(count.SearchEnded, api.Reason(answer.Outcome.String()))
+	e.countLate(now, r, &answer)
 	e.logEnd(now, r, &answer)
 }
 
@@ -35,6 +36,21 @@
 		"extra_attempts", r.extras, "denied", r.denied, "hedge_after_ms", r.hedgeAfter.Milliseconds())
 }
 
+// lateSlack is how long after the target time an answer that left then may be built.
+const lateSlack = time.Millisecond
+
+// countLate counts an answer of a sharded request that is built after its target
+// time: for want of parts, or since this node was busy.
+func (e *Engine) countLate(now time.Time, r *request, a *Answer) {
+	if r.subset == nil && a.Merged != nil && now.After(r.target.Add(lateSlack)) {
+		if r.enoughAt.After(r.target) {
+			e.counts.Inc(count.Late, "parts")
+		} else {
+			e.counts.Inc(count.Late, "node")
+		}
+	}
+}
+
 // missingServices lists the services without an answer and why, for the log.
 func (r *request) missingServices() string {
 	out := ""
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -177,6 +177,7 @@
 		if r.halfAt.IsZero() && 2*r.covered >= len(r.parts) {
 			r.halfAt = now
 		}
+		r.noteEnough(now, r.covered)
 		r.mayHaveRun = true
 		e.release(now, r, p, false)
 		e.survived(now, r)
--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -31,6 +31,13 @@
 	pingTime = 500 * time.Millisecond
 )
 
+// Why a range is asked for again.
+const (
+	rangeRefused     api.Reason = "range_refused"
+	rangeLost        api.Reason = "range_lost"
+	rangeNotAccepted api.Reason = "range_not_accepted"
+)
+
 // call is a range that another node, or this one, has been asked to run.
 type call struct {
 	id      CallID
@@ -44,6 +51,8 @@
 	// cleared is set once the node has said that it works on the range: no other
 	// one is asked then.
 	cleared bool
+	// withdrawn is set once the node has not said in time that it works on the range.
+	withdrawn bool
 }
 
 // callRange asks a node of the range's group to run it, this one if it is in the
@@ -168,10 +177,11 @@
 // shard, since it is not cleared for more; a call that may have used the last
 // attempt is given up only if it has not left this node.
 func (e *Engine) notAccepted(now time.Time, d *divided, c *call) {
-	c.acceptBy = time.Time{}
+	waited := c.acceptBy.Sub(c.sentAt)
+	c.acceptBy, c.withdrawn = time.Time{}, true
 	last := d.ranges[c.index].used+1 >= d.request.maxAttempts
 	e.log("call_not_accepted", "id", d.request.message.CallerRequest, "node", c.node,
-		"after_ms", now.Sub(c.sentAt).Milliseconds(), "last", last)
+		"after_ms", now.Sub(c.sentAt).Milliseconds(), "allowed_ms", waited.Milliseconds(), "heard", d.heard, "last", last)
 	e.act(AbandonCall{Call: c.id, UnsentOnly: last})
 }
 
@@ -182,8 +192,8 @@
 }
 
 // callAgain asks the next node for a range of which nothing is known yet, or
-// gives it up.
-func (e *Engine) callAgain(now time.Time, d *divided, i int) {
+// gives it up. The cause is what happened to the last call.
+func (e *Engine) callAgain(now time.Time, d *divided, i int, cause api.Reason) {
 	s := &d.ranges[i]
 	ended := slices.Contains(s.tried, "") || !now.Before(d.request.deadline)
 	if s.covered > 0 || s.used >= max(d.request.maxAttempts, 1) || ended {
@@ -191,14 +201,14 @@
 		d.reason = api.ReasonConnectionLost
 		return
 	}
-	e.counts.Inc(count.Retried, "range")
+	e.counts.Inc(count.Retried, cause)
 	e.callRange(now, d, i)
 }
 
 // callAccepted handles the first sign of a node that it works on a range.
 func (e *Engine) callAccepted(now time.Time, id CallID) {
 	if c := e.calls[id]; c != nil && c.divided != nil {
-		c.acceptBy, c.cleared = time.Time{}, true
+		c.acceptBy, c.cleared, c.divided.heard = time.Time{}, true, true
 		e.accepts.Add(now, now.Sub(c.sentAt))
 		e.act(ClearCall{Call: id})
 	}
@@ -217,6 +227,7 @@
 		return
 	}
 	c.acceptBy = time.Time{}
+	d.heard = d.heard || c.node != ""
 	if ev.Last && ev.differs() {
 		e.callRefused(now, c, ev.Reason)
 		return
@@ -224,6 +235,7 @@
 	s := &d.ranges[c.index]
 	s.covered += len(ev.Proofs)
 	d.covered += len(ev.Proofs)
+	d.request.noteEnough(now, d.covered)
 	d.proofs = append(d.proofs, ev.Proofs...)
 	if len(ev.Body) > 0 {
 		d.bodies = append(d.bodies, ev.Body)
@@ -258,7 +270,7 @@
 	}
 	e.log("call_refused", "id", d.request.message.CallerRequest, "node", c.node, "reason", reason)
 	e.dropCall(c)
-	e.callAgain(now, d, c.index)
+	e.callAgain(now, d, c.index, rangeRefused)
 	e.progressDivided(now, d)
 }
 
@@ -303,7 +315,11 @@
 			d.ranges[c.index].used = d.request.maxAttempts
 		}
 	}
-	e.callAgain(now, d, c.index)
+	cause := rangeLost
+	if c.withdrawn {
+		cause = rangeNotAccepted
+	}
+	e.callAgain(now, d, c.index, cause)
 	e.progressDivided(now, d)
 }
 
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -28,6 +28,8 @@
 	reason api.Reason
 	// halves are the times until half of the parts of a range were answered.
 	halves []time.Duration
+	// heard is set once another node has answered one of the calls.
+	heard bool
 	// starting is set until all ranges have been handed to a node.
 	starting bool
 }
@@ -131,9 +133,11 @@
 		e.counts.Inc(count.Refused, reason)
 	}
 	e.counts.Inc(count.SearchEnded, api.Reason(a.Outcome.String()))
+	e.countLate(now, r, &a)
 	e.log("request_ended", "id", r.message.CallerRequest, "route", r.route.Name, "version", r.version,
 		"outcome", a.Outcome, "reason", a.Reason, "took_ms", now.Sub(r.start).Milliseconds(),
-		"parts", len(r.route.Shards), "covered", d.covered, "ranges", len(d.ranges), "ranges_open", d.open)
+		"parts", len(r.route.Shards), "covered", d.covered, "ranges", len(d.ranges), "ranges_open", d.open,
+		"target_ms", r.target.Sub(r.start).Milliseconds())
 }
 
 // answer builds the final answer.
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -91,8 +91,10 @@
 	// reported is set once the parts answered at the target time were sent.
 	reported bool
 	// halfAt is when half of the parts were answered.
-	halfAt  time.Time
-	missing int
+	halfAt time.Time
+	// enoughAt is when the smallest share of shards was answered.
+	enoughAt time.Time
+	missing  int
 	// alone is set while the request is suspected of crashing replicas: one part
 	// is sent once, and the others after its answer.
 	alone bool
@@ -126,6 +128,13 @@
 	return parts > 0 && float64(parts) >= r.route.MinCoverage*float64(len(r.route.Shards))-1e-9
 }
 
+// noteEnough records when the smallest share of shards was answered.
+func (r *request) noteEnough(now time.Time, parts int) {
+	if r.enoughAt.IsZero() && r.enough(parts) {
+		r.enoughAt = now
+	}
+}
+
 func (e *Engine) version() uint64 {
 	if e.table == nil {
 		return 0
