forward, relay: a call that is not accepted in time goes on; a second node is asked beside it

Cause: a node that had not said within 20 to 40 ms that it works on a range was given up. The range was then run by another node, with extra attempts only, which a node outside of the group has no budget for: the parts were given up at once, and with them the request, at 32 ms of its 800. Often the node that gave up had been paused itself; the answers of all others lay unread on its sockets (call_not_accepted lines of all 11 calls of one request at once).

Ruled out: replicas (the ranges in question had been run in 10 ms by the nodes that were given up).

Change: a call that was sent goes on until half of the time left. Beside it, one other node of the group is asked, if there is one that is not suspect; the first reply with parts is kept and the other call cancelled. A node that was late itself (its timer, or nobody heard) waits once more before it concludes anything. The driver reports whether a late call was sent (CallUnheard) instead of cutting it. TestAbandonedCall becomes TestWithdrawnCall: a call that was sent must not be reported as unsent.

Tests: TestRangeOfSlowNodesIsWaitedFor and TestPausedNodeReadsRepliesFirst failed before (unknown, connection_lost, 0 shards).

--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -27,6 +27,12 @@
 	returnDivisor  = 4
 	// localMargin is kept before the target for the reply of a range at this node.
 	localMargin = time.Millisecond
+	// giveUpDivisor gives the part of the time left after which a call is given up of
+	// which nothing was heard, so that the caller can come back in time.
+	giveUpDivisor = 2
+	// lateTimer is how late a timer shows that this node was busy or paused: what
+	// others sent in the meantime has not been read yet.
+	lateTimer = 5 * time.Millisecond
 	// pingTime bounds the answer to a ping.
 	pingTime = 500 * time.Millisecond
 )
@@ -46,23 +52,33 @@
 	// node runs the range; empty if it is this one.
 	node   string
 	sentAt time.Time
-	// acceptBy is when another node takes over; zero if none does.
+	// acceptBy is when another node is asked as well; zero if none is.
 	acceptBy time.Time
-	// cleared is set once the node has said that it works on the range: no other
-	// one is asked then.
+	// giveUpBy is when the call is given up if nothing was heard of it; zero once
+	// something was.
+	giveUpBy time.Time
+	// extended is set once acceptBy was put off since this node was late itself.
+	extended bool
+	// cleared is set once the node was told that no other one will be asked.
 	cleared bool
-	// withdrawn is set once the node has not said in time that it works on the range.
-	withdrawn bool
+	// overdue is set once the node has not said in time that it works on the range.
+	overdue bool
+	// counted is set once its attempts are among those used for the range.
+	counted bool
 }
 
 // callRange asks a node of the range's group to run it, this one if it is in the
 // group or no other is left.
 func (e *Engine) callRange(now time.Time, d *divided, i int) {
+	e.ask(now, d, i, e.chooseNode(now, d, i))
+}
+
+// ask asks a node to run a range; this one if it is empty.
+func (e *Engine) ask(now time.Time, d *divided, i int, node string) {
 	s := &d.ranges[i]
-	node := e.chooseNode(now, d, i) // may send pings, which are calls as well
 	e.newestCall++
 	c := &call{id: e.newestCall, divided: d, index: i, node: node, sentAt: now}
-	s.call = c
+	s.calls = append(s.calls, c)
 	s.tried = append(s.tried, c.node)
 	e.calls[c.id] = c
 	if c.node == "" {
@@ -72,6 +88,8 @@
 	r := d.request
 	left := r.target.Sub(now)
 	c.acceptBy = now.Add(e.acceptWait(left))
+	c.giveUpBy = now.Add(r.deadline.Sub(now) / giveUpDivisor)
+	d.asked++
 	e.groups.load.Sent(now, api.ReplicaName(c.node))
 	e.counts.Inc(count.Sent, "range")
 	e.act(CallPeer{
@@ -172,23 +190,112 @@
 	return min(max(e.returns.Value(returnQuantile), returnLeast), max(left/returnDivisor, returnLeast))
 }
 
-// notAccepted gives up a call of which the node has said nothing, so that another
-// one is asked. The node may still run the range, with one attempt for each
-// shard, since it is not cleared for more; a call that may have used the last
-// attempt is given up only if it has not left this node.
+// checkCall looks at a call of which nothing has been heard yet, and returns when
+// it is to be looked at again; the zero time if it is not.
+func (e *Engine) checkCall(now time.Time, d *divided, c *call) time.Time {
+	if !c.acceptBy.IsZero() && !now.Before(c.acceptBy) {
+		e.notAccepted(now, d, c)
+	}
+	if !c.giveUpBy.IsZero() && !now.Before(c.giveUpBy) {
+		e.act(CancelCall{Call: c.id})
+		e.callLost(now, CallLost{Call: c.id, Error: "nothing heard"})
+		return time.Time{}
+	}
+	return earliest(c.acceptBy, c.giveUpBy)
+}
+
+// notAccepted handles a call of which the node has said nothing in time. The node
+// may still run the range, with one attempt for each shard, since it is not
+// cleared for more. If this node was late itself, it first reads what has arrived.
 func (e *Engine) notAccepted(now time.Time, d *divided, c *call) {
-	waited := c.acceptBy.Sub(c.sentAt)
-	c.acceptBy, c.withdrawn = time.Time{}, true
-	last := d.ranges[c.index].used+1 >= d.request.maxAttempts
+	allowed := c.acceptBy.Sub(c.sentAt)
+	if !c.extended && d.lateHere(now, c) {
+		c.extended = true
+		c.acceptBy = now.Add(e.acceptWait(d.request.target.Sub(c.sentAt)))
+		return
+	}
+	c.acceptBy, c.overdue = time.Time{}, true
 	e.log("call_not_accepted", "id", d.request.message.CallerRequest, "node", c.node,
-		"after_ms", now.Sub(c.sentAt).Milliseconds(), "allowed_ms", waited.Milliseconds(), "heard", d.heard, "last", last)
-	e.act(AbandonCall{Call: c.id, UnsentOnly: last})
+		"after_ms", now.Sub(c.sentAt).Milliseconds(), "allowed_ms", allowed.Milliseconds(), "heard", d.heard)
+	e.act(WithdrawCall{Call: c.id})
+}
+
+// lateHere reports whether a call may only seem late because this node is: its
+// timer was, or none of the nodes that were asked has been heard.
+func (d *divided) lateHere(now time.Time, c *call) bool {
+	return now.Sub(c.acceptBy) > lateTimer || !d.heard && d.asked > 1
+}
+
+// callUnheard asks another node for the range of a call that was sent and of which
+// nothing was heard, if there is one that can run it; the call goes on.
+func (e *Engine) callUnheard(now time.Time, id CallID) {
+	c := e.calls[id]
+	if c == nil || c.divided == nil || !c.overdue || c.giveUpBy.IsZero() {
+		return
+	}
+	d := c.divided
+	s := &d.ranges[c.index]
+	e.groups.load.MarkSuspect(now, api.ReplicaName(c.node))
+	if s.covered > 0 || s.used+1 >= d.request.maxAttempts || s.newest() != c {
+		return
+	}
+	node, ok := e.standIn(now, d, c.index)
+	if !ok {
+		return
+	}
+	s.used++
+	c.counted = true
+	e.counts.Inc(count.Retried, rangeNotAccepted)
+	e.ask(now, d, c.index, node)
+	e.progressDivided(now, d)
+}
+
+// standIn returns a node that runs a range beside one that has been asked: another
+// one of its group, which has the connections and the budget for it.
+func (e *Engine) standIn(now time.Time, d *divided, i int) (node string, ok bool) {
+	tried := d.ranges[i].tried
+	e.candidates = e.candidates[:0]
+	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
+		name := api.ReplicaName(p.Node)
+		switch {
+		case p.Node == e.settings.Node && !slices.Contains(tried, ""):
+			return "", true
+		case p.Node == e.settings.Node || slices.Contains(tried, p.Node) || e.groups.load.Suspect(name):
+			// It was asked before, or would not answer either.
+		default:
+			e.candidates = append(e.candidates, name)
+		}
+	}
+	name, ok := e.groups.load.Pick(now, e.candidates, nil)
+	return string(name), ok
 }
 
 // dropCall forgets a call.
 func (e *Engine) dropCall(c *call) {
 	delete(e.calls, c.id)
-	c.divided.ranges[c.index].call = nil
+	s := &c.divided.ranges[c.index]
+	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
+}
+
+// cancelCall ends a call that is not needed any more.
+func (e *Engine) cancelCall(now time.Time, c *call) {
+	e.dropCall(c)
+	if c.node == "" {
+		e.callerGone(now, localRequest|api.RequestID(c.id))
+		return
+	}
+	e.groups.load.Cancelled(now, api.ReplicaName(c.node), now.Sub(c.sentAt))
+	e.act(CancelCall{Call: c.id})
+}
+
+// keepOnly ends the other calls for the range of a call that has brought parts, so
+// that no part is in an answer twice.
+func (e *Engine) keepOnly(now time.Time, c *call) {
+	for _, other := range slices.Clone(c.divided.ranges[c.index].calls) {
+		if other != c {
+			e.cancelCall(now, other)
+		}
+	}
 }
 
 // callAgain asks the next node for a range of which nothing is known yet, or
@@ -205,11 +312,17 @@
 	e.callRange(now, d, i)
 }
 
-// callAccepted handles the first sign of a node that it works on a range.
+// callAccepted handles the first sign of a node that it works on a range. If
+// another one has been asked meanwhile, it keeps to one attempt for each shard.
 func (e *Engine) callAccepted(now time.Time, id CallID) {
-	if c := e.calls[id]; c != nil && c.divided != nil {
-		c.acceptBy, c.cleared, c.divided.heard = time.Time{}, true, true
-		e.accepts.Add(now, now.Sub(c.sentAt))
+	c := e.calls[id]
+	if c == nil || c.divided == nil {
+		return
+	}
+	c.acceptBy, c.giveUpBy, c.divided.heard = time.Time{}, time.Time{}, true
+	e.accepts.Add(now, now.Sub(c.sentAt))
+	if c.divided.ranges[c.index].newest() == c {
+		c.cleared = true
 		e.act(ClearCall{Call: id})
 	}
 }
@@ -226,12 +339,15 @@
 		e.pingEnded(now, c, ev.Reason == api.ReasonNone)
 		return
 	}
-	c.acceptBy = time.Time{}
+	c.acceptBy, c.giveUpBy = time.Time{}, time.Time{}
 	d.heard = d.heard || c.node != ""
 	if ev.Last && ev.differs() {
 		e.callRefused(now, c, ev.Reason)
 		return
 	}
+	if len(ev.Proofs) > 0 {
+		e.keepOnly(now, c)
+	}
 	s := &d.ranges[c.index]
 	s.covered += len(ev.Proofs)
 	d.covered += len(ev.Proofs)
@@ -270,15 +386,23 @@
 	}
 	e.log("call_refused", "id", d.request.message.CallerRequest, "node", c.node, "reason", reason)
 	e.dropCall(c)
-	e.callAgain(now, d, c.index, rangeRefused)
+	if c.counted {
+		d.ranges[c.index].used--
+	}
+	if len(d.ranges[c.index].calls) == 0 {
+		e.callAgain(now, d, c.index, rangeRefused)
+	}
 	e.progressDivided(now, d)
 }
 
-// callEnded handles the last reply to a call.
+// callEnded handles the last reply to a call. A range of which no part has arrived
+// stays open while another call runs it.
 func (e *Engine) callEnded(now time.Time, c *call, ev *CallReplied) {
 	d := c.divided
 	e.dropCall(c)
-	d.open--
+	if s := &d.ranges[c.index]; s.covered > 0 || len(s.calls) == 0 {
+		d.open--
+	}
 	if ev.Half > 0 {
 		d.halves = append(d.halves, ev.Half)
 	}
@@ -308,38 +432,38 @@
 	if !c.cleared {
 		e.groups.load.MarkSuspect(now, api.ReplicaName(c.node))
 	}
+	s := &d.ranges[c.index]
 	if !ev.Unsent {
 		d.ran = true
-		d.ranges[c.index].used++
+		if !c.counted {
+			s.used++
+		}
 		if c.cleared {
-			d.ranges[c.index].used = d.request.maxAttempts
+			s.used = d.request.maxAttempts
 		}
 	}
-	cause := rangeLost
-	if c.withdrawn {
-		cause = rangeNotAccepted
+	if len(s.calls) == 0 {
+		e.callAgain(now, d, c.index, c.lossCause())
 	}
-	e.callAgain(now, d, c.index, cause)
 	e.progressDivided(now, d)
 }
 
+func (c *call) lossCause() api.Reason {
+	if c.overdue {
+		return rangeNotAccepted
+	}
+	return rangeLost
+}
+
 // endCalls ends the calls of a request that needs them no more, and reports
 // whether there were any.
 func (e *Engine) endCalls(now time.Time, d *divided) bool {
 	ended := false
 	for i := range d.ranges {
-		c := d.ranges[i].call
-		if c == nil {
-			continue
-		}
-		ended = true
-		e.dropCall(c)
-		if c.node == "" {
-			e.callerGone(now, localRequest|api.RequestID(c.id))
-			continue
+		for _, c := range slices.Clone(d.ranges[i].calls) {
+			ended = true
+			e.cancelCall(now, c)
 		}
-		e.groups.load.Cancelled(now, api.ReplicaName(c.node), now.Sub(c.sentAt))
-		e.act(CancelCall{Call: c.id})
 	}
 	return ended
 }
--- /dev/null
+++ b/core/forward/calls_test.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+// The pattern of these tests: nodes with little processor time. A node runs late
+// for some ten milliseconds, a caller's node or one that runs a range, and nearly
+// all shards are needed for an answer.
+
+// needAllShards makes an answer without one whole range worthless.
+func (f *fleet) needAllShards() {
+	table := (&harness{accepted: 6}).newTable(2, fleetShards)
+	routes := append([]routing.Route(nil), table.Routes...)
+	routes[0].MinCoverage = 0.95
+	var services []routing.Service
+	for _, s := range table.Services {
+		services = append(services, s)
+	}
+	for i := range f.engines {
+		f.step(i, TableRead{Table: routing.NewTable(2, routes, services, table.Limits)})
+	}
+}
+
+// Guards against requests that fail since one group of nodes is slow to say that
+// it works on a range: no other node has the budget to run it, and its answer is
+// on the way (SHORT of alarm-sweep).
+func TestRangeOfSlowNodesIsWaitedFor(t *testing.T) {
+	f := newFleet(t, 3)
+	f.needAllShards()
+	for i := range f.engines {
+		f.step(i, BudgetChanged{})
+	}
+	for i := 1; i < fleetNodes; i += 4 {
+		f.slow[nodeName(i)] = 60 * time.Millisecond
+	}
+	for i := 0; i < fleetNodes; i += 4 {
+		id := f.request(i)
+		f.run(400 * time.Millisecond)
+		if a := f.answers[id]; a.Outcome != api.Answered || f.check(id) != fleetShards {
+			t.Errorf("node %d: %v %q with %d shards", i, a.Outcome, a.Reason, f.check(id))
+		}
+	}
+}
+
+// Guards against a node that takes all others for slow after a pause of its own,
+// and has every range run a second time.
+func TestPausedNodeReadsRepliesFirst(t *testing.T) {
+	f := newFleet(t, 4)
+	f.needAllShards()
+	f.calls = 0
+	id := f.request(0)
+	f.pausedUntil[0] = f.now.Add(60 * time.Millisecond)
+	f.run(300 * time.Millisecond)
+	if a := f.answers[id]; a.Outcome != api.Answered || f.check(id) != fleetShards {
+		t.Errorf("%v %q with %d shards", a.Outcome, a.Reason, f.check(id))
+	}
+	if f.calls != 3 {
+		t.Errorf("%d calls to other nodes, want one for each of 3 ranges", f.calls)
+	}
+}
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -28,7 +28,9 @@
 	reason api.Reason
 	// halves are the times until half of the parts of a range were answered.
 	halves []time.Duration
-	// heard is set once another node has answered one of the calls.
+	// asked is the number of calls to other nodes, heard is set once one of them has
+	// answered.
+	asked int
 	heard bool
 	// starting is set until all ranges have been handed to a node.
 	starting bool
@@ -38,10 +40,12 @@
 type shardRange struct {
 	from, to int
 	covered  int
-	// call runs the range now; nil once it has ended.
-	call *call
+	// calls run the range now, the newest last. There are several if a node has not
+	// said in time that it works on the range; the first one with answered parts is
+	// kept.
+	calls []*call
 	// tried are the nodes that were asked to run it, used is the number of attempts
-	// that they may have sent for each shard.
+	// that they may have sent for each shard, without those of the newest call.
 	tried []string
 	used  int
 }
@@ -60,7 +64,15 @@
 	e.progressDivided(now, d)
 }
 
-// progressDivided replaces calls that were not accepted in time, ends the request
+// newest returns the last call, or nil.
+func (s *shardRange) newest() *call {
+	if len(s.calls) == 0 {
+		return nil
+	}
+	return s.calls[len(s.calls)-1]
+}
+
+// progressDivided looks at calls that were not accepted in time, ends the request
 // if it can be ended, and sets its next timer.
 func (e *Engine) progressDivided(now time.Time, d *divided) {
 	r := d.request
@@ -72,15 +84,12 @@
 		wake = earliest(wake, r.target)
 	}
 	for i := range d.ranges {
-		c := d.ranges[i].call
-		if c == nil || c.acceptBy.IsZero() {
-			continue
-		}
-		if now.Before(c.acceptBy) {
-			wake = earliest(wake, c.acceptBy)
-			continue
+		for _, c := range slices.Clone(d.ranges[i].calls) {
+			wake = earliest(wake, e.checkCall(now, d, c))
+			if e.divided[r.id] != d {
+				return // a range that this node runs itself ended it
+			}
 		}
-		e.notAccepted(now, d, c)
 	}
 	if e.finishDividedIfDue(now, d) {
 		return
@@ -97,7 +106,7 @@
 	r := d.request
 	possible := d.covered
 	for i := range d.ranges {
-		if s := &d.ranges[i]; s.call != nil {
+		if s := &d.ranges[i]; len(s.calls) > 0 {
 			possible += s.to - s.from - s.covered
 		}
 	}
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -31,6 +31,10 @@
 	// mute holds the nodes that receive calls and answer nothing, unreachable those
 	// that no call reaches.
 	mute, unreachable map[string]bool
+	// slow holds how much later nodes receive calls.
+	slow map[string]time.Duration
+	// pausedUntil is when a node runs again that does not run now.
+	pausedUntil map[int]time.Time
 	// handed are the calls that reached their node, by the calling node and call.
 	handed map[string]fleetCall
 	// reached lists the replicas of each service that got a request.
@@ -57,6 +61,7 @@
 func newFleet(t *testing.T, seed uint64) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: start, mute: map[string]bool{}, unreachable: map[string]bool{},
+		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
 		handed: map[string]fleetCall{}, reached: map[string]map[api.ServiceName]map[api.ReplicaName]bool{},
 		answers: map[string]Answer{}, used: map[string]bool{},
 	}
@@ -104,13 +109,12 @@
 		}
 	case CancelCall:
 		f.end(node, a.Call)
-	case AbandonCall:
-		_, sent := f.handed[callKey(node, a.Call)]
-		if sent && a.UnsentOnly {
-			return
+	case WithdrawCall:
+		if _, sent := f.handed[callKey(node, a.Call)]; sent {
+			f.later(0, node, CallUnheard{Call: a.Call})
+		} else {
+			f.later(0, node, CallLost{Call: a.Call, Unsent: true})
 		}
-		f.end(node, a.Call)
-		f.later(0, node, CallLost{Call: a.Call, Unsent: !sent})
 	case Answer:
 		f.answer(node, a)
 	}
@@ -143,11 +147,11 @@
 	f.next++
 	id := api.RequestID(f.next)
 	f.handed[callKey(node, a.Call)] = fleetCall{node: to, id: id}
-	f.later(time.Millisecond, to, Arrived{
+	f.later(time.Millisecond+f.slow[a.Node], to, Arrived{
 		Request: id, Message: a.Message, Patience: a.Left, Target: a.Target, Subset: &a.Subset,
 	})
 	if !f.mute[a.Node] {
-		f.later(2*time.Millisecond, node, CallAccepted{Call: a.Call})
+		f.later(2*time.Millisecond+f.slow[a.Node], node, CallAccepted{Call: a.Call})
 	}
 }
 
@@ -231,14 +235,14 @@
 	for {
 		first, at := -1, end
 		for i := range f.events {
-			if f.events[i].at.Before(at) {
-				first, at = i, f.events[i].at
+			if due := f.eventDue(&f.events[i]); due.Before(at) {
+				first, at = i, due
 			}
 		}
 		timer := -1
 		for i, e := range f.engines {
-			if wake := e.Wake(); !wake.IsZero() && wake.Before(at) {
-				timer, at = i, wake
+			if wake := e.Wake(); !wake.IsZero() && later(wake, f.pausedUntil[i]).Before(at) {
+				timer, at = i, later(wake, f.pausedUntil[i])
 			}
 		}
 		if at == end {
@@ -258,6 +262,16 @@
 	}
 }
 
+// eventDue returns when an event is delivered. A node that was paused sees its
+// timers first: it reads what others sent only afterwards.
+func (f *fleet) eventDue(ev *fleetEvent) time.Time {
+	until := f.pausedUntil[ev.node]
+	if until.Before(ev.at) {
+		return ev.at
+	}
+	return until.Add(time.Microsecond)
+}
+
 // check returns the covered shards of an answer, which must be consistent.
 func (f *fleet) check(id string) int {
 	f.t.Helper()
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -212,6 +212,8 @@
 		e.callReplied(now, &ev)
 	case CallLost:
 		e.callLost(now, ev)
+	case CallUnheard:
+		e.callUnheard(now, ev.Call)
 	}
 	if now.Sub(e.quarantineTick) >= quarantineInterval {
 		e.quarantineTick = now
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -107,6 +107,12 @@
 	Error string
 }
 
+// CallUnheard says that a call was sent to its node, which has not answered yet.
+type CallUnheard struct {
+	event
+	Call CallID
+}
+
 // CallerGone says that the caller of a request no longer waits.
 type CallerGone struct {
 	event
@@ -358,13 +364,11 @@
 	Call CallID
 }
 
-// AbandonCall gives up a call of which nothing was heard. The driver answers with
-// CallLost, unless the call ends in another way before.
-type AbandonCall struct {
+// WithdrawCall gives up a call of which nothing was heard, if it has not been sent
+// yet. The driver answers with CallLost, or with CallUnheard if it was sent.
+type WithdrawCall struct {
 	action
 	Call CallID
-	// UnsentOnly lets a call go on that was handed to its connection.
-	UnsentOnly bool
 }
 
 // PreparePeers opens connections to other nodes before they are needed, and
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -155,8 +155,8 @@
 		l.nodes.call(a)
 	case forward.ClearCall:
 		l.nodes.clear(a.Call)
-	case forward.AbandonCall:
-		l.nodes.abandon(a)
+	case forward.WithdrawCall:
+		l.nodes.withdraw(a.Call)
 	case forward.PreparePeers:
 		l.nodes.prepare(a.Addresses)
 	case forward.CancelCall:
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -136,19 +136,23 @@
 	return true
 }
 
-// abandon gives up a call of which nothing was heard and reports it as lost.
-func (n *Nodes) abandon(a forward.AbandonCall) {
+// withdraw gives up a call that has not been sent yet, and reports whether it had.
+func (n *Nodes) withdraw(id forward.CallID) {
 	n.mu.Lock()
-	c := n.calls[a.Call]
-	if c == nil || c.stream != nil && a.UnsentOnly {
-		n.mu.Unlock()
-		return
+	c := n.calls[id]
+	sent := c != nil && c.stream != nil
+	if !sent {
+		delete(n.calls, id)
 	}
-	delete(n.calls, a.Call)
-	unsent := c.stream == nil
 	n.mu.Unlock()
-	c.cancel()
-	n.poster.Post(forward.CallLost{Call: a.Call, Unsent: unsent, Error: "not accepted"})
+	switch {
+	case c == nil: // it has ended, which is reported
+	case sent:
+		n.poster.Post(forward.CallUnheard{Call: id})
+	default:
+		c.cancel()
+		n.poster.Post(forward.CallLost{Call: id, Unsent: true, Error: "not sent in time"})
+	}
 }
 
 // prepare opens connections to the given addresses, one after the other, and
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -122,7 +122,7 @@
 
 // Guards against a range that is run twice: only a call that has not left this
 // node may be reported as unsent.
-func TestAbandonedCall(t *testing.T) {
+func TestWithdrawnCall(t *testing.T) {
 	received := make(chan struct{})
 	silent := serveNode(t, func(s nodepb.Node_RunShardsServer) error {
 		if _, err := s.Recv(); err != nil {
@@ -137,9 +137,8 @@
 	defer n.Close()
 	n.call(testCall(1, silent))
 	<-received
-	n.abandon(forward.AbandonCall{Call: 1, UnsentOnly: true})
-	n.abandon(forward.AbandonCall{Call: 1})
-	if ev, ok := events.wait(t, 0).(forward.CallLost); !ok || ev.Unsent {
+	n.withdraw(1)
+	if ev, ok := events.wait(t, 0).(forward.CallUnheard); !ok || ev.Call != 1 {
 		t.Errorf("a call that was received is reported as %+v", events.events[0])
 	}
 
@@ -149,7 +148,7 @@
 	}
 	defer func() { _ = listener.Close() }() // the test is over
 	n.call(testCall(2, listener.Addr().String()))
-	n.abandon(forward.AbandonCall{Call: 2, UnsentOnly: true})
+	n.withdraw(2)
 	if ev, ok := events.wait(t, 1).(forward.CallLost); !ok || !ev.Unsent {
 		t.Errorf("a call without a connection is reported as %+v", events.events[1])
 	}
