forward, relay: a ping asks whether a node can run a range

Cause: a node that has not heard of the new shards refuses their ranges (240 to 300 call_refused in two seconds). It was then asked by a ping whether it is back, said yes since it had a configuration, and got the next range (107 to 181 node_back in the same two seconds). Each refusal costs the request a round trip and both nodes processor time.

Change: a ping names the shards of the range. The node answers that it does not know them (wrong_epoch), and stays suspect, with pings at growing intervals.

Test: TestNodesWithoutTheNewShardsAreLeftOut; before, 95 ranges are refused in the second half of the run, none now. TestPing has the case on the wire.

Not part of this: the nodes that are cut off still divide by the former shards and serve their own callers from them.

--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -33,12 +33,16 @@
 		e.refuse(now, ev, nil, api.ReasonNoConfiguration, comeBackLater)
 		return
 	}
+	if ev.ping() {
+		e.pinged(now, ev)
+		return
+	}
 	route := e.table.Match(ev.Message.Host, ev.Message.Path)
 	if route == nil {
 		e.refuse(now, ev, nil, api.ReasonUnknownRoute, 0)
 		return
 	}
-	if ev.Subset != nil && !e.knows(route, ev.Subset) {
+	if ev.Subset != nil && !(route.Sharded() && e.knows(ev.Subset)) {
 		e.refuse(now, ev, route, api.ReasonWrongEpoch, 0)
 		return
 	}
--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -131,7 +131,7 @@
 		case p.Node == e.settings.Node || slices.Contains(tried, p.Node):
 			// It was asked before.
 		case e.groups.load.Suspect(name):
-			e.pingIfDue(now, name)
+			e.pingIfDue(now, name, d, i)
 			suspects = append(suspects, name)
 		default:
 			e.candidates = append(e.candidates, name)
@@ -147,9 +147,9 @@
 	return string(name)
 }
 
-// pingIfDue asks a suspect node for an empty range when its next probe is due: an
-// answer shows that it is back.
-func (e *Engine) pingIfDue(now time.Time, name api.ReplicaName) {
+// pingIfDue asks a suspect node when its next probe is due whether it can run a
+// range: it may answer and still not know the shards.
+func (e *Engine) pingIfDue(now time.Time, name api.ReplicaName, d *divided, i int) {
 	if !e.groups.load.ProbeDue(now, name) {
 		return
 	}
@@ -157,15 +157,26 @@
 	e.newestCall++
 	e.calls[e.newestCall] = &call{id: e.newestCall, node: node, sentAt: now}
 	e.groups.load.Sent(now, name)
+	s := &d.ranges[i]
 	e.act(CallPeer{
 		Call: e.newestCall, Node: node, Address: e.groups.addresses[node], Message: &Message{}, Left: pingTime,
+		Subset: Subset{Shards: d.request.route.Shards[s.from:s.to]},
 	})
 }
 
-// pingEnded takes note of the end of a ping.
-func (e *Engine) pingEnded(now time.Time, c *call, answered bool) {
+// pinged answers a ping of another node.
+func (e *Engine) pinged(now time.Time, ev Arrived) {
+	reason := api.ReasonNone
+	if !e.knows(ev.Subset) {
+		reason = api.ReasonWrongEpoch
+	}
+	e.deliver(now, Answer{Request: ev.Request, Outcome: api.Answered, Reason: reason})
+}
+
+// pingEnded takes note of the end of a ping: whether the node can run the range.
+func (e *Engine) pingEnded(now time.Time, c *call, able bool) {
 	delete(e.calls, c.id)
-	if !answered {
+	if !able {
 		e.groups.load.Lost(now, api.ReplicaName(c.node))
 		return
 	}
--- a/core/forward/calls_test.go
+++ b/core/forward/calls_test.go
@@ -63,3 +63,48 @@
 		t.Errorf("%d calls to other nodes, want one for each of 3 ranges", f.calls)
 	}
 }
+
+// Guards against ranges that go again and again to nodes which cannot run them:
+// they are cut off from the store and have not heard of a new set of shards, but
+// answer pings.
+func TestNodesWithoutTheNewShardsAreLeftOut(t *testing.T) {
+	f := newFleet(t, 6)
+	cut := func(i int) bool { return i%3 == 0 }
+	table := (&harness{accepted: 6}).newTable(2, 2*fleetShards)
+	routes := append([]routing.Route(nil), table.Routes...)
+	routes[0].Shards = routes[0].Shards[fleetShards:]
+	var services []routing.Service
+	for _, s := range table.Services {
+		services = append(services, s)
+	}
+	for i := range f.engines {
+		if cut(i) {
+			continue
+		}
+		for s := range fleetShards {
+			for r := range fleetReplicas {
+				f.step(i, ReplicaSeen{Registration: registration(fleetShards+s, r)})
+			}
+		}
+		f.step(i, TableRead{Table: routing.NewTable(2, routes, services, table.Limits)})
+	}
+	const rounds = 12
+	for round := range rounds {
+		if round == rounds/2 {
+			f.refused = 0
+		}
+		for i := range f.engines {
+			if cut(i) {
+				continue
+			}
+			id := f.request(i)
+			f.run(100 * time.Millisecond)
+			if a := f.answers[id]; a.Outcome != api.Answered {
+				t.Errorf("round %d, node %d: %v %q", round, i, a.Outcome, a.Reason)
+			}
+		}
+	}
+	if f.refused > 0 {
+		t.Errorf("%d ranges are refused after %d requests of each node", f.refused, rounds/2)
+	}
+}
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -7,7 +7,6 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/count"
-	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 // localRequest marks the identity of a range that this node runs for itself.
@@ -211,14 +210,14 @@
 	e.regroup()
 }
 
-// knows reports whether this node can run a range for another one: its route is a
-// sharded one, and it has heard of replicas of most of the shards.
-func (e *Engine) knows(route *routing.Route, s *Subset) bool {
+// knows reports whether this node has heard of replicas of most of the shards of a
+// range that another node asks for.
+func (e *Engine) knows(s *Subset) bool {
 	have := 0
 	for _, service := range s.Shards {
 		if len(e.registry.byService[service]) > 0 {
 			have++
 		}
 	}
-	return route.Sharded() && 2*have >= len(s.Shards)
+	return 2*have >= len(s.Shards)
 }
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -42,6 +42,9 @@
 	answers map[string]Answer
 	calls   int
 	used    map[string]bool // identities of calls
+	pings   map[string]bool // those of calls that are pings
+	// refused is the number of ranges that a node did not know.
+	refused int
 }
 
 type fleetEvent struct {
@@ -63,7 +66,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: start, mute: map[string]bool{}, unreachable: map[string]bool{},
 		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
 		handed: map[string]fleetCall{}, reached: map[string]map[api.ServiceName]map[api.ReplicaName]bool{},
-		answers: map[string]Answer{}, used: map[string]bool{},
+		answers: map[string]Answer{}, used: map[string]bool{}, pings: map[string]bool{},
 	}
 	var peers []Peer
 	for i := range fleetNodes {
@@ -128,18 +131,14 @@
 		f.t.Fatalf("%s uses call %d twice", nodeName(node), a.Call)
 	} else {
 		f.used[key] = true
+		f.pings[key] = a.Message.Path == ""
 	}
-	if ping := len(a.Subset.Shards) == 0; ping {
-		if f.unreachable[a.Node] || f.mute[a.Node] {
+	if f.unreachable[a.Node] || a.Message.Path == "" && f.mute[a.Node] {
+		if ping := a.Message.Path == ""; ping {
 			f.later(a.Left, node, CallLost{Call: a.Call})
-		} else {
-			f.later(2*time.Millisecond, node, CallReplied{Call: a.Call, Last: true})
 		}
 		return
 	}
-	if f.unreachable[a.Node] {
-		return
-	}
 	var to int
 	if _, err := fmt.Sscanf(a.Node, "n%d", &to); err != nil || to == node {
 		f.t.Fatalf("%s calls %q", nodeName(node), a.Node)
@@ -177,6 +176,9 @@
 		if _, err := fmt.Sscanf(key, "%d/%d", &from, &id); err != nil {
 			f.t.Fatal(err)
 		}
+		if a.Reason == api.ReasonWrongEpoch && !f.pings[key] {
+			f.refused++
+		}
 		ev := CallReplied{Call: id, Last: !a.More, Reason: a.Reason}
 		if a.Merged != nil {
 			ev.Merged = *a.Merged
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -53,11 +53,15 @@
 	// connection, and how long the answer will.
 	Transit time.Duration
 	// Subset is set if the request came from another node; Target is then the
-	// time in which the answered parts are to be sent.
+	// time in which the answered parts are to be sent. With a message that has no
+	// path, the other node only asks whether this one can run the range.
 	Subset *Subset
 	Target time.Duration
 }
 
+// ping reports whether another node only asks whether this one can run a range.
+func (ev *Arrived) ping() bool { return ev.Subset != nil && ev.Message.Path == "" }
+
 // Subset is the range of a route's shards that one node runs for another, which
 // may know another configuration.
 type Subset struct {
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -245,7 +245,8 @@
 func shardsRequest(a forward.CallPeer) *nodepb.ShardsRequest {
 	wire, ok := a.Message.Wire.(*wireRequest)
 	if !ok {
-		return &nodepb.ShardsRequest{LeftUs: a.Left.Microseconds()} // a ping names no request
+		// A ping names no request.
+		return &nodepb.ShardsRequest{Shards: shardNames(a.Subset.Shards), LeftUs: a.Left.Microseconds()}
 	}
 	return &nodepb.ShardsRequest{
 		Host: a.Message.Host, Path: a.Message.Path, CallerRequest: a.Message.CallerRequest,
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
@@ -171,7 +172,8 @@
 	}
 }
 
-// Guards against a node that failed once and is never asked again.
+// Guards against a node that failed once and is never asked again, and against one
+// that is asked although it does not know the shards.
 func TestPing(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -190,4 +192,13 @@
 	if !ok || !reply.Last || reply.Reason != api.ReasonNoConfiguration {
 		t.Errorf("a node without configuration answers %+v", events.events)
 	}
+	loop.Post(forward.TableRead{Table: routing.NewTable(1, nil, nil, routing.Limits{})})
+	n.call(forward.CallPeer{
+		Call: 2, Address: listener.Addr().String(), Message: &forward.Message{}, Left: 5 * time.Second,
+		Subset: forward.Subset{Shards: []api.ServiceName{"s1"}},
+	})
+	reply, ok = events.wait(t, 3).(forward.CallReplied)
+	if !ok || !reply.Last || reply.Reason != api.ReasonWrongEpoch {
+		t.Errorf("a node without replicas of the shards answers %+v", events.events)
+	}
 }
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -32,9 +32,6 @@
 	if err := stream.Send(&nodepb.ShardsReply{}); err != nil {
 		return err
 	}
-	if len(q.GetShards()) == 0 {
-		return stream.Send(s.pong())
-	}
 	id, answers := s.loop.begin()
 	s.loop.Post(arrival(id, q))
 	go func() {
@@ -59,15 +56,6 @@
 	}
 }
 
-// pong is the answer to a ping: whether this node can run anything.
-func (s *NodeServer) pong() *nodepb.ShardsReply {
-	r := &nodepb.ShardsReply{Last: true}
-	if !s.loop.Ready() {
-		r.Reason = string(api.ReasonNoConfiguration)
-	}
-	return r
-}
-
 // arrival is the event of a call from another node.
 func arrival(id api.RequestID, q *nodepb.ShardsRequest) forward.Arrived {
 	return forward.Arrived{
