forward: the range of a lost lone node is run by the same group of another data centre

With 9 groups, a data centre of 13 nodes has five groups of one node. While such a node is lost or frozen and still listed (up to 60 s), each request of its data centre asked it again, since suspect nodes were taken if no other was left, waited 20 to 40 ms and then had a range without budget or time.

Change: nodes of the same group in other data centres, which have the connections and the budget for the range, come before suspect ones.

Test: TestRangeOfALoneLostNodeIsRunElsewhere failed before.

--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -120,31 +120,54 @@
 // failed before is asked without a range now and then whether it is back, and
 // gets one only if no other is left.
 func (e *Engine) chooseNode(now time.Time, d *divided, i int) string {
-	tried := d.ranges[i].tried
+	if node, ok := e.standIn(now, d, i); ok {
+		return node
+	}
 	var suspects []api.ReplicaName
-	e.candidates = e.candidates[:0]
 	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
+		if p.Node != e.settings.Node && !slices.Contains(d.ranges[i].tried, p.Node) {
+			suspects = append(suspects, api.ReplicaName(p.Node))
+		}
+	}
+	name, ok := e.groups.load.Pick(now, suspects, nil)
+	if !ok {
+		return ""
+	}
+	return string(name)
+}
+
+// standIn returns a node of a range's group that has not been asked for it and is
+// not suspect: this one, one of this data centre, or else of another one. They have
+// the connections and the budget for the range.
+func (e *Engine) standIn(now time.Time, d *divided, i int) (node string, ok bool) {
+	members := e.groups.members(e.settings.DataCentre, i, len(d.ranges))
+	own := slices.ContainsFunc(members, func(p Peer) bool { return p.Node == e.settings.Node })
+	if own && !slices.Contains(d.ranges[i].tried, "") {
+		return "", true
+	}
+	if name, ok := e.pickNode(now, d, i, members); ok {
+		return name, true
+	}
+	return e.pickNode(now, d, i, e.groups.elsewhere(e.settings.DataCentre, i, len(d.ranges)))
+}
+
+// pickNode returns one of the given nodes, without suspect ones, which get pings,
+// and those that have been asked for the range.
+func (e *Engine) pickNode(now time.Time, d *divided, i int, nodes []Peer) (node string, ok bool) {
+	e.candidates = e.candidates[:0]
+	for _, p := range nodes {
 		name := api.ReplicaName(p.Node)
 		switch {
-		case p.Node == e.settings.Node && !slices.Contains(tried, ""):
-			return ""
-		case p.Node == e.settings.Node || slices.Contains(tried, p.Node):
+		case p.Node == e.settings.Node || slices.Contains(d.ranges[i].tried, p.Node):
 			// It was asked before.
 		case e.groups.load.Suspect(name):
 			e.pingIfDue(now, name, d, i)
-			suspects = append(suspects, name)
 		default:
 			e.candidates = append(e.candidates, name)
 		}
 	}
-	if len(e.candidates) == 0 {
-		e.candidates = append(e.candidates, suspects...)
-	}
 	name, ok := e.groups.load.Pick(now, e.candidates, nil)
-	if !ok {
-		return ""
-	}
-	return string(name)
+	return string(name), ok
 }
 
 // pingIfDue asks a suspect node when its next probe is due whether it can run a
@@ -261,26 +284,6 @@
 	e.progressDivided(now, d)
 }
 
-// standIn returns a node that runs a range beside one that has been asked: another
-// one of its group, which has the connections and the budget for it.
-func (e *Engine) standIn(now time.Time, d *divided, i int) (node string, ok bool) {
-	tried := d.ranges[i].tried
-	e.candidates = e.candidates[:0]
-	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
-		name := api.ReplicaName(p.Node)
-		switch {
-		case p.Node == e.settings.Node && !slices.Contains(tried, ""):
-			return "", true
-		case p.Node == e.settings.Node || slices.Contains(tried, p.Node) || e.groups.load.Suspect(name):
-			// It was asked before, or would not answer either.
-		default:
-			e.candidates = append(e.candidates, name)
-		}
-	}
-	name, ok := e.groups.load.Pick(now, e.candidates, nil)
-	return string(name), ok
-}
-
 // dropCall forgets a call.
 func (e *Engine) dropCall(c *call) {
 	delete(e.calls, c.id)
--- a/core/forward/calls_test.go
+++ b/core/forward/calls_test.go
@@ -108,3 +108,32 @@
 		t.Errorf("%d ranges are refused after %d requests of each node", f.refused, rounds/2)
 	}
 }
+
+// Guards against requests that miss their target as long as a lost node is listed
+// which is the only one of its group in a data centre: the same group of another
+// data centre runs its range.
+func TestRangeOfALoneLostNodeIsRunElsewhere(t *testing.T) {
+	const local = 4 // as many nodes as groups
+	f := newFleetIn(t, 8, func(node int) api.DataCentre {
+		if node < local {
+			return "dc-b"
+		}
+		return "dc-a"
+	})
+	f.needAllShards()
+	f.steady = true
+	f.mute[nodeName(2)] = true
+	inTime := 0
+	const asked = 10
+	for range asked {
+		id := f.request(0)
+		f.run(80 * time.Millisecond)
+		if a, ok := f.answers[id]; ok && a.Outcome == api.Answered && f.check(id) == fleetShards {
+			inTime++
+		}
+		f.run(time.Second)
+	}
+	if inTime < asked-2 {
+		t.Errorf("%d of %d requests have their answer in time", inTime, asked)
+	}
+}
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -33,6 +33,8 @@
 	mute, unreachable map[string]bool
 	// slow holds how much later nodes receive calls.
 	slow map[string]time.Duration
+	// steady is set if no replica answers late.
+	steady bool
 	// pausedUntil is when a node runs again that does not run now.
 	pausedUntil map[int]time.Time
 	// handed are the calls that reached their node, by the calling node and call.
@@ -62,6 +64,11 @@
 func nodeName(i int) string { return fmt.Sprintf("n%02d", i) }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
+	return newFleetIn(t, seed, func(int) api.DataCentre { return "dc-a" })
+}
+
+// newFleetIn returns a fleet of which each node is in a given data centre.
+func newFleetIn(t *testing.T, seed uint64, dataCentre func(node int) api.DataCentre) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: start, mute: map[string]bool{}, unreachable: map[string]bool{},
 		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
@@ -70,12 +77,12 @@
 	}
 	var peers []Peer
 	for i := range fleetNodes {
-		peers = append(peers, Peer{Node: nodeName(i), DataCentre: "dc-a", Address: nodeName(i) + ":1"})
+		peers = append(peers, Peer{Node: nodeName(i), DataCentre: dataCentre(i), Address: nodeName(i) + ":1"})
 	}
 	h := &harness{accepted: 6}
 	for i := range fleetNodes {
 		e := New(Settings{
-			Node: nodeName(i), DataCentre: "dc-a", Seed: seed + uint64(i), BudgetWindow: 10 * time.Second,
+			Node: nodeName(i), DataCentre: dataCentre(i), Seed: seed + uint64(i), BudgetWindow: 10 * time.Second,
 			BudgetShare: 0.2, BudgetConstant: 200, FirstStart: true, LapseGrace: 2 * time.Second,
 		})
 		f.engines = append(f.engines, e)
@@ -212,7 +219,7 @@
 		f.t.Fatalf("%s reaches %d replicas of shard %d", id, len(seen), service)
 	}
 	took := 5 * time.Millisecond
-	if f.rng.IntN(20) == 0 {
+	if !f.steady && f.rng.IntN(20) == 0 {
 		took = 120 * time.Millisecond
 	}
 	body := fmt.Sprintf("%c%c", 'a'+service, 'a'+replica)
--- a/core/forward/groups.go
+++ b/core/forward/groups.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// members returns the nodes of one of n groups in a data centre, or in all of
-// them if it has none.
+// members returns the nodes of one of n groups in a data centre.
 func (g *groups) members(dc api.DataCentre, group, n int) []Peer {
 	var found []Peer
 	for i, p := range g.nodes[dc] {
@@ -82,16 +81,15 @@
 			found = append(found, p)
 		}
 	}
-	if len(found) > 0 {
-		return found
-	}
-	for other, list := range g.nodes {
-		if other != dc && len(list) > 0 {
-			for i, p := range list {
-				if i%n == group {
-					found = append(found, p)
-				}
-			}
+	return found
+}
+
+// elsewhere returns the nodes of one of n groups in the other data centres.
+func (g *groups) elsewhere(dc api.DataCentre, group, n int) []Peer {
+	var found []Peer
+	for other := range g.nodes {
+		if other != dc {
+			found = append(found, g.members(other, group, n)...)
 		}
 	}
 	slices.SortFunc(found, func(a, b Peer) int { return strings.Compare(a.Node, b.Node) })
