forward: registrations of an older copy of the store take nothing back

The store may come back from a copy some seconds old. The first list then shows older reports of replicas.

Change: RegistryRead says whether the store was restored. Two reports of the same birth are told apart by their sequence, and the older one cannot make a leaving replica ready. Counter store/restored.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -192,7 +192,7 @@
 	case ReplicaGone:
 		e.replicaGone(now, ev.Replica)
 	case RegistryRead:
-		e.registryRead(now, ev.Registrations)
+		e.registryRead(now, ev.Registrations, ev.Restored)
 	case StoreLost:
 		e.registry.storeLost = true
 	case StoreBack:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -245,6 +245,9 @@
 type RegistryRead struct {
 	event
 	Registrations []Registration
+	// Restored is set if the store has come back from an older copy: registrations
+	// may be older than those known, or not there yet.
+	Restored bool
 }
 
 // StoreLost says that the store gives no answers.
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -18,6 +18,18 @@
 	// graceUntil is when registrations that disappeared during an outage of the
 	// store are removed.
 	graceUntil time.Time
+	// departed holds the last registrations of replicas that have left.
+	departed map[api.ReplicaName]departure
+}
+
+// departedHold is how long a replica that has left is remembered: an older copy of
+// the store may still list it.
+const departedHold = time.Minute
+
+// departure is the last registration of a replica that has left.
+type departure struct {
+	Registration
+	at time.Time
 }
 
 type registered struct {
@@ -31,13 +43,25 @@
 	return registry{
 		entries:   make(map[api.ReplicaName]*registered),
 		byService: make(map[api.ServiceName][]api.ReplicaName),
+		departed:  make(map[api.ReplicaName]departure),
 	}
 }
 
 // restarted reports whether a registration comes from a later start of the
-// process than another one.
+// process than another one. Of two with the same time of birth, the one with the
+// smaller sequence is the older report, as in an older copy of the store.
 func (r Registration) restarted(before Registration) bool {
-	return r.Born != before.Born || r.Sequence < before.Sequence
+	return r.Born != before.Born || r.Born == 0 && r.Sequence < before.Sequence
+}
+
+// notOlder returns a registration with what an older report of the same process
+// must not take back.
+func (r Registration) notOlder(before Registration) Registration {
+	if r.Sequence < before.Sequence {
+		r.Sequence = before.Sequence
+		r.Draining = r.Draining || before.Draining
+	}
+	return r
 }
 
 // replicaSeen takes over a registration.
@@ -48,6 +72,9 @@
 		e.removeReplica(now, reg.Replica, "replaced")
 		old = nil
 	}
+	if old != nil {
+		reg = reg.notOlder(old.Registration)
+	}
 	switch {
 	case old == nil:
 		e.registry.add(reg)
@@ -110,6 +137,7 @@
 func (e *Engine) removeReplica(now time.Time, name api.ReplicaName, reason string) {
 	entry := e.registry.entries[name]
 	delete(e.registry.entries, name)
+	e.registry.remember(now, entry.Registration)
 	names := e.registry.byService[entry.Service]
 	if i, found := slices.BinarySearch(names, name); found {
 		e.registry.byService[entry.Service] = slices.Delete(names, i, i+1)
@@ -125,10 +153,37 @@
 	e.resume(now, entry.Service)
 }
 
-// registryRead takes over a complete list: what is not in it is gone.
-func (e *Engine) registryRead(now time.Time, list []Registration) {
+// remember keeps the registration of a replica that has left.
+func (g *registry) remember(now time.Time, reg Registration) {
+	for name, d := range g.departed {
+		if now.Sub(d.at) > departedHold {
+			delete(g.departed, name)
+		}
+	}
+	g.departed[reg.Replica] = departure{Registration: reg, at: now}
+}
+
+// left reports whether a registration of an older copy is of a replica that has
+// left since.
+func (g *registry) left(now time.Time, reg Registration) bool {
+	d, ok := g.departed[reg.Replica]
+	return ok && now.Sub(d.at) <= departedHold && reg.Born == d.Born && reg.Sequence <= d.Sequence
+}
+
+// registryRead takes over a complete list: what is not in it is gone. If the store
+// has come back from an older copy, what is missing has time to be reported again,
+// and what has left since does not come back.
+func (e *Engine) registryRead(now time.Time, list []Registration, restored bool) {
+	if restored {
+		e.counts.Inc(count.Store, "restored")
+		e.registry.graceUntil = now.Add(e.settings.LapseGrace)
+	}
 	listed := make(map[api.ReplicaName]bool, len(list))
 	for _, reg := range list {
+		if restored && e.registry.entries[reg.Replica] == nil && e.registry.left(now, reg) {
+			e.log("replica_ignored", "replica", reg.Replica, "service", reg.Service, "reason", "older_copy")
+			continue
+		}
 		listed[reg.Replica] = true
 		e.replicaSeen(now, reg)
 	}
