forward, platform: replicas that lapse together have time to report again

Cause: the store is silent from 5.3 to 8.1 s and the leases of replicas run out meanwhile. A watch waits 4 s, so the silence may lie within one watch: no call fails, the node does not count the store as lost, and the answer that follows its return removes 158 of 267 replicas at once (reason=gone; added again 0.85 s later). An outage that a call meets gives them 2.2 s.

Ruled out: the changes to calls between nodes (no call_not_accepted in that span beyond 3).

Change: the feed says how many registrations an answer removes; three or more that are at least a tenth of all have the same 2.2 s. A replica that left in such company without a sign gets work for 2.2 s and one pace of the watch more, below drain_timeout_ms of all deployments.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -191,6 +191,8 @@
 		e.replicaSeen(now, ev.Registration)
 	case ReplicaGone:
 		e.replicaGone(now, ev.Replica)
+	case ReplicasGone:
+		e.replicasGone(now, ev.Count)
 	case RegistryRead:
 		e.registryRead(now, ev.Registrations, ev.Restored)
 	case StoreLost:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -241,6 +241,13 @@
 	Replica api.ReplicaName
 }
 
+// ReplicasGone says how many registrations one answer of the store removes. Their
+// ReplicaGone events follow.
+type ReplicasGone struct {
+	event
+	Count int
+}
+
 // RegistryRead is the list of all registrations.
 type RegistryRead struct {
 	event
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -120,6 +120,23 @@
 	e.timers.Set(entry.removeAt, timer{replica: name})
 }
 
+const (
+	// lapseLeast and one lapseDivisor of all registrations are the number of those
+	// that disappear together from which they have lapsed and not left.
+	lapseLeast   = 3
+	lapseDivisor = 10
+)
+
+// replicasGone gives registrations that disappear together time to come back: the
+// store may have been silent for less than a watch waits, so that no call met it.
+func (e *Engine) replicasGone(now time.Time, count int) {
+	if count < lapseLeast || count*lapseDivisor < len(e.registry.entries) {
+		return
+	}
+	e.log("replicas_lapsed_together", "count", count, "registered", len(e.registry.entries))
+	e.registry.graceUntil = now.Add(e.settings.LapseGrace)
+}
+
 // removalDue removes a registration that did not come back after an outage.
 func (e *Engine) removalDue(now time.Time, name api.ReplicaName) {
 	entry := e.registry.entries[name]
--- a/core/forward/restore_test.go
+++ b/core/forward/restore_test.go
@@ -88,3 +88,28 @@
 		t.Error("a replica that does not report again still gets work")
 	}
 }
+
+// Guards against nodes that drop most replicas after a short outage of the store
+// which no call has met: their entries lapsed together, and are about to be back.
+func TestReplicasThatLapseTogetherHaveTimeToReport(t *testing.T) {
+	h := ready(t, 4)
+	h.step(ReplicasGone{Count: 4})
+	for s := range 4 {
+		h.step(ReplicaGone{Replica: replicaOf(s, 0)})
+	}
+	if !h.serving()[replicaOf(0, 0)] {
+		t.Error("a replica that lapsed with many others gets no work at once")
+	}
+	h.advance(3 * time.Second)
+	if h.serving()[replicaOf(0, 0)] {
+		t.Error("a replica that does not report again still gets work")
+	}
+	h.step(ReplicasGone{Count: 1})
+	h.step(ReplicaGone{Replica: replicaOf(1, 1)})
+	h.request("/all/x")
+	for _, s := range h.take() {
+		if s.Replica == replicaOf(1, 1) {
+			t.Error("a replica that left alone gets work")
+		}
+	}
+}
