platform: time for replicas that lapse together only after a silence

Cause: gave 2.2 s to all entries of which one answer removes many.

Change: only for an answer that a watch has waited for a second or longer, as after an outage that no call has met. Changes that come at once are acted on at once.

--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -241,8 +241,8 @@
 	Replica api.ReplicaName
 }
 
-// ReplicasGone says how many registrations one answer of the store removes. Their
-// ReplicaGone events follow.
+// ReplicasGone says how many registrations one answer of the store removes that
+// came after a silence. Their ReplicaGone events follow.
 type ReplicasGone struct {
 	event
 	Count int
