--- a/core/count/count.go
+++ b/core/count/count.go
@@ -47,6 +47,8 @@
 	Sent Kind = "sent"
 	// Late counts answers of sharded requests after their target time.
 	Late Kind = "late"
+	// Loss counts what became of attempts that may have crashed their replica.
+	Loss Kind = "loss"
 )
 
 // Key is a counter: a group and a reason or detail within it.
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -159,6 +159,7 @@
 		name = route.Name
 	}
 	e.log("request_refused", "id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
-		"version", e.version(), "reason", reason, "patience_ms", ev.Patience.Milliseconds())
+		"version", e.version(), "reason", reason, "patience_ms", ev.Patience.Milliseconds(),
+		"fingerprint", ev.Message.Fingerprint)
 	e.deliver(now, Answer{Request: ev.Request, Route: name, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
 }
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -251,7 +251,8 @@
 	}
 	loss := e.countLoss(ev.Loss)
 	e.log("attempt_lost", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
-		"loss", loss, "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached)
+		"loss", loss, "after_ms", now.Sub(a.sentAt).Milliseconds(), "awaited", !a.detached,
+		"fingerprint", a.request.message.Fingerprint)
 	if !a.detached {
 		e.settleLoss(now, a, ev.Loss)
 		e.progress(now, a.request)
@@ -366,5 +367,5 @@
 	}
 	e.counts.Inc(count.Discarded, "stalled")
 	e.log("attempt_stalled", "id", a.request.message.CallerRequest, "replica", a.replica, "service", a.service,
-		"after_ms", now.Sub(a.sentAt).Milliseconds())
+		"after_ms", now.Sub(a.sentAt).Milliseconds(), "fingerprint", a.request.message.Fingerprint)
 }
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
 )
 
 // purpose says why an attempt is sent.
@@ -113,6 +114,7 @@
 	}
 	e.heardAt[name] = now
 	delete(e.quiet, name)
+	e.counts.Add(count.Loss, "answered", uint64(len(e.losses[name])))
 	delete(e.losses, name)
 	if !e.silent[name] {
 		return
--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/quarantine"
 )
@@ -51,6 +52,7 @@
 	list := e.losses[a.replica]
 	for len(list) > 0 && now.Sub(list[0].at) > crashWindow {
 		list = list[1:]
+		e.counts.Inc(count.Loss, "expired")
 	}
 	e.losses[a.replica] = append(list, loss{fingerprint: a.request.message.Fingerprint, at: now})
 }
@@ -62,12 +64,16 @@
 	for _, l := range e.losses[name] {
 		if now.Sub(l.at) <= crashWindow {
 			fingerprints = append(fingerprints, l.fingerprint)
+		} else {
+			e.counts.Inc(count.Loss, "expired")
 		}
 	}
 	delete(e.losses, name)
 	if len(fingerprints) == 0 {
+		e.counts.Inc(count.Loss, "restart_unexplained")
 		return
 	}
+	e.counts.Add(count.Loss, "blamed", uint64(len(fingerprints)))
 	e.log("replica_crashed", "replica", name, "lost_requests", len(fingerprints))
 	e.publish(e.quarantine.Crashed(now, name, e.incarnation(name), fingerprints))
 }
@@ -134,7 +140,8 @@
 func (e *Engine) learnNotices(now time.Time, notices []gossip.Notice) {
 	for _, n := range notices {
 		if e.quarantine.Learn(now, n) {
-			e.log("notice_learned", "kind", n.Kind, "fingerprint", n.Fingerprint, "crashes", n.Crashes)
+			e.log("notice_learned", "kind", n.Kind, "fingerprint", n.Fingerprint, "crashes", n.Crashes,
+				"replica", n.Replica, "version", n.Version)
 		}
 		// A notice that changes nothing here may still explain a crash.
 		e.publish(e.quarantine.Respond(now, n))
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -68,6 +68,7 @@
 func (e *Engine) replicaSeen(now time.Time, reg Registration) {
 	old := e.registry.entries[reg.Replica]
 	if old != nil && (old.Service != reg.Service || old.Address != reg.Address || reg.restarted(old.Registration)) {
+		e.counts.Add(count.Loss, "open_at_restart", e.openAttempts(reg.Replica))
 		e.crashed(now, reg.Replica)
 		e.removeReplica(now, reg.Replica, "replaced")
 		old = nil
@@ -91,6 +92,14 @@
 	e.resume(now, reg.Service)
 }
 
+// openAttempts returns the number of attempts at a replica that have no answer yet.
+func (e *Engine) openAttempts(name api.ReplicaName) uint64 {
+	if c := e.conns[name]; c != nil {
+		return uint64(c.used)
+	}
+	return 0
+}
+
 func (g *registry) add(reg Registration) {
 	names := g.byService[reg.Service]
 	i, _ := slices.BinarySearch(names, reg.Replica)
@@ -163,6 +172,7 @@
 	delete(e.heardAt, name)
 	delete(e.quiet, name)
 	delete(e.silent, name)
+	e.counts.Add(count.Loss, "dropped_at_removal", uint64(len(e.losses[name])))
 	delete(e.losses, name)
 	e.counts.Inc(count.Connection, "replica_removed")
 	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
