forward: a test of a fatal request without other traffic; it fails (BUDGET)

Callers saw (in the users' report) a request under which three replicas had ended sent on. The test runs 4, 16 and 18 engines, the last in groups, in front of replicas that end under one request, once a second, at another node each time, with no other traffic; the connection breaks or nothing is heard, and the replica is back after 1.5, 3 or 5 s.

--- /dev/null
+++ b/core/forward/crash_test.go
@@ -0,0 +1,321 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/gossip"
+)
+
+// The pattern of these tests: many nodes, each of which sends a replica a request
+// every few seconds, and a request that ends the process of each replica that begins
+// to run it. It comes again once a second, at another node each time.
+
+const (
+	// fatalAllowed is the number of retries of a fatal request that may reach
+	// replicas later than stabilityWindow after it has crashed the third.
+	fatalAllowed    = 3
+	stabilityWindow = 4 * time.Second
+	// reportLag is the time from a change of a registration until nodes read it, and
+	// noticeLag that of a notice in the store.
+	reportLag = 300 * time.Millisecond
+	noticeLag = 100 * time.Millisecond
+	// lapseTime is the silence after which the store removes a registration.
+	lapseTime = 3600 * time.Millisecond
+	// dialTime is how long a node waits for a connection.
+	dialTime = time.Second
+	// workTime is how long a replica works on a request.
+	workTime = 5 * time.Millisecond
+)
+
+// crashKind is how a replica's process ends.
+type crashKind struct {
+	// silent is set if the ends of connections are not heard.
+	silent bool
+	back   time.Duration
+}
+
+func (k crashKind) String() string {
+	if k.silent {
+		return fmt.Sprint("silent, back after ", k.back)
+	}
+	return fmt.Sprint("reset, back after ", k.back)
+}
+
+// crashFleet is a fleet in front of replicas whose processes end.
+type crashFleet struct {
+	*fleet
+	kind     crashKind
+	replicas map[api.ReplicaName]*crashReplica
+	// attempts are those that were sent, by node and number.
+	attempts map[string]*heldAttempt
+	// storeAway is set while the store answers nobody; delayed is what nodes read at
+	// its return.
+	storeAway bool
+	delayed   []func()
+	// published lists all notices in the store, by node.
+	published map[int][]gossip.Notice
+	// third is when the fatal request crashed its third replica, late the number of its
+	// retries that reached a replica too long after that.
+	crashes int
+	third   time.Time
+	late    map[string]bool
+	// refused counts refusals as quarantined, by fingerprint, of other requests.
+	asked   map[string]api.Fingerprint
+	refused map[api.Fingerprint]int
+}
+
+// crashReplica is a replica and what it works on.
+type crashReplica struct {
+	reg       Registration
+	downUntil time.Time
+	working   map[*heldAttempt]bool
+}
+
+type heldAttempt struct {
+	node    int
+	attempt AttemptID
+	// over is set once nothing more is reported about it.
+	over bool
+}
+
+func newCrashFleet(t *testing.T, seed uint64, size fleetSize, kind crashKind) *crashFleet {
+	f := &crashFleet{
+		fleet: newFleetOf(t, seed, size, func(int) api.DataCentre { return "dc-a" }), kind: kind,
+		replicas: map[api.ReplicaName]*crashReplica{}, published: map[int][]gossip.Notice{}, late: map[string]bool{},
+		attempts: map[string]*heldAttempt{},
+		asked:    map[string]api.Fingerprint{}, refused: map[api.Fingerprint]int{},
+	}
+	for s := range size.shards {
+		for i := range size.replicas {
+			f.replicas[replicaOf(s, i)] = &crashReplica{reg: registration(s, i), working: map[*heldAttempt]bool{}}
+		}
+	}
+	f.sendTo, f.others = f.sendToReplica, f.otherAction
+	return f
+}
+
+func (f *crashFleet) after(d time.Duration, do func()) {
+	f.events = append(f.events, fleetEvent{at: f.now.Add(d), do: do})
+}
+
+// tell delivers an event unless the attempt is over by then.
+func (f *crashFleet) tell(d time.Duration, a *heldAttempt, ev Event) {
+	f.after(d, func() {
+		if !a.over {
+			a.over = true
+			f.step(a.node, ev)
+		}
+	})
+}
+
+func (f *crashFleet) held(node int, id AttemptID) *heldAttempt {
+	a := &heldAttempt{node: node, attempt: id}
+	f.attempts[heldKey(node, id)] = a
+	return a
+}
+
+func (f *crashFleet) sendToReplica(node int, s Send) {
+	a := f.held(node, s.Attempt)
+	r := f.replicas[s.Replica]
+	switch {
+	case f.now.Before(r.downUntil) && f.kind.silent:
+		f.tell(dialTime, a, Lost{Attempt: s.Attempt, Loss: LostUnsent})
+	case f.now.Before(r.downUntil):
+		f.tell(time.Millisecond, a, Lost{Attempt: s.Attempt, Loss: LostRefused})
+	case s.Message.Fingerprint == fatal:
+		f.fatalArrived(s.Message.CallerRequest)
+		r.working[a] = true
+		f.crash(s.Replica)
+	default:
+		r.working[a] = true
+		f.after(workTime, func() {
+			if r.working[a] {
+				delete(r.working, a)
+				f.tell(0, a, Replied{Attempt: s.Attempt, Reply: Reply{
+					Kind: ReplyOK, Proof: fmt.Sprint("proof-", s.Replica), Body: []byte("aa"),
+				}})
+			}
+		})
+	}
+}
+
+func (f *crashFleet) fatalArrived(id string) {
+	f.crashes++
+	if f.crashes == 3 {
+		f.third = f.now
+	}
+	if !f.third.IsZero() && f.now.Sub(f.third) > stabilityWindow {
+		f.late[id] = true
+	}
+}
+
+// crash ends the process of a replica, which starts again later.
+func (f *crashFleet) crash(name api.ReplicaName) {
+	r := f.replicas[name]
+	r.downUntil = f.now.Add(f.kind.back)
+	for a := range r.working {
+		if !f.kind.silent {
+			f.tell(time.Millisecond, a, Lost{Attempt: a.attempt, Loss: LostBroken})
+		}
+	}
+	clear(r.working)
+	if f.kind.back > lapseTime {
+		f.after(lapseTime+reportLag, func() { f.fromStore(ReplicaGone{Replica: name}) })
+	}
+	f.after(f.kind.back, func() { r.reg.Born++ })
+	f.after(f.kind.back+reportLag, func() { f.fromStore(ReplicaSeen{Registration: r.reg}) })
+}
+
+// fromStore tells all nodes a change, at the return of the store if it is away.
+func (f *crashFleet) fromStore(ev Event) {
+	if f.storeAway {
+		f.delayed = append(f.delayed, func() { f.fromStore(ev) })
+		return
+	}
+	for i := range f.engines {
+		f.step(i, ev)
+	}
+}
+
+// storeBack ends an outage of the store.
+func (f *crashFleet) storeBack() {
+	f.storeAway = false
+	delayed := f.delayed
+	f.delayed = nil
+	for i := range f.engines {
+		f.step(i, StoreBack{})
+	}
+	for _, do := range delayed {
+		do()
+	}
+}
+
+func (f *crashFleet) otherAction(node int, a Action) {
+	switch a := a.(type) {
+	case Cancel:
+		f.cancelled(node, a.Attempt)
+	case Publish:
+		f.published[node] = append(f.published[node], a.Notices...)
+		f.after(noticeLag, func() { f.spread(node, a.Notices) })
+	}
+}
+
+// spread lets the other nodes read notices in the store.
+func (f *crashFleet) spread(from int, notices []gossip.Notice) {
+	if f.storeAway {
+		f.delayed = append(f.delayed, func() { f.spread(from, notices) })
+		return
+	}
+	for i := range f.engines {
+		if i != from {
+			f.step(i, NoticesRead{Notices: notices})
+		}
+	}
+}
+
+func heldKey(node int, id AttemptID) string { return fmt.Sprint(node, "/", id) }
+
+func (f *crashFleet) cancelled(node int, id AttemptID) {
+	a := f.attempts[heldKey(node, id)]
+	if a == nil {
+		return
+	}
+	a.over = true
+	for _, r := range f.replicas {
+		delete(r.working, a)
+	}
+}
+
+// ask sends a request of a caller and notes whether it is refused as quarantined.
+func (f *crashFleet) ask(node int, path string, fingerprint api.Fingerprint) {
+	id := f.requestWith(node, path, fingerprint)
+	f.asked[id] = fingerprint
+}
+
+// refusals counts the requests that were refused as quarantined.
+func (f *crashFleet) refusals() int {
+	total := 0
+	for id, fingerprint := range f.asked {
+		if f.answers[id].Reason == api.ReasonQuarantined {
+			f.refused[fingerprint]++
+			total++
+		}
+	}
+	return total
+}
+
+// alone counts the requests that were tried alone.
+func (f *crashFleet) alone() uint64 {
+	var total uint64
+	for _, e := range f.engines {
+		total += e.Counts().Get(count.Quarantine, "probation")
+	}
+	return total
+}
+
+// fatalRounds sends the fatal request once a second, at another node each time.
+func (f *crashFleet) fatalRounds(rounds int, path string) {
+	for i := range rounds {
+		f.requestWith(i%f.size.nodes, path, fatal)
+		f.run(time.Second)
+	}
+}
+
+// crashKinds are the ways in which a replica ends that is back after some seconds.
+var crashKinds = []crashKind{
+	{back: 1500 * time.Millisecond}, {back: 3 * time.Second}, {back: 5 * time.Second},
+	{silent: true, back: 1500 * time.Millisecond}, {silent: true, back: 3 * time.Second}, {silent: true, back: 5 * time.Second},
+}
+
+// crashFleets are sizes with and without groups of nodes.
+var crashFleets = []fleetSize{
+	{nodes: 4, shards: 4, replicas: 2, accepted: 25},
+	{nodes: 16, shards: 4, replicas: 2, accepted: 25},
+	defaultFleet,
+}
+
+func (f *crashFleet) checkFatal() {
+	f.t.Helper()
+	if f.crashes == 0 {
+		f.t.Error("no replica has crashed: nothing was tested")
+	}
+	if len(f.late) > fatalAllowed {
+		f.t.Errorf("%d retries reach replicas later than %v after the third crash, allowed are %d; %d crashes in all",
+			len(f.late), stabilityWindow, fatalAllowed, f.crashes)
+	}
+	f.t.Logf("%d crashes; losses: %v", f.crashes, f.losses())
+}
+
+// losses returns what became of lost attempts at all nodes.
+func (f *crashFleet) losses() map[api.Reason]uint64 {
+	out := map[api.Reason]uint64{}
+	for _, e := range f.engines {
+		for _, total := range e.Counts().Totals() {
+			if total.Key.Kind == count.Loss {
+				out[total.Key.Detail] += total.Value
+			}
+		}
+	}
+	return out
+}
+
+// Guards against a request that crashes replicas and is sent on without end, since no
+// node sees both that its attempt was lost and, within two seconds, that the replica's
+// process ended (BUDGET).
+func TestFatalRequestStopsWithoutOtherTraffic(t *testing.T) {
+	for _, size := range crashFleets {
+		for _, kind := range crashKinds {
+			for _, path := range []string{"/one/fatal", "/all/fatal"} {
+				t.Run(fmt.Sprint(size.nodes, " nodes, ", kind, ", ", path), func(t *testing.T) {
+					f := newCrashFleet(t, 1, size, kind)
+					f.fatalRounds(60, path)
+					f.checkFatal()
+				})
+			}
+		}
+	}
+}
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -23,6 +23,7 @@
 // answer after a while.
 type fleet struct {
 	t       *testing.T
+	size    fleetSize
 	rng     *rand.Rand
 	now     time.Time
 	engines []*Engine
@@ -47,14 +48,26 @@
 	pings   map[string]bool // those of calls that are pings
 	// refused is the number of ranges that a node did not know.
 	refused int
+	// sendTo takes attempts instead of send, others takes further actions; nil if
+	// nothing does.
+	sendTo func(node int, s Send)
+	others func(node int, a Action)
 }
 
+// fleetEvent is delivered to a node; do is called instead if it is set.
 type fleetEvent struct {
 	at   time.Time
 	node int
 	ev   Event
+	do   func()
 }
 
+// fleetSize is the number of nodes, shards and replicas of each, and of the
+// connections that a replica accepts.
+type fleetSize struct{ nodes, shards, replicas, accepted int }
+
+var defaultFleet = fleetSize{nodes: fleetNodes, shards: fleetShards, replicas: fleetReplicas, accepted: 6}
+
 // fleetCall is where a call runs.
 type fleetCall struct {
 	node int
@@ -69,34 +82,42 @@
 
 // newFleetIn returns a fleet of which each node is in a given data centre.
 func newFleetIn(t *testing.T, seed uint64, dataCentre func(node int) api.DataCentre) *fleet {
+	return newFleetOf(t, seed, defaultFleet, dataCentre)
+}
+
+func newFleetOf(t *testing.T, seed uint64, size fleetSize, dataCentre func(node int) api.DataCentre) *fleet {
 	f := &fleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: start, mute: map[string]bool{}, unreachable: map[string]bool{},
+		t: t, size: size, rng: rand.New(rand.NewPCG(seed, 3)), now: start, mute: map[string]bool{}, unreachable: map[string]bool{},
 		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
 		handed: map[string]fleetCall{}, reached: map[string]map[api.ServiceName]map[api.ReplicaName]bool{},
 		answers: map[string]Answer{}, used: map[string]bool{}, pings: map[string]bool{},
 	}
 	var peers []Peer
-	for i := range fleetNodes {
+	for i := range size.nodes {
 		peers = append(peers, Peer{Node: nodeName(i), DataCentre: dataCentre(i), Address: nodeName(i) + ":1"})
 	}
-	h := &harness{accepted: 6}
-	for i := range fleetNodes {
-		e := New(Settings{
+	for i := range size.nodes {
+		f.engines = append(f.engines, New(Settings{
 			Node: nodeName(i), DataCentre: dataCentre(i), Seed: seed + uint64(i), BudgetWindow: 10 * time.Second,
 			BudgetShare: 0.2, BudgetConstant: 200, FirstStart: true, LapseGrace: 2 * time.Second,
-		})
-		f.engines = append(f.engines, e)
-		f.step(i, TableRead{Table: h.newTable(1, fleetShards)})
-		for s := range fleetShards {
-			for r := range fleetReplicas {
-				f.step(i, ReplicaSeen{Registration: registration(s, r)})
-			}
-		}
-		f.step(i, Members{Nodes: fleetNodes, Peers: peers})
+		}))
+		f.inform(i, peers)
 	}
 	return f
 }
 
+// inform tells a node the configuration, the replicas and the nodes.
+func (f *fleet) inform(node int, peers []Peer) {
+	h := &harness{accepted: f.size.accepted}
+	f.step(node, TableRead{Table: h.newTable(1, f.size.shards)})
+	for s := range f.size.shards {
+		for r := range f.size.replicas {
+			f.step(node, ReplicaSeen{Registration: registration(s, r)})
+		}
+	}
+	f.step(node, Members{Nodes: f.size.nodes, Peers: peers})
+}
+
 func (f *fleet) later(d time.Duration, node int, ev Event) {
 	f.events = append(f.events, fleetEvent{at: f.now.Add(d), node: node, ev: ev})
 }
@@ -110,7 +131,11 @@
 func (f *fleet) execute(node int, a Action) {
 	switch a := a.(type) {
 	case Send:
-		f.send(node, a)
+		if f.sendTo != nil {
+			f.sendTo(node, a)
+		} else {
+			f.send(node, a)
+		}
 	case CallPeer:
 		f.call(node, a)
 	case ClearCall:
@@ -127,6 +152,10 @@
 		}
 	case Answer:
 		f.answer(node, a)
+	default:
+		if f.others != nil {
+			f.others(node, a)
+		}
 	}
 }
 
@@ -228,12 +257,16 @@
 
 // request sends a caller's request to a node.
 func (f *fleet) request(node int) string {
+	return f.requestWith(node, "/all/x", api.Fingerprint(f.next+1))
+}
+
+func (f *fleet) requestWith(node int, path string, fingerprint api.Fingerprint) string {
 	f.next++
 	id := fmt.Sprint("id-", f.next)
 	f.reached[id] = map[api.ServiceName]map[api.ReplicaName]bool{}
 	f.step(node, Arrived{
 		Request: api.RequestID(f.next), Patience: 800 * time.Millisecond,
-		Message: &Message{Host: "h", Path: "/all/x", CallerRequest: id, Fingerprint: api.Fingerprint(f.next)},
+		Message: &Message{Host: "h", Path: path, CallerRequest: id, Fingerprint: fingerprint},
 	})
 	return id
 }
@@ -267,6 +300,10 @@
 		}
 		ev := f.events[first]
 		f.events = append(f.events[:first], f.events[first+1:]...)
+		if ev.do != nil {
+			ev.do()
+			continue
+		}
 		f.step(ev.node, ev.ev)
 	}
 }
