forward, relay: an attempt without any sign of its replica is a loss (BUDGET)

Callers saw a request that crashes replicas sent on without end, here where the replicas fall silent.

Cause: an attempt that stalled, was cancelled at its deadline, or was open when the replica registered again was in no list, so that nothing was ever held against its request. The class: absence of an answer taken for absence of evidence.

Change: such attempts are losses; the replica is checked as after a lost connection. Innocent attempts are told apart: never written (the driver says for which attempt a connection was opened), sent to a replica that owed answers, or of a content that replicas have answered. Several silent replicas of one request count once.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -29,10 +29,14 @@
 	repeat bool
 	// born identifies the process of the replica that it was sent to.
 	born int64
+	// dialing is set until its connection is open.
+	dialing bool
+	// unanswering is set if the replica did not answer others when it was sent.
+	unanswering bool
 	// detached is set once nobody waits for the answer.
 	detached bool
-	// doubted is set once it counts as lost.
-	doubted bool
+	// watched is set once a timer looks at it, doubted once it counts as lost.
+	watched, doubted bool
 }
 
 // dispatch sends a part for the first time, or again after an attempt that
@@ -80,7 +84,10 @@
 	}
 	p.hedgeAt = now.Add(r.hedgeAfter)
 	r.hedgeAt = earliest(r.hedgeAt, p.hedgeAt)
-	e.connections(name).used++
+	a.unanswering = e.notAnswering(name)
+	c := e.connections(name)
+	a.dialing = c.used >= c.open
+	c.used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
 	e.act(Send{
@@ -240,13 +247,13 @@
 	switch ev.Loss {
 	case LostStale:
 		e.replicas.Unsent(a.replica) // says nothing about the replica
-		e.lostOn(now, a)
+		e.lostOn(now, a, false)
 	case LostLimited:
 		e.replicas.Unsent(a.replica)
 		e.limited(now, a)
 	case LostBroken:
 		e.replicas.Lost(now, a.replica)
-		e.lostOn(now, a)
+		e.lostOn(now, a, false)
 	case LostRefused:
 		e.replicas.Lost(now, a.replica)
 		e.crashed(now, a.replica)
@@ -343,17 +350,26 @@
 	if now.Sub(a.sentAt) >= a.request.stallTime() {
 		e.noAnswer(now, a)
 	} else {
+		if !now.Before(a.request.deadline) {
+			e.silentOn(now, a)
+		}
 		e.replicas.Cancelled(now, a.replica, now.Sub(a.sentAt))
 	}
 	e.act(Cancel{Attempt: a.id})
 }
 
-// stalled gives up an attempt that nobody waits for and that does not end.
+// stalled handles an attempt that goes on for long: it may have ended its replica's
+// process. It is given up if nobody waits for it.
 func (e *Engine) stalled(now time.Time, id AttemptID) {
-	a := e.take(id)
-	if a == nil {
+	a := e.attempts[id]
+	switch {
+	case a == nil:
+		return
+	case !a.detached:
+		e.silentOn(now, a)
 		return
 	}
+	e.take(id)
 	e.noAnswer(now, a)
 	// Idle connections may have gone silent for the same reason.
 	e.act(Cancel{Attempt: id})
@@ -365,6 +381,7 @@
 // replica is silent if it has answered nothing else since.
 func (e *Engine) noAnswer(now time.Time, a *attempt) {
 	e.replicas.Lost(now, a.replica)
+	e.silentOn(now, a)
 	if !e.heardSince(a) && e.registry.entries[a.replica] != nil {
 		e.silent[a.replica] = true
 		e.replicas.MarkSuspect(now, a.replica)
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -95,13 +95,18 @@
 	return why == replacing && p.mayRepeat(r) && slices.Contains(p.failed, name)
 }
 
-// overdue remembers that the replicas of a part's attempts have gone quiet,
-// unless they answered something since.
+// overdue remembers that the replicas of a part's attempts have gone quiet, unless they
+// answered something since. While no replica has answered the request, it may be the
+// cause.
 func (e *Engine) overdue(p *part) {
 	for _, a := range p.live {
 		if !e.heardSince(a) {
 			e.quiet[a.replica] = true
 		}
+		if !a.watched && !a.request.survived {
+			a.watched = true
+			e.timers.Set(a.sentAt.Add(a.request.stallTime()), timer{attempt: a.id})
+		}
 	}
 }
 
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -118,6 +118,13 @@
 	e.timers.Set(c.opensAt, timer{service: a.service})
 }
 
+func (e *Engine) connOpened(ev ConnOpened) {
+	e.connections(ev.Replica).open++
+	if a := e.attempts[ev.Attempt]; a != nil {
+		a.dialing = false
+	}
+}
+
 func (e *Engine) connEnded(name api.ReplicaName) {
 	c := e.connections(name)
 	c.open = max(c.open-1, 0)
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -161,7 +161,7 @@
 		f.tell(time.Millisecond, a, Lost{Attempt: s.Attempt, Loss: LostRefused})
 	default:
 		f.after(time.Millisecond, func() {
-			f.step(node, ConnOpened{Replica: s.Replica})
+			f.step(node, ConnOpened{Replica: s.Replica, Attempt: s.Attempt})
 			if a.over {
 				a.conns.idle++
 				return
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -188,7 +188,7 @@
 	case ReplicaChecked:
 		e.replicaChecked(now, ev)
 	case ConnOpened:
-		e.connections(ev.Replica).open++
+		e.connOpened(ev)
 	case ConnEnded:
 		e.connEnded(ev.Replica)
 	case TableRead:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -212,10 +212,12 @@
 	Loss    Loss
 }
 
-// ConnOpened says that a connection to a replica is open.
+// ConnOpened says that a connection to a replica is open, and for which attempt it was
+// opened; 0 if for none.
 type ConnOpened struct {
 	event
 	Replica api.ReplicaName
+	Attempt AttemptID
 }
 
 // ConnEnded says that an open connection to a replica has ended. It is reported
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -46,6 +46,8 @@
 type loss struct {
 	request *request
 	at      time.Time
+	// silent is set if not even the end of the connection was heard.
+	silent bool
 	// until is when the loss is dropped; ambiguous is set once a check was accepted
 	// too late to tell this process from the next one.
 	until     time.Time
@@ -66,14 +68,14 @@
 
 // lostOn remembers an attempt that may have ended its replica's process, and has the
 // replica checked.
-func (e *Engine) lostOn(now time.Time, a *attempt) {
+func (e *Engine) lostOn(now time.Time, a *attempt, silent bool) {
 	r := a.request
 	entry := e.registry.entries[a.replica]
 	if r.survived || a.doubted || entry == nil {
 		return
 	}
 	a.doubted = true
-	l := loss{request: r, at: now, until: now.Add(lossHold)}
+	l := loss{request: r, at: now, silent: silent, until: now.Add(lossHold)}
 	if entry.Born != a.born {
 		// The process that had the attempt is known to have ended.
 		e.blame(now, a.replica, a.born, []loss{l})
@@ -93,6 +95,22 @@
 	e.timers.Set(now.Add(checkDelay), timer{check: a.replica})
 }
 
+// silentOn remembers an attempt that had no answer in time, unless it cannot be the cause:
+// it was never written, the replica did not answer others before it, or replicas have
+// answered its content. A replica may have fallen silent before it got the attempt, which
+// nothing shows on an open connection, and popular contents are sent to each of them.
+func (e *Engine) silentOn(now time.Time, a *attempt) {
+	if a.dialing || a.unanswering || e.quarantine.AnsweredBefore(a.request.message.Fingerprint) {
+		return
+	}
+	e.lostOn(now, a, true)
+}
+
+// notAnswering reports whether a replica owes answers to earlier attempts.
+func (e *Engine) notAnswering(name api.ReplicaName) bool {
+	return e.quiet[name] || e.silent[name] || e.doubts[name] != nil || e.replicas.Suspect(name)
+}
+
 // checkDue checks a replica if requests that were lost there have had no answer since.
 func (e *Engine) checkDue(now time.Time, name api.ReplicaName) {
 	d := e.doubts[name]
@@ -246,15 +264,34 @@
 	e.blame(now, name, d.born, d.losses)
 }
 
+// restarted handles the registration of a replica's next process. What the former one
+// had not answered for long is lost.
+func (e *Engine) restarted(now time.Time, name api.ReplicaName) {
+	ids := slices.Sorted(maps.Keys(e.attempts))
+	for _, id := range ids {
+		a := e.attempts[id]
+		if a.replica == name && now.Sub(a.sentAt) >= a.request.stallTime() {
+			e.counts.Inc(count.Loss, "open_at_restart")
+			e.silentOn(now, a)
+		}
+	}
+	if e.doubts[name] == nil {
+		e.counts.Inc(count.Loss, "restart_unexplained")
+	}
+	e.crashed(now, name)
+}
+
 // blame holds the end of a process against the requests that were lost there and that
-// no replica has answered.
+// no replica has answered. Several replicas that fall silent under one request may do so
+// for one other reason, and count as one.
 func (e *Engine) blame(now time.Time, name api.ReplicaName, born int64, losses []loss) {
 	var fingerprints []api.Fingerprint
 	for _, l := range losses {
 		r := l.request
-		if r.survived {
+		if r.survived || l.silent && (r.silenceBlamed || e.quarantine.AnsweredBefore(r.message.Fingerprint)) {
 			continue
 		}
+		r.silenceBlamed = r.silenceBlamed || l.silent
 		fingerprints = append(fingerprints, r.message.Fingerprint)
 	}
 	if len(fingerprints) == 0 {
@@ -262,7 +299,7 @@
 	}
 	e.counts.Add(count.Loss, "blamed", uint64(len(fingerprints)))
 	e.log("replica_crashed", "replica", name, "born", born, "lost_requests", len(fingerprints),
-		"fingerprint", fingerprints[0], "oldest_ms", now.Sub(losses[0].at).Milliseconds())
+		"fingerprint", fingerprints[0], "oldest_ms", now.Sub(losses[0].at).Milliseconds(), "silent", losses[0].silent)
 	e.publish(e.quarantine.Crashed(now, name, incarnation(name, born), fingerprints))
 }
 
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -68,11 +68,7 @@
 func (e *Engine) replicaSeen(now time.Time, reg Registration) {
 	old := e.registry.entries[reg.Replica]
 	if old != nil && (old.Service != reg.Service || old.Address != reg.Address || reg.restarted(old.Registration)) {
-		if e.doubts[reg.Replica] == nil {
-			e.counts.Inc(count.Loss, "restart_unexplained")
-		}
-		e.counts.Add(count.Loss, "open_at_restart", e.openAttempts(reg.Replica))
-		e.crashed(now, reg.Replica)
+		e.restarted(now, reg.Replica)
 		e.removeReplica(now, reg.Replica, "replaced")
 		old = nil
 	}
@@ -98,14 +94,6 @@
 	e.resume(now, reg.Service)
 }
 
-// openAttempts returns the number of attempts at a replica that have no answer yet.
-func (e *Engine) openAttempts(name api.ReplicaName) uint64 {
-	if c := e.conns[name]; c != nil {
-		return uint64(c.used)
-	}
-	return 0
-}
-
 func (g *registry) add(reg Registration) {
 	names := g.byService[reg.Service]
 	i, _ := slices.BinarySearch(names, reg.Replica)
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -105,6 +105,8 @@
 	// checks is the number of replicas that were checked since the request was lost
 	// there.
 	checks int
+	// silenceBlamed is set once a replica that fell silent was held against the request.
+	silenceBlamed bool
 	// mayHaveRun is set once a replica may have begun to work on the request.
 	mayHaveRun bool
 	extras     int
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -171,6 +171,13 @@
 // without a canary.
 func (r *Registry) Known(fp api.Fingerprint) bool { return r.good.has(fp) }
 
+// AnsweredBefore reports whether a target has answered the request before its first
+// crash, as far as this node or a peer that vouched for it knows.
+func (r *Registry) AnsweredBefore(fp api.Fingerprint) bool {
+	c := r.cases[fp]
+	return r.good.has(fp) || c != nil && c.wasGood
+}
+
 // Answered reports that a target answered a request (not a refusal before
 // running). It must not be called for an attempt that was sent before its
 // fingerprint became suspect: only the answer of a probation run clears.
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -78,14 +78,17 @@
 // serve carries requests on an open connection until it ends.
 func (c *conn) serve(socket net.Conn) {
 	c.reader = bufio.NewReaderSize(socket, readBuffer)
-	c.targets.poster.Post(forward.ConnOpened{Replica: c.replica})
 	c.targets.mu.Lock()
 	c.socket = socket
 	x := c.current
+	opened := forward.ConnOpened{Replica: c.replica}
 	if x == nil {
 		c.keep(idleMost)
+	} else {
+		opened.Attempt = x.attempt
 	}
 	c.targets.mu.Unlock()
+	c.targets.poster.Post(opened)
 	if x != nil && !c.accepted() {
 		c.end(forward.LostLimited)
 		return
