forward: a crash ends the trial of the request that it belongs to (BUDGET)

Callers saw a request that crashes replicas sent on without end, here one that replicas had answered before.

Cause: a request that was answered before is convicted only by a crash during a run alone, and no crash counted as one: core/forward never said where such a run was placed, and reported its end when the attempt was lost, before it was known whether the replica had ended. The class: two callers of one state machine, of which one keeps only half of its contract.

Change: the run alone is placed when it is sent, and goes on until it is known what became of the replicas it was lost on.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -90,6 +90,9 @@
 	c.used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
+	if r.alone {
+		e.quarantine.Placed(now, r.message.Fingerprint, name)
+	}
 	e.act(Send{
 		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
 		Brief: entry.rank > e.preferredRank(p.service), Left: r.deadline.Sub(now),
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -403,3 +403,17 @@
 		f.checkFatal()
 	})
 }
+
+// Guards against a request that replicas answered before and that crashes them from
+// now on: it is tried alone again and again, and no crash counts as one of that trial
+// (BUDGET).
+func TestRequestThatTurnsFatalStops(t *testing.T) {
+	eachCrash(t, false, func(t *testing.T, size fleetSize, kind crashKind, path string) {
+		f := newCrashFleet(t, 1, size, kind)
+		f.harmless = true
+		f.fatalRounds(size.nodes, path)
+		f.harmless = false
+		f.fatalRounds(60, path)
+		f.checkFatal()
+	})
+}
--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -48,9 +48,10 @@
 	}
 }
 
-// endAlone ends the isolation of a request, after its first answer or its end.
+// endAlone ends the isolation of a request, after its first answer or its end. While it
+// is not known whether it ended a replica's process, the isolation goes on.
 func (e *Engine) endAlone(now time.Time, r *request) {
-	if r.alone {
+	if r.alone && (r.survived || r.doubts == 0) {
 		r.alone = false
 		e.quarantine.Released(now, r.message.Fingerprint)
 	}
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -86,6 +86,7 @@
 		return
 	}
 	r.checks++
+	r.doubts++
 	d := e.doubts[a.replica]
 	if d == nil {
 		d = &doubt{address: entry.Address, born: entry.Born}
@@ -117,7 +118,7 @@
 	if d == nil || !d.checkedAt.IsZero() || d.unreachable {
 		return
 	}
-	e.dropLosses(name, func(l *loss) api.Reason {
+	e.dropLosses(now, name, func(l *loss) api.Reason {
 		switch {
 		case l.request.survived:
 			return lossAnswered
@@ -134,7 +135,7 @@
 }
 
 // dropLosses removes the losses at a replica for which why returns a reason.
-func (e *Engine) dropLosses(name api.ReplicaName, why func(*loss) api.Reason) {
+func (e *Engine) dropLosses(now time.Time, name api.ReplicaName, why func(*loss) api.Reason) {
 	d := e.doubts[name]
 	d.losses = slices.DeleteFunc(d.losses, func(l loss) bool {
 		reason := why(&l)
@@ -142,6 +143,7 @@
 			return false
 		}
 		e.counts.Inc(count.Loss, reason)
+		e.settleDoubt(now, l.request)
 		return true
 	})
 	if len(d.losses) == 0 {
@@ -149,6 +151,15 @@
 	}
 }
 
+// settleDoubt ends the isolation of a request that has ended once it is known what
+// became of the replicas that it ran on.
+func (e *Engine) settleDoubt(now time.Time, r *request) {
+	r.doubts--
+	if r.doubts == 0 && e.requests[r.id] != r {
+		e.endAlone(now, r)
+	}
+}
+
 func (e *Engine) check(name api.ReplicaName, address string) {
 	entry := e.registry.entries[name]
 	brief := entry == nil || entry.rank > e.preferredRank(entry.Service)
@@ -185,7 +196,7 @@
 
 // checkAccepted handles a check that the replica, or the next one at its address, accepted.
 func (e *Engine) checkAccepted(now time.Time, name api.ReplicaName, sentAt time.Time) {
-	e.dropLosses(name, func(l *loss) api.Reason {
+	e.dropLosses(now, name, func(l *loss) api.Reason {
 		if gap := sentAt.Sub(l.at); gap >= 0 && gap <= provesLife {
 			return lossAlive
 		}
@@ -262,6 +273,9 @@
 	}
 	delete(e.doubts, name)
 	e.blame(now, name, d.born, d.losses)
+	for _, l := range d.losses {
+		e.settleDoubt(now, l.request)
+	}
 }
 
 // restarted handles the registration of a replica's next process. What the former one
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -103,8 +103,8 @@
 	// lost is the number of attempts that were lost before any answer.
 	lost int
 	// checks is the number of replicas that were checked since the request was lost
-	// there.
-	checks int
+	// there, doubts the number of those whose process may still have ended.
+	checks, doubts int
 	// silenceBlamed is set once a replica that fell silent was held against the request.
 	silenceBlamed bool
 	// mayHaveRun is set once a replica may have begun to work on the request.
