--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -323,6 +323,33 @@
 	}
 }
 
+// ask sends a request of a caller and notes whether it is refused as quarantined.
+func (f *crashFleet) ask(node int, path string, fingerprint api.Fingerprint) {
+	id := f.requestWith(node, path, fingerprint)
+	f.asked[id] = fingerprint
+}
+
+// refusals counts the requests that were refused as quarantined.
+func (f *crashFleet) refusals() int {
+	total := 0
+	for id, fingerprint := range f.asked {
+		if f.answers[id].Reason == api.ReasonQuarantined {
+			f.refused[fingerprint]++
+			total++
+		}
+	}
+	return total
+}
+
+// counted returns a counter of the quarantine over all nodes.
+func (f *crashFleet) counted(detail api.Reason) uint64 {
+	var total uint64
+	for _, e := range f.engines {
+		total += e.Counts().Get(count.Quarantine, detail)
+	}
+	return total
+}
+
 // fatalRounds sends the fatal request once a second, at another node each time.
 func (f *crashFleet) fatalRounds(rounds int, path string) {
 	for i := range rounds {
@@ -417,3 +444,54 @@
 		f.checkFatal()
 	})
 }
+
+// checkInnocent checks that innocent requests are hardly refused as quarantined, and
+// none of them for long.
+func (f *crashFleet) checkInnocent() {
+	f.t.Helper()
+	refused := f.refusals()
+	if most := len(f.asked) / 100; refused > most {
+		f.t.Errorf("%d of %d innocent requests are refused as quarantined, by content: %v", refused, len(f.asked), f.refused)
+	}
+	if alone := f.counted("probation"); alone > 100 {
+		f.t.Errorf("%d requests are tried alone", alone)
+	}
+	f.t.Logf("%d of %d innocent requests refused, %d runs alone, %d of them answered, %d convictions, %d checks",
+		refused, len(f.asked), f.counted("probation"), f.counted("cleared"), f.counted("convicted"), f.checks)
+}
+
+// Guards against popular requests that are refused for long, or tried alone by the
+// hundred, on days on which many replicas end for other reasons: some of them are in
+// flight at every end.
+func TestPopularRequestsBesideManyCrashes(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		kind := crashKind{silent: silent, back: 1500 * time.Millisecond}
+		t.Run(kind.String(), func(t *testing.T) {
+			f := newCrashFleet(t, 3, defaultFleet, kind)
+			f.popular(3 * time.Second)
+			for range 15 {
+				for range 5 {
+					f.crash(f.anyReplica())
+				}
+				f.popular(2 * time.Second)
+				f.crash(replicaOf(0, 0))
+				f.crash(replicaOf(0, 1)) // the other one of a service to which requests go alone
+				f.popular(2 * time.Second)
+			}
+			f.checkInnocent()
+		})
+	}
+}
+
+func (f *crashFleet) anyReplica() api.ReplicaName {
+	return replicaOf(f.rng.IntN(f.size.shards), f.rng.IntN(f.size.replicas))
+}
+
+// popular sends requests for a while of which each content comes about 20 times a
+// second, all nodes together.
+func (f *crashFleet) popular(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.run(5 * time.Millisecond) {
+		fingerprint := api.Fingerprint(100 + f.rng.IntN(10))
+		f.ask(f.rng.IntN(f.size.nodes), []string{"/all/x", "/one/x"}[fingerprint%2], fingerprint)
+	}
+}
--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -39,6 +39,7 @@
 		return
 	}
 	r.survived = true
+	e.contentAnswered(now, r.message.Fingerprint)
 	e.publish(e.quarantine.Answered(now, r.message.Fingerprint))
 	e.endAlone(now, r)
 	for i := range r.parts {
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -31,6 +31,10 @@
 	recheckInterval = time.Second
 	// lossHold is how long a loss is kept that no check has explained.
 	lossHold = 10 * time.Second
+	// answerWait is how long a content that replicas have answered before may be answered
+	// again before the end of a process is held against it. Popular contents are in flight
+	// at every end.
+	answerWait = 2 * time.Second
 	// mostChecks bounds the checks for one request: the ends of two processes convict it.
 	mostChecks = 3
 )
@@ -54,6 +58,15 @@
 	ambiguous bool
 }
 
+// ended is a loss at a process that has ended.
+type ended struct {
+	loss
+	replica api.ReplicaName
+	born    int64
+	// due is when the end is held against the request if no replica answers its content.
+	due time.Time
+}
+
 // doubt is a replica's process that may have ended.
 type doubt struct {
 	address string
@@ -66,6 +79,14 @@
 	unreachable bool
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // lostOn remembers an attempt that may have ended its replica's process, and has the
 // replica checked.
 func (e *Engine) lostOn(now time.Time, a *attempt, silent bool) {
@@ -114,18 +135,16 @@
 
 // checkDue checks a replica if requests that were lost there have had no answer since.
 func (e *Engine) checkDue(now time.Time, name api.ReplicaName) {
+	e.blameDue(now)
 	d := e.doubts[name]
 	if d == nil || !d.checkedAt.IsZero() || d.unreachable {
 		return
 	}
 	e.dropLosses(now, name, func(l *loss) api.Reason {
-		switch {
-		case l.request.survived:
-			return lossAnswered
-		case !now.Before(l.until):
-			return lossExpired
+		if now.Before(l.until) {
+			return api.ReasonNone
 		}
-		return api.ReasonNone
+		return lossExpired
 	})
 	if !slices.ContainsFunc(d.losses, func(l loss) bool { return !l.ambiguous }) {
 		return
@@ -296,9 +315,53 @@
 }
 
 // blame holds the end of a process against the requests that were lost there and that
-// no replica has answered. Several replicas that fall silent under one request may do so
-// for one other reason, and count as one.
+// no replica has answered, against known ones after answerWait.
 func (e *Engine) blame(now time.Time, name api.ReplicaName, born int64, losses []loss) {
+	var unknown []loss
+	for _, l := range losses {
+		if l.silent || !e.quarantine.Known(l.request.message.Fingerprint) {
+			unknown = append(unknown, l)
+			continue
+		}
+		due := later(now, l.at.Add(answerWait))
+		e.ended = append(e.ended, ended{loss: l, replica: name, born: born, due: due})
+		e.timers.Set(due, timer{check: name})
+	}
+	e.suspect(now, name, born, unknown)
+}
+
+// blameDue holds ends against known contents that were not answered again.
+func (e *Engine) blameDue(now time.Time) {
+	var due []ended
+	e.ended = slices.DeleteFunc(e.ended, func(l ended) bool {
+		if now.Before(l.due) {
+			return false
+		}
+		due = append(due, l)
+		return true
+	})
+	for _, l := range due {
+		e.suspect(now, l.replica, l.born, []loss{l.loss})
+	}
+}
+
+// contentAnswered explains the losses of requests with the same content as one that a
+// replica has answered.
+func (e *Engine) contentAnswered(now time.Time, fingerprint api.Fingerprint) {
+	for _, name := range slices.Sorted(maps.Keys(e.doubts)) {
+		e.dropLosses(now, name, func(l *loss) api.Reason {
+			if l.request.message.Fingerprint == fingerprint {
+				return lossAnswered
+			}
+			return api.ReasonNone
+		})
+	}
+	e.ended = slices.DeleteFunc(e.ended, func(l ended) bool { return l.request.message.Fingerprint == fingerprint })
+}
+
+// suspect tells the quarantine of the end of a process. Several replicas that fall silent
+// under one request may do so for one other reason, and count as one.
+func (e *Engine) suspect(now time.Time, name api.ReplicaName, born int64, losses []loss) {
 	var fingerprints []api.Fingerprint
 	for _, l := range losses {
 		r := l.request
--- a/core/forward/model_test.go
+++ b/core/forward/model_test.go
@@ -129,13 +129,6 @@
 	m.h.now = end
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (m *model) arrive(path string, patience time.Duration) {
 	m.h.next++
 	id := fmt.Sprint("id-", m.h.next)
