forward, relay: notices go to the other nodes directly as well (BUDGET)

Callers saw a request that crashes replicas sent on without end, here while the store was away.

Cause: what a node found out about a request reached the others through the store only; the request comes again at another node within a second, and calls between nodes go on without the store. The class: a fast fault answered through a slow path with outages of its own.

Change: notices are also told directly (gRPC Notify beside RunShards), to each of up to 16 nodes; beyond, to those of the data centre, whose connections are open, and to two of each other one, which pass them on. What fails is logged (notices_not_told); the store serves nodes that start later.

Ruled out: verdicts in the replies of calls (routes to one replica make no calls; a node learns nothing until it asks).

--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +65,8 @@
 	published map[int][]gossip.Notice
 	// noticeLag is the time until the other nodes read a notice in the store.
 	noticeLag time.Duration
+	// boots counts the processes that were started again.
+	boots int
 	// harmless is set while the fatal request is answered.
 	harmless bool
 	// checks is the number of checks of replicas.
@@ -265,12 +270,27 @@
 	}
 }
 
+// storeBack ends an outage of the store.
+func (f *crashFleet) storeBack() {
+	f.storeAway = false
+	delayed := f.delayed
+	f.delayed = nil
+	for i := range f.engines {
+		f.step(i, StoreBack{})
+	}
+	for _, do := range delayed {
+		do()
+	}
+}
+
 func (f *crashFleet) otherAction(node int, a Action) {
 	switch a := a.(type) {
 	case Cancel:
 		f.cancelled(node, a.Attempt)
 	case CheckReplica:
 		f.checked(node, a)
+	case TellNodes:
+		f.told(a)
 	case Publish:
 		f.published[node] = append(f.published[node], a.Notices...)
 		f.after(f.noticeLag, func() { f.spread(node, a.Notices) })
@@ -293,6 +313,17 @@
 	f.later(took, node, ReplicaChecked{Replica: c.Replica, Result: result})
 }
 
+// told delivers what a node tells others directly.
+func (f *crashFleet) told(a TellNodes) {
+	for _, address := range a.Addresses {
+		name := strings.TrimSuffix(address, ":1")
+		to := slices.IndexFunc(f.peers(), func(p Peer) bool { return p.Node == name })
+		if !f.unreachable[name] {
+			f.later(2*time.Millisecond, to, NoticesRead{Notices: a.Notices, PassOn: a.PassOn})
+		}
+	}
+}
+
 // spread lets the other nodes read notices in the store.
 func (f *crashFleet) spread(from int, notices []gossip.Notice) {
 	if f.storeAway {
@@ -445,6 +476,128 @@
 	})
 }
 
+// trouble is something that goes wrong beside a fatal request.
+type trouble struct {
+	name string
+	// begin is called once, each every second.
+	begin, each func(f *crashFleet, second int)
+}
+
+var troubles = []trouble{
+	{name: "nothing"},
+	{name: "the store is away", begin: func(f *crashFleet, _ int) { f.storeGone() }},
+	{name: "the store is away at times", each: func(f *crashFleet, second int) {
+		switch second % 12 {
+		case 2:
+			f.storeGone()
+		case 8:
+			f.storeBack()
+		}
+	}},
+	{name: "notices come late", begin: func(f *crashFleet, _ int) { f.noticeLag = 3 * time.Second }},
+	{name: "connections are reset", each: func(f *crashFleet, _ int) { f.resetConnections(f.rng.IntN(f.size.nodes)) }},
+	{name: "replicas end for other reasons", each: func(f *crashFleet, _ int) { f.crash(f.anyReplica()) }},
+	{name: "nodes pause", each: func(f *crashFleet, _ int) {
+		f.pausedUntil[f.rng.IntN(f.size.nodes)] = f.now.Add(700 * time.Millisecond)
+	}},
+	{name: "nodes start again", each: func(f *crashFleet, _ int) { f.restartNode(f.rng.IntN(f.size.nodes)) }},
+	{name: "nodes take no calls", begin: func(f *crashFleet, _ int) {
+		for i := 0; i < f.size.nodes; i += 3 {
+			f.unreachable[nodeName(i)] = true
+		}
+	}},
+}
+
+func (f *crashFleet) storeGone() {
+	f.storeAway = true
+	for i := range f.engines {
+		f.step(i, StoreLost{})
+	}
+}
+
+func (f *crashFleet) anyReplica() api.ReplicaName {
+	return replicaOf(f.rng.IntN(f.size.shards), f.rng.IntN(f.size.replicas))
+}
+
+// resetConnections breaks what a node has on its way, at replicas that go on.
+func (f *crashFleet) resetConnections(node int) {
+	for _, r := range f.replicas {
+		for a := range r.working {
+			if a.node == node {
+				delete(r.working, a)
+				f.lose(a, LostBroken)
+			}
+		}
+	}
+}
+
+// restartNode replaces a node's process, which reads the notices in the store.
+func (f *crashFleet) restartNode(node int) {
+	for _, a := range f.attempts {
+		a.over = a.over || a.node == node
+	}
+	f.events = slices.DeleteFunc(f.events, func(ev fleetEvent) bool { return ev.do == nil && ev.node == node })
+	f.boots++
+	maps.DeleteFunc(f.conns, func(_ string, c *crashConns) bool { return c.node == node })
+	maps.DeleteFunc(f.used, func(key string, _ bool) bool { return strings.HasPrefix(key, fmt.Sprint(node, "/")) })
+	maps.DeleteFunc(f.handed, func(key string, c fleetCall) bool {
+		return c.node == node || strings.HasPrefix(key, fmt.Sprint(node, "/"))
+	})
+	f.engines[node] = f.newEngine(node, uint64(1000+f.boots))
+	f.inform(node, f.peers())
+	for _, r := range f.replicas {
+		f.step(node, ReplicaSeen{Registration: r.reg})
+	}
+	for from := range f.size.nodes {
+		f.step(node, NoticesRead{Notices: f.published[from]})
+	}
+}
+
+// traffic sends innocent requests for a while, at the rates of a site with many nodes:
+// one a second and node, a third of them with contents that come again and again.
+func (f *crashFleet) traffic(d time.Duration) {
+	interval := time.Second / time.Duration(f.size.nodes)
+	for end := f.now.Add(d); f.now.Before(end); f.run(interval) {
+		path, fingerprint := "/all/x", api.Fingerprint(1_000_000+f.next)
+		if f.rng.IntN(5) == 0 {
+			path = "/one/x"
+		}
+		if f.rng.IntN(3) == 0 {
+			fingerprint = api.Fingerprint(100 + f.rng.IntN(10))
+			path = []string{"/all/x", "/one/x"}[fingerprint%2]
+		}
+		f.ask(f.rng.IntN(f.size.nodes), path, fingerprint)
+	}
+}
+
+// Guards against a fatal request that is sent on while something else goes wrong, at the
+// rates of a site with many nodes (BUDGET).
+func TestFatalRequestStopsBesideOtherTroubles(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for _, w := range troubles {
+			for _, path := range []string{"/one/fatal", "/all/fatal"} {
+				kind := crashKind{silent: silent, back: 3 * time.Second}
+				t.Run(fmt.Sprint(w.name, ", ", kind, ", ", path), func(t *testing.T) {
+					f := newCrashFleet(t, 2, defaultFleet, kind)
+					f.traffic(3 * time.Second)
+					if w.begin != nil {
+						w.begin(f, 0)
+					}
+					for second := range 30 {
+						if w.each != nil {
+							w.each(f, second)
+						}
+						f.requestWith(second%f.size.nodes, path, fatal)
+						f.traffic(time.Second)
+					}
+					f.checkFatal()
+					f.checkInnocent()
+				})
+			}
+		}
+	}
+}
+
 // checkInnocent checks that innocent requests are hardly refused as quarantined, and
 // none of them for long.
 func (f *crashFleet) checkInnocent() {
@@ -483,10 +636,6 @@
 	}
 }
 
-func (f *crashFleet) anyReplica() api.ReplicaName {
-	return replicaOf(f.rng.IntN(f.size.shards), f.rng.IntN(f.size.replicas))
-}
-
 // popular sends requests for a while of which each content comes about 20 times a
 // second, all nodes together.
 func (f *crashFleet) popular(d time.Duration) {
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -210,7 +210,9 @@
 	case BudgetChanged:
 		e.settings.BudgetShare, e.settings.BudgetConstant = ev.Share, ev.Constant
 	case NoticesRead:
-		e.learnNotices(now, ev.Notices)
+		e.learnNotices(now, ev)
+	case NotTold:
+		e.notTold(ev)
 	case Members:
 		e.members(now, ev.Nodes)
 		e.adoptPeers(now, ev.Peers)
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -288,6 +288,18 @@
 type NoticesRead struct {
 	event
 	Notices []gossip.Notice
+	// PassOn is set if the nodes of this data centre are to be told as well.
+	PassOn bool
+}
+
+// NotTold says that a node was not reached by a TellNodes.
+type NotTold struct {
+	event
+	Address string
+	// Notices is the number of notices.
+	Notices int
+	// Error describes the cause, for the log.
+	Error string
 }
 
 // BudgetChanged replaces the bound on extra attempts in the settings.
@@ -423,6 +435,16 @@
 	Addresses []string
 }
 
+// TellNodes tells notices to other nodes directly. The driver answers with NotTold for
+// each that it does not reach.
+type TellNodes struct {
+	action
+	Addresses []string
+	Notices   []gossip.Notice
+	// PassOn asks the nodes to tell those of their data centre.
+	PassOn bool
+}
+
 // Publish makes notices known to the other nodes.
 type Publish struct {
 	action
--- a/core/forward/isolation.go
+++ b/core/forward/isolation.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
-	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/quarantine"
 )
 
@@ -75,22 +74,3 @@
 		}
 	}
 }
-
-// publish passes notices on to the other nodes.
-func (e *Engine) publish(notices []gossip.Notice) {
-	if len(notices) > 0 {
-		e.act(Publish{Notices: notices})
-	}
-}
-
-// learnNotices takes over what other nodes published.
-func (e *Engine) learnNotices(now time.Time, notices []gossip.Notice) {
-	for _, n := range notices {
-		if e.quarantine.Learn(now, n) {
-			e.log("notice_learned", "kind", n.Kind, "fingerprint", n.Fingerprint, "crashes", n.Crashes,
-				"replica", n.Replica, "version", n.Version)
-		}
-		// A notice that changes nothing here may still explain a crash.
-		e.publish(e.quarantine.Respond(now, n))
-	}
-}
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -159,6 +159,8 @@
 		l.nodes.clear(a.Call)
 	case forward.WithdrawCall:
 		l.nodes.withdraw(a.Call)
+	case forward.TellNodes:
+		l.nodes.tell(a)
 	case forward.PreparePeers:
 		l.nodes.prepare(a.Addresses)
 	case forward.CancelCall:
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -46,6 +46,9 @@
 	// preparing says is being done.
 	wanted    []string
 	preparing bool
+	// untold holds what nodes are to be told, by address; there is an entry while one is
+	// being told.
+	untold map[string]forward.TellNodes
 }
 
 // nodeCall is a call on its way.
@@ -58,6 +61,7 @@
 func NewNodes(poster Poster) *Nodes {
 	return &Nodes{
 		poster: poster, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
+		untold: make(map[string]forward.TellNodes),
 	}
 }
 
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -1,13 +1,18 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/wire/convert"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
+	"github.com/baobabsail/baobabsail/wire/peerpb"
 )
 
 // NodeServer runs ranges of shards for other nodes.
@@ -56,6 +61,16 @@
 	}
 }
 
+// Notify takes over notices of another node.
+func (s *NodeServer) Notify(_ context.Context, m *nodepb.Notices) (*peerpb.Ack, error) {
+	notices, err := convert.NoticesFromProto(m.GetNotices())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	s.loop.Post(forward.NoticesRead{Notices: notices, PassOn: m.GetPassOn()})
+	return &peerpb.Ack{}, nil
+}
+
 // arrival is the event of a call from another node.
 func arrival(id api.RequestID, q *nodepb.ShardsRequest) forward.Arrived {
 	return forward.Arrived{
--- /dev/null
+++ b/entry/relay/tell_test.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+// Guards against a verdict on a request that reaches other nodes only through the store:
+// a node that was told refuses the request (BUDGET).
+func TestToldNodeRefusesAConvictedRequest(t *testing.T) {
+	loop := NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), quietLog{}, noPublisher{})
+	loop.Connect(NewTargets(loop, Headers{}), NewNodes(loop))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewNodeServer(loop)
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	t.Cleanup(server.Stop)
+	routes := []routing.Route{{Name: "one", Host: "h", Prefix: "/", Services: []routing.Weighted{{Service: "s", Weight: 1}}, MaxAttempts: 1}}
+	loop.Post(forward.TableRead{Table: routing.NewTable(1, routes, []routing.Service{{Name: "s"}}, routing.Limits{})})
+	loop.Post(forward.ReplicaSeen{Registration: forward.Registration{Replica: "r", Service: "s", Address: "127.0.0.1:1", Slots: 1}})
+
+	told := NewNodes(&eventLog{})
+	defer told.Close()
+	convicted := gossip.Notice{Kind: gossip.NoticeConvicted, Replica: "r", Fingerprint: 5, Crashes: 2, Version: 1, TimeToLive: time.Hour}
+	told.tell(forward.TellNodes{Addresses: []string{listener.Addr().String()}, Notices: []gossip.Notice{convicted}})
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		id, answers := loop.begin()
+		loop.Post(forward.Arrived{Request: id, Patience: time.Second, Message: &forward.Message{
+			Host: "h", Path: "/x", Fingerprint: 5, Wire: &wireRequest{},
+		}})
+		if a := <-answers; a.Outcome == api.NotRun && a.Reason == api.ReasonQuarantined {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the request is not refused")
+		}
+	}
+}
+
+// Guards against a failed message to a node that shows nowhere.
+func TestNodeThatIsNotToldIsReported(t *testing.T) {
+	events := &eventLog{}
+	n := NewNodes(events)
+	defer n.Close()
+	n.tell(forward.TellNodes{Addresses: []string{"127.0.0.1:1"}, Notices: []gossip.Notice{{Kind: gossip.NoticeCleared, Version: 1}}})
+	if ev, ok := events.wait(t, 0).(forward.NotTold); !ok || ev.Address != "127.0.0.1:1" || ev.Notices != 1 || ev.Error == "" {
+		t.Errorf("event %+v", ev)
+	}
+}
+
+type noPublisher struct{}
+
+func (noPublisher) Publish([]gossip.Notice) {}
--- a/wire/convert/peer.go
+++ b/wire/convert/peer.go
@@ -90,6 +90,31 @@
 	}, true, nil
 }
 
+// NoticesToProto encodes notices.
+func NoticesToProto(notices []gossip.Notice) []*peerpb.Notice {
+	var out []*peerpb.Notice
+	for _, n := range notices {
+		out = append(out, noticeToProto(n))
+	}
+	return out
+}
+
+// NoticesFromProto decodes notices, without those of a kind that this version does not
+// have.
+func NoticesFromProto(notices []*peerpb.Notice) ([]gossip.Notice, error) {
+	var out []gossip.Notice
+	for _, m := range notices {
+		n, known, err := noticeFromProto(m)
+		if err != nil {
+			return nil, err
+		}
+		if known {
+			out = append(out, n)
+		}
+	}
+	return out, nil
+}
+
 // MessageToProto encodes a gossip message.
 func MessageToProto(m gossip.Message) *peerpb.Message {
 	out := &peerpb.Message{
@@ -101,9 +126,7 @@
 	for _, member := range m.Members {
 		out.Members = append(out.Members, memberToProto(member))
 	}
-	for _, notice := range m.Notices {
-		out.Notices = append(out.Notices, noticeToProto(notice))
-	}
+	out.Notices = NoticesToProto(m.Notices)
 	if m.WantAfter != nil {
 		out.WantAfter = &peerpb.Position{Generation: m.WantAfter.Generation, Revision: m.WantAfter.Revision}
 	}
@@ -131,14 +154,8 @@
 		}
 		out.Members = append(out.Members, decoded)
 	}
-	for _, notice := range m.Notices {
-		decoded, known, err := noticeFromProto(notice)
-		if err != nil {
-			return gossip.Message{}, err
-		}
-		if known {
-			out.Notices = append(out.Notices, decoded)
-		}
+	if out.Notices, err = NoticesFromProto(m.Notices); err != nil {
+		return gossip.Message{}, err
 	}
 	if w := m.WantAfter; w != nil {
 		out.WantAfter = &gossip.Position{Generation: w.Generation, Revision: w.Revision}
