--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -35,7 +35,7 @@
 	// again before the end of a process is held against it. Popular contents are in flight
 	// at every end.
 	answerWait = 2 * time.Second
-	// mostChecks bounds the checks for one request: the ends of two processes convict it.
+	// mostChecks bounds the checks for one request, of which one end is held against it.
 	mostChecks = 3
 )
 
@@ -92,7 +92,7 @@
 func (e *Engine) lostOn(now time.Time, a *attempt, silent bool) {
 	r := a.request
 	entry := e.registry.entries[a.replica]
-	if r.survived || a.doubted || entry == nil {
+	if r.survived || r.blamed || a.doubted || entry == nil {
 		return
 	}
 	a.doubted = true
@@ -359,16 +359,17 @@
 	e.ended = slices.DeleteFunc(e.ended, func(l ended) bool { return l.request.message.Fingerprint == fingerprint })
 }
 
-// suspect tells the quarantine of the end of a process. Several replicas that fall silent
-// under one request may do so for one other reason, and count as one.
+// suspect tells the quarantine of the end of a process. Several that end under one request
+// may do so for one other reason, and count as one: an innocent request is then tried alone
+// before it is refused.
 func (e *Engine) suspect(now time.Time, name api.ReplicaName, born int64, losses []loss) {
 	var fingerprints []api.Fingerprint
 	for _, l := range losses {
 		r := l.request
-		if r.survived || l.silent && (r.silenceBlamed || e.quarantine.AnsweredBefore(r.message.Fingerprint)) {
+		if r.survived || r.blamed || l.silent && e.quarantine.AnsweredBefore(r.message.Fingerprint) {
 			continue
 		}
-		r.silenceBlamed = r.silenceBlamed || l.silent
+		r.blamed = true
 		fingerprints = append(fingerprints, r.message.Fingerprint)
 	}
 	if len(fingerprints) == 0 {
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -105,8 +105,8 @@
 	// checks is the number of replicas that were checked since the request was lost
 	// there, doubts the number of those whose process may still have ended.
 	checks, doubts int
-	// silenceBlamed is set once a replica that fell silent was held against the request.
-	silenceBlamed bool
+	// blamed is set once the end of a replica's process was held against the request.
+	blamed bool
 	// mayHaveRun is set once a replica may have begun to work on the request.
 	mayHaveRun bool
 	extras     int
