--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -84,9 +84,9 @@
 	}
 	p.hedgeAt = now.Add(r.hedgeAfter)
 	r.hedgeAt = earliest(r.hedgeAt, p.hedgeAt)
-	a.unanswering = e.notAnswering(name)
+	a.unanswering = !r.alone && e.notAnswering(name) // it will have accepted a connection
 	c := e.connections(name)
-	a.dialing = c.used >= c.open
+	a.dialing = r.alone || c.used >= c.open
 	c.used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
@@ -95,7 +95,7 @@
 	}
 	e.act(Send{
 		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
-		Brief: entry.rank > e.preferredRank(p.service), Left: r.deadline.Sub(now),
+		Brief: entry.rank > e.preferredRank(p.service), Fresh: r.alone, Left: r.deadline.Sub(now),
 	})
 }
 
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -334,6 +334,9 @@
 	// Brief is set if the connection should not be kept long: other nodes
 	// prefer the replica.
 	Brief bool
+	// Fresh is set if the request needs a connection of its own: a replica may have fallen
+	// silent on the open ones.
+	Fresh bool
 	// Left is how long the caller still waits.
 	Left time.Duration
 }
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -92,7 +92,7 @@
 func (e *Engine) lostOn(now time.Time, a *attempt, silent bool) {
 	r := a.request
 	entry := e.registry.entries[a.replica]
-	if r.survived || r.blamed || a.doubted || entry == nil {
+	if r.survived || a.doubted || entry == nil {
 		return
 	}
 	a.doubted = true
@@ -361,24 +361,36 @@
 
 // suspect tells the quarantine of the end of a process. Several that end under one request
 // may do so for one other reason, and count as one: an innocent request is then tried alone
-// before it is refused.
+// before it is refused. Silence only makes a request suspect, unless it was tried alone:
+// the replica may have fallen silent before.
 func (e *Engine) suspect(now time.Time, name api.ReplicaName, born int64, losses []loss) {
-	var fingerprints []api.Fingerprint
+	var ended, silent, further []api.Fingerprint
+	process := incarnation(name, born)
 	for _, l := range losses {
 		r := l.request
-		if r.survived || r.blamed || l.silent && e.quarantine.AnsweredBefore(r.message.Fingerprint) {
-			continue
+		fp := r.message.Fingerprint
+		switch {
+		case r.survived || l.silent && (e.quarantine.AnsweredBefore(fp) || e.quarantine.Explained(name, process, fp)):
+			continue // another request may have ended the process
+		case r.blamed:
+			further = append(further, fp)
+		case l.silent && !r.alone:
+			silent = append(silent, fp)
+			further = append(further, fp)
+		default:
+			ended = append(ended, fp)
 		}
 		r.blamed = true
-		fingerprints = append(fingerprints, r.message.Fingerprint)
 	}
-	if len(fingerprints) == 0 {
+	if len(ended)+len(further) == 0 {
 		return
 	}
-	e.counts.Add(count.Loss, "blamed", uint64(len(fingerprints)))
-	e.log("replica_crashed", "replica", name, "born", born, "lost_requests", len(fingerprints),
-		"fingerprint", fingerprints[0], "oldest_ms", now.Sub(losses[0].at).Milliseconds(), "silent", losses[0].silent)
-	e.publish(e.quarantine.Crashed(now, name, incarnation(name, born), fingerprints))
+	e.counts.Add(count.Loss, "blamed", uint64(len(ended)+len(silent)))
+	e.log("replica_crashed", "replica", name, "born", born, "lost_requests", len(losses),
+		"oldest_ms", now.Sub(losses[0].at).Milliseconds(), "fingerprints", ended, "by_silence", silent, "further", further)
+	e.publish(e.quarantine.Crashed(now, name, process, ended))
+	e.publish(e.quarantine.FellSilent(now, silent))
+	e.publish(e.quarantine.EndedToo(now, name, process, further))
 }
 
 // incarnation returns a number for the life of a replica's process.
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -37,6 +37,9 @@
 	// NoticeVouched says that a target had answered a suspected request before
 	// its first crash.
 	NoticeVouched
+	// NoticeEndedToo names a further target that ended under a suspected request, beside
+	// the one in its NoticeSuspect.
+	NoticeEndedToo
 )
 
 // Notice is one fact that every entry should know soon. Notices with the same
@@ -44,7 +47,7 @@
 type Notice struct {
 	Kind NoticeKind
 	// Replica and Incarnation are set for NoticeDraining, and name the crashed
-	// target in NoticeSuspect and NoticeConvicted.
+	// target in NoticeSuspect, NoticeConvicted and NoticeEndedToo.
 	Replica     api.ReplicaName
 	Incarnation api.Incarnation
 	// Fingerprint is set for the other kinds.
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -55,7 +55,7 @@
 	if c.state == convicted || slices.Contains(c.crashes, by) {
 		return holding{}, false
 	}
-	h := holding{fingerprint: fp, record: c, known: c.state == suspect, alone: c.running && c.runsOn == by.replica}
+	h := holding{fingerprint: fp, record: c, known: c.state == suspect, alone: c.running && c.runsOn != "" && c.runsOn == by.replica}
 	if h.alone {
 		c.endRun()
 	}
@@ -103,7 +103,7 @@
 // node or another, and is more likely to be the cause.
 func (r *Registry) suspectsOther(by crash, fp api.Fingerprint) bool {
 	for other, c := range r.cases {
-		if other != fp && !c.wasGood && slices.Contains(c.crashes, by) {
+		if other != fp && !c.wasGood && c.holds(by) {
 			return true
 		}
 	}
@@ -114,7 +114,7 @@
 // was in flight at one of the crashes of this one and has as many against it.
 func (r *Registry) mainSuspect(fp api.Fingerprint, c *record) bool {
 	for other, o := range r.cases {
-		if other != fp && !o.wasGood && len(o.crashes) >= len(c.crashes) && o.sharesCrash(c) {
+		if other != fp && !o.wasGood && o.weight() >= c.weight() && o.sharesCrash(c) {
 			return false
 		}
 	}
@@ -122,7 +122,7 @@
 }
 
 func (c *record) sharesCrash(o *record) bool {
-	return slices.ContainsFunc(c.crashes, func(by crash) bool { return slices.Contains(o.crashes, by) })
+	return slices.ContainsFunc(c.crashes, o.holds)
 }
 
 func (c *record) addCrash(by crash) {
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -114,6 +114,9 @@
 		to = cleared
 	case gossip.NoticeConvicted:
 		to = convicted
+	case gossip.NoticeEndedToo:
+		r.learnFurther(now, n)
+		return false
 	default:
 		return false
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -105,6 +105,8 @@
 	clearedAt uint64
 	until     time.Time
 	crashes   []crash
+	// further are ends that do not count beside one of crashes.
+	further []crash
 	// reported is the largest number of crashes that a notice named.
 	reported int
 	running  bool            // a probation run of this node is in progress
--- a/entry/relay/check_test.go
+++ b/entry/relay/check_test.go
@@ -73,3 +73,18 @@
 	}
 	f.t.Fatal("no idle connection")
 }
+
+// Guards against a request that is tried alone on a connection that went silent long ago,
+// which would be held against the request.
+func TestFreshRequestGetsAConnectionOfItsOwn(t *testing.T) {
+	f := newFixture(t, func(_, _ int, r *http.Request) string { return answerTo(r, "yes") })
+	f.result(f.send(""))
+	f.waitIdle()
+	f.fresh = true
+	if kind, _, _ := f.result(f.send("")); kind != forward.ReplyOK {
+		t.Errorf("reply %d", kind)
+	}
+	if n := len(f.replica.conns); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -57,7 +57,7 @@
 
 // open connects and serves the first request.
 func (c *conn) open() {
-	socket, err := dial(c.address)
+	socket, err := dial(c.address, dialTimeout)
 	if err != nil {
 		c.end(lossOf(err))
 		return
@@ -68,7 +68,7 @@
 // check connects without a request and reports whether the replica accepted. The
 // connection is kept for the next request.
 func (c *conn) check() {
-	socket, err := dial(c.address)
+	socket, err := dial(c.address, checkTimeout)
 	c.targets.poster.Post(forward.ReplicaChecked{Replica: c.replica, Result: checkResult(err)})
 	if err == nil {
 		c.serve(socket)
--- a/entry/relay/conn_test.go
+++ b/entry/relay/conn_test.go
@@ -90,6 +90,8 @@
 	events  events
 	replica *replica
 	next    forward.AttemptID
+	// fresh is set on the next sends.
+	fresh bool
 }
 
 func newFixture(t *testing.T, script func(conn, request int, r *http.Request) string) *fixture {
@@ -102,7 +104,7 @@
 	id := fmt.Sprint("id-", f.next)
 	head := fmt.Appendf(nil, "GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n", id, len(body))
 	f.targets.send(forward.Send{
-		Attempt: f.next, Replica: "r", Address: f.replica.address, Left: time.Second,
+		Attempt: f.next, Replica: "r", Address: f.replica.address, Left: time.Second, Fresh: f.fresh,
 		Message: &forward.Message{CallerRequest: id, Wire: &wireRequest{method: "GET", head: head, body: []byte(body), id: id}},
 	})
 	return f.next
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -16,6 +16,8 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
+	// checkTimeout bounds that of a check, whose result other callers wait for.
+	checkTimeout = 500 * time.Millisecond
 	// idleMost is how long an idle connection is kept for reuse if the replica
 	// does not state a shorter time.
 	idleMost = 10 * time.Second
@@ -74,6 +76,10 @@
 	x := &exchange{attempt: a.Attempt, wire: wire, head: t.head(wire, a)}
 	t.mu.Lock()
 	c := t.takeIdle(a.Replica, a.Address)
+	if c != nil && a.Fresh {
+		c.close()
+		c = nil
+	}
 	if c == nil {
 		c = &conn{targets: t, replica: a.Replica, address: a.Address, brief: a.Brief}
 		c.current = x
@@ -203,7 +209,7 @@
 	return forward.CheckUnanswered
 }
 
-func dial(address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	return d.Dial("tcp", address)
 }
