--- /dev/null
+++ b/cmd/baobab-soak/main.go
@@ -0,0 +1,121 @@
+// Command baobab-soak runs baobabd platform as several processes on loopback and injects
+// faults from outside, while it checks what callers and replicas see; docs/soak.md.
+//
+// Exit codes: 0 if no promise was broken, 1 if one was or the run failed, 2 for wrong
+// arguments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/baobabsail/baobabsail/cmd/internal/program"
+	"github.com/baobabsail/baobabsail/platform/standin/soak"
+)
+
+type arguments struct {
+	Seed     uint64        `default:"1" help:"First seed; it decides faults, load and victims."`
+	Runs     int           `default:"1" help:"Number of runs, with one seed after the other."`
+	For      time.Duration `default:"30s" help:"Time with faults in each run."`
+	Nodes    int           `default:"4" help:"Processes of baobabd."`
+	Targets  int           `default:"4" help:"Shards, each with three stand-in targets."`
+	Callers  int           `default:"12" help:"Callers beside those of fatal requests."`
+	Binary   string        `default:"target/baobabd" help:"Program to run."`
+	KeepLogs string        `help:"Directory for settings and logs, which is kept; else they are removed unless a promise is broken."`
+}
+
+func main() {
+	ctx, stop := program.Context()
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run executes a command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := kong.New(&a, kong.Name("baobab-soak"), kong.Description("Runs nodes under faults and checks the promises."),
+		kong.Writers(stdout, stderr))
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return program.ExitUsage
+	}
+	if _, err := parser.Parse(args); err != nil {
+		_, _ = fmt.Fprintf(stderr, "baobab-soak: %v\n", err)
+		return program.ExitUsage
+	}
+	code := program.ExitOK
+	for i := range a.Runs {
+		if ctx.Err() != nil {
+			return program.ExitFailed
+		}
+		if ok := runSeed(ctx, &a, a.Seed+uint64(i), stdout, stderr); !ok {
+			code = program.ExitFailed
+		}
+	}
+	return code
+}
+
+// runSeed carries out one run and reports whether all promises were kept.
+func runSeed(ctx context.Context, a *arguments, seed uint64, stdout, stderr io.Writer) bool {
+	dir, err := os.MkdirTemp(a.KeepLogs, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "baobab-soak: %v\n", err)
+		return false
+	}
+	result, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Duration: a.For, Nodes: a.Nodes, Shards: a.Targets, Callers: a.Callers, Binary: a.Binary, Dir: dir,
+	})
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "seed %d: %v; logs in %s\n", seed, err, dir)
+		return false
+	}
+	report(stdout, seed, result)
+	if len(result.Violations) > 0 {
+		_, _ = fmt.Fprintf(stdout, "  logs in %s\n", dir)
+		return false
+	}
+	if a.KeepLogs == "" {
+		_ = os.RemoveAll(dir) // what is left is in the directory for temporary files
+	}
+	return true
+}
+
+// report prints one run.
+func report(out io.Writer, seed uint64, r *soak.Result) {
+	_, _ = fmt.Fprintf(out, "seed %d: %s; %d faults, %d fatal requests, %d replicas ended under them; broken: %s\n",
+		seed, counts(r.Outcomes), total(r.Faults), r.Contents, r.Ends, counts(r.Violations))
+	for _, lines := range [][]string{r.Examples, r.Notes} {
+		for _, line := range lines {
+			_, _ = fmt.Fprintln(out, "  "+line)
+		}
+	}
+}
+
+func counts(m map[string]int) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	out := ""
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		if out != "" {
+			out += ", "
+		}
+		out += fmt.Sprintf("%s %d", key, m[key])
+	}
+	return out
+}
+
+func total(m map[string]int) int {
+	sum := 0
+	for _, n := range m {
+		sum += n
+	}
+	return sum
+}
