--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -195,3 +195,27 @@
 		})
 	}
 }
+
+// Guards against bounds that hold for few nodes only: a large site, whose nodes are told
+// through others, and at which a node sends a replica a request every few seconds (BUDGET).
+func TestFatalRequestStopsAtALargeSite(t *testing.T) {
+	size := fleetSize{nodes: 62, shards: 30, replicas: 3, accepted: 52}
+	for _, silent := range []bool{false, true} {
+		for _, path := range []string{"/one/fatal", "/all/fatal"} {
+			kind := crashKind{silent: silent, back: 3 * time.Second}
+			t.Run(fmt.Sprint(kind, ", ", path), func(t *testing.T) {
+				f := newCrashFleetIn(t, *crashSeed, size, kind, func(node int) api.DataCentre {
+					return api.DataCentre(fmt.Sprint("dc-", node%4))
+				})
+				f.noticeLag = 2 * time.Second // a node reads the store about once a second there
+				f.traffic(2 * time.Second)
+				for second := range 15 {
+					f.requestWith((7*second)%size.nodes, path, fatal)
+					f.traffic(time.Second)
+				}
+				f.checkFatal()
+				f.checkInnocent()
+			})
+		}
+	}
+}
--- a/core/forward/crashfleet_test.go
+++ b/core/forward/crashfleet_test.go
@@ -116,8 +116,13 @@
 }
 
 func newCrashFleet(t *testing.T, seed uint64, size fleetSize, kind crashKind) *crashFleet {
+	return newCrashFleetIn(t, seed, size, kind, func(int) api.DataCentre { return "dc-a" })
+}
+
+// newCrashFleetIn returns a fleet of which each node is in a given data centre.
+func newCrashFleetIn(t *testing.T, seed uint64, size fleetSize, kind crashKind, dataCentre func(node int) api.DataCentre) *crashFleet {
 	f := &crashFleet{
-		fleet: newFleetOf(t, seed, size, func(int) api.DataCentre { return "dc-a" }), kind: kind, noticeLag: usualNoticeLag,
+		fleet: newFleetOf(t, seed, size, dataCentre), kind: kind, noticeLag: usualNoticeLag,
 		replicas: map[api.ReplicaName]*crashReplica{}, published: map[int][]gossip.Notice{}, late: map[string]bool{},
 		attempts: map[string]*heldAttempt{}, conns: map[string]*crashConns{},
 		asked: map[string]api.Fingerprint{}, refused: map[api.Fingerprint]int{},
