--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -84,7 +84,8 @@
 	}
 	p.hedgeAt = now.Add(r.hedgeAfter)
 	r.hedgeAt = earliest(r.hedgeAt, p.hedgeAt)
-	a.unanswering = !r.alone && e.notAnswering(name) // it will have accepted a connection
+	// A request alone is written only once the replica has accepted a connection for it.
+	a.unanswering = !r.alone && e.notAnswering(name)
 	c := e.connections(name)
 	a.dialing = r.alone || c.used >= c.open
 	c.used++
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -98,10 +98,11 @@
 	// quarantineTick is when cases that are over were dropped last.
 	quarantineTick time.Time
 	// doubts holds the replicas whose process may have ended, ended the losses of known
-	// contents at processes that have; control is the other
-	// replica that is checked, and reachedAt is when a replica answered a check last.
-	doubts    map[api.ReplicaName]*doubt
-	ended     []ended
+	// contents at processes that have.
+	doubts map[api.ReplicaName]*doubt
+	ended  []ended
+	// control is the replica that is being checked to see whether this node is cut off,
+	// reachedAt is when a replica answered a check last.
 	control   api.ReplicaName
 	reachedAt time.Time
 	// pressures holds the admission of sharded requests, by their first shard.
--- a/core/quarantine/further.go
+++ b/core/quarantine/further.go
@@ -72,7 +72,7 @@
 // holds reports whether a process ended under the request.
 func (c *record) holds(by crash) bool {
 	if by.replica == "" {
-		return false // from FellSilent
+		return false // FellSilent names no process
 	}
 	return slices.Contains(c.crashes, by) || slices.Contains(c.further, by)
 }
