changefeed: a few nodes watch the store, the others follow them

Cause: each node listed the whole store and kept a watch of its own. Change: - core/changefeed decides, without the network: who watches (a pure function of the list of nodes: larger ones first, one for each 32 of a data centre, three at least, two stand-ins each), whom a node follows, when it calls the store itself (Chooser), what it tells a follower (Log: the newest change of each key). - entry/changes passes it on by gRPC (nodepb.Changes): position, age, and whether the store confirms it to the source. - platform/feed is split into feed, list, items, follow. The first list may be stale, since watch or source go on from its position, the least of its pages. - Below 16 nodes each node watches as before. Ways weighed: watches with a longer wait (bounded by the stability window, calls still grow with the nodes); an elected watcher (needs the store it is to spare). Tests: log and rankings by unit tests; random model tests with nodes that are lost, paused, cut and refused, a store that is away, loses its history or comes back from an older copy; 18 to 24 nodes over loopback with the same faults. Found by the model on the way, with a test each: refused watchers were stuck with what they knew, since nobody else read the store (now stand-ins do, and ranked nodes trust only what the store itself confirms); a follower kept a key that came and went while its source had lost the history (gaps).

--- /dev/null
+++ b/core/changefeed/log_test.go
@@ -0,0 +1,156 @@
+package changefeed
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+func put(key string, revision int64) Change {
+	return Change{Key: key, Value: []byte(fmt.Sprint(key, "@", revision)), Revision: revision}
+}
+
+func deletion(key string, revision int64) Change {
+	return Change{Key: key, Revision: revision, Deleted: true}
+}
+
+func keysOf(b Batch) []string {
+	var out []string
+	for _, c := range b.Changes {
+		text := fmt.Sprint(c.Key, "@", c.Revision)
+		if c.Deleted {
+			text = "-" + text
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
+func expectBatch(t *testing.T, b Batch, complete bool, want ...string) {
+	t.Helper()
+	if got := keysOf(b); b.Complete != complete || !slices.Equal(got, want) {
+		t.Errorf("told %v (complete %v), want %v (complete %v)", got, b.Complete, want, complete)
+	}
+}
+
+// Guards against followers that are told too little, too much or in another order.
+func TestLogTellsWhatCameSince(t *testing.T) {
+	l := NewLog()
+	l.Replace([]Change{put("b", 4), put("a", 7)}, Position{1, 10})
+	l.Append(Batch{Changes: []Change{put("c", 11), put("a", 12)}, To: Position{1, 12}})
+	l.Append(Batch{Changes: []Change{deletion("b", 13), put("c", 14)}, To: Position{1, 15}, Waited: time.Second})
+	expectBatch(t, l.Since(Position{1, 10}), false, "a@12", "-b@13", "c@14")
+	expectBatch(t, l.Since(Position{1, 12}), false, "-b@13", "c@14")
+	expectBatch(t, l.Since(Position{1, 15}), false)
+	expectBatch(t, l.Since(Position{1, 99}), false)
+	expectBatch(t, l.Since(Position{1, 9}), true, "a@12", "c@14")
+	expectBatch(t, l.Since(Position{2, 12}), true, "a@12", "c@14")
+	if waited := l.Since(Position{1, 12}).Waited; waited != time.Second {
+		t.Errorf("the newest changes waited %v", waited)
+	}
+	if waited := l.Since(Position{1, 11}).Waited; waited != 0 {
+		t.Errorf("changes of which some are older waited %v", waited)
+	}
+}
+
+// Guards against a follower that keeps keys which were deleted while the source had
+// lost the history, and against a list of all keys for each follower then.
+func TestLogTellsTheDifferenceAfterALostHistory(t *testing.T) {
+	l := NewLog()
+	l.Replace([]Change{put("a", 1), put("b", 2), put("c", 3)}, Position{1, 10})
+	l.Replace([]Change{put("a", 1), put("c", 14), put("d", 15)}, Position{1, 20})
+	expectBatch(t, l.Since(Position{1, 10}), false, "c@14", "d@15", "-b@20")
+	l.Replace(nil, Position{1, 19})
+	expectBatch(t, l.Since(Position{1, 10}), false, "c@14", "d@15", "-b@20")
+}
+
+// Guards against a follower that keeps a key which came and went while the source had
+// lost the history (model test, seed 30452).
+func TestLogTellsAllToAFollowerWithinAGap(t *testing.T) {
+	l := NewLog()
+	l.Replace([]Change{put("a", 1)}, Position{1, 10})
+	l.Replace([]Change{put("a", 1)}, Position{1, 20}) // a key lived from 12 to 18
+	expectBatch(t, l.Since(Position{1, 15}), true, "a@1")
+	expectBatch(t, l.Since(Position{1, 10}), false)
+	expectBatch(t, l.Since(Position{1, 20}), false)
+	for r := int64(21); r < 21+2*gapsKept; r++ {
+		l.Replace([]Change{put("a", 1)}, Position{1, r})
+	}
+	expectBatch(t, l.Since(Position{1, 15}), true, "a@1")
+	if len(l.gaps) > gapsKept {
+		t.Errorf("%d gaps kept", len(l.gaps))
+	}
+}
+
+// Guards against knowledge of a former era, or of an older answer, that replaces newer
+// knowledge.
+func TestLogNeverGoesBack(t *testing.T) {
+	l := NewLog()
+	l.Replace([]Change{put("a", 5)}, Position{2, 10})
+	l.Append(Batch{Changes: []Change{put("a", 90)}, To: Position{1, 99}})
+	l.Append(Batch{Changes: []Change{put("a", 9)}, To: Position{2, 9}})
+	l.Append(Batch{Changes: []Change{put("a", 9), put("b", 11)}, To: Position{2, 11}})
+	expectBatch(t, l.Since(Position{}), true, "a@5", "b@11")
+	if p := l.Position(); p != (Position{2, 11}) {
+		t.Errorf("position %+v", p)
+	}
+	l.Replace([]Change{put("z", 3)}, Position{3, 4})
+	expectBatch(t, l.Since(Position{2, 11}), true, "z@3")
+}
+
+// Guards against a log that grows with the number of changes, and against followers
+// that miss a deletion which the log has forgotten.
+func TestLogIsBounded(t *testing.T) {
+	l := NewLog()
+	l.Replace([]Change{put("kept", 1)}, Position{1, 1})
+	for r := int64(2); r < 4*deletionsKept; r += 2 {
+		key := fmt.Sprint("k", r)
+		l.Append(Batch{Changes: []Change{put(key, r)}, To: Position{1, r}})
+		l.Append(Batch{Changes: []Change{deletion(key, r+1)}, To: Position{1, r + 1}})
+	}
+	if len(l.newest) > deletionsKept+2 || len(l.ordered) > 2*(deletionsKept+2) {
+		t.Errorf("%d keys, %d changes kept", len(l.newest), len(l.ordered))
+	}
+	expectBatch(t, l.Since(Position{1, 5}), true, "kept@1")
+	if b := l.Since(Position{1, l.floor}); b.Complete || len(b.Changes) == 0 {
+		t.Errorf("a follower at the floor is told %d changes, complete %v", len(b.Changes), b.Complete)
+	}
+}
+
+// Guards against watching nodes that depend on anything but the list, and against
+// calls to the store that grow with the number of nodes.
+func TestWatchersAreFewAndTheSameForAll(t *testing.T) {
+	var members []Member
+	for i := range 295 {
+		m := Member{Node: fmt.Sprintf("n%03d", i), DataCentre: "a", Address: "x", Cores: 0.2}
+		if i >= 150 {
+			m.DataCentre = "b"
+		}
+		if i%100 == 99 {
+			m.Cores = 0.8
+		}
+		members = append(members, m)
+	}
+	first := Rankings(members)
+	slices.Reverse(members)
+	second := Rankings(members)
+	for dc, r := range first {
+		if !slices.Equal(r.Nodes, second[dc].Nodes) {
+			t.Errorf("data centre %s: %v and %v", dc, r, second[dc])
+		}
+		if r.Watching != 5 || len(r.Nodes) != 5+standInsPerDataCentre {
+			t.Errorf("data centre %s: %d of about 150 nodes watch, %d are ranked", dc, r.Watching, len(r.Nodes))
+		}
+	}
+	if got := first["a"].Nodes[0].Node; got != "n099" {
+		t.Errorf("the first one to watch is %s, not a large node", got)
+	}
+	if Rankings(members[:7]) != nil {
+		t.Error("seven nodes follow each other")
+	}
+	few := Rankings(members[:20])
+	if got := few["a"].Watching + few["b"].Watching; got != watchersLeast {
+		t.Errorf("%d of 20 nodes watch", got)
+	}
+}
--- /dev/null
+++ b/entry/changes/feed.go
@@ -0,0 +1,112 @@
+// Package changes passes the changes of the store between nodes over gRPC: a Feed
+// holds what a node knows and serves its followers, Follow receives from another
+// node. Whom to follow is decided in core/changefeed.
+package changes
+
+import (
+	"sync"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/changefeed"
+)
+
+// Feed is what a node knows of the store. It is safe for concurrent use.
+type Feed struct {
+	mu        sync.Mutex
+	log       *changefeed.Log
+	confirmed time.Time
+	failing   bool
+	direct    bool
+	// changed is closed when there is something new for followers.
+	changed chan struct{}
+	// closed is closed when followers are to look for another node.
+	closed chan struct{}
+}
+
+// NewFeed returns a feed that knows nothing.
+func NewFeed() *Feed {
+	return &Feed{log: changefeed.NewLog(), changed: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Append adds changes up to a position.
+func (f *Feed) Append(b changefeed.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log.Append(b)
+	if len(b.Changes) > 0 {
+		f.wake()
+	}
+}
+
+// Replace takes over all keys of the store.
+func (f *Feed) Replace(items []changefeed.Change, to changefeed.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log.Replace(items, to)
+	f.wake()
+}
+
+// SetHealth says how old what the feed knows is, and who confirms it.
+func (f *Feed) SetHealth(h changefeed.Health) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := time.Now().Add(-h.Age); at.After(f.confirmed) {
+		f.confirmed = at
+	}
+	f.direct = h.Direct
+	f.setFailing(h.Failing)
+}
+
+// SetFailing says that nothing confirms what the feed knows. Its age goes on.
+func (f *Feed) SetFailing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.direct = false
+	f.setFailing(true)
+}
+
+func (f *Feed) setFailing(failing bool) {
+	if f.failing != failing {
+		f.failing = failing
+		f.wake()
+	}
+}
+
+// Age returns the time since an answer of the store confirmed what the feed knows.
+func (f *Feed) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.confirmed)
+}
+
+// Position returns how far the feed knows the store.
+func (f *Feed) Position() changefeed.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.Position()
+}
+
+// Close makes the followers leave.
+func (f *Feed) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.closed:
+	default:
+		close(f.closed)
+	}
+}
+
+func (f *Feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// since returns what a follower at a position is told, and a channel that is closed
+// when there is more.
+func (f *Feed) since(p changefeed.Position) (changefeed.Batch, changefeed.Health, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := changefeed.Health{Age: time.Since(f.confirmed), Failing: f.failing, Direct: f.direct}
+	return f.log.Since(p), h, f.changed
+}
