--- a/cmd/e2e/counters_test.go
+++ b/cmd/e2e/counters_test.go
@@ -56,10 +56,10 @@
 	return ""
 }
 
-// codeDetails returns the details used in the modules core and entry.
+// codeDetails returns the details used in the modules core, entry and platform.
 func codeDetails(t *testing.T) map[string]string {
 	found := map[string]string{}
-	for _, dir := range []string{"core", "entry"} {
+	for _, dir := range []string{"core", "entry", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
