platform: a node that starts takes all keys from another one

Cause: after a loss of power 295 nodes read all keys (1,376 items) from the store at once. The link of the store is what they wait for. On the first start of the system nodes wait for each other before they choose. One watching node for 64 of a data centre in place of 32. A complete list has one log line in place of one for each replica.

--- a/core/changefeed/watchers.go
+++ b/core/changefeed/watchers.go
@@ -10,7 +10,7 @@
 const (
 	// nodesPerWatcher is the number of nodes of a data centre for each of which one
 	// watches the store.
-	nodesPerWatcher = 32
+	nodesPerWatcher = 64
 	// watchersLeast is the least number of nodes that watch the store, in all data
 	// centres together, so that the loss of one of them leaves others.
 	watchersLeast = 3
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -15,6 +15,8 @@
 	// byService lists the replicas of each service in the order of names.
 	byService map[api.ServiceName][]api.ReplicaName
 	storeLost bool
+	// reading is set while a complete list is taken over.
+	reading bool
 	// graceUntil is when registrations that disappeared during an outage of the
 	// store are removed.
 	graceUntil time.Time
@@ -79,6 +81,8 @@
 		e.crashed(now, reg.Replica) // it was removed before it started again
 	}
 	switch {
+	case old == nil && e.registry.reading:
+		e.registry.add(reg) // registryRead logs them together
 	case old == nil:
 		e.registry.add(reg)
 		e.log("replica_added", "replica", reg.Replica, "service", reg.Service, "address", reg.Address,
@@ -198,6 +202,8 @@
 		e.registry.graceUntil = now.Add(e.settings.LapseGrace)
 	}
 	listed := make(map[api.ReplicaName]bool, len(list))
+	before := len(e.registry.entries)
+	e.registry.reading = true
 	for _, reg := range list {
 		if restored && e.registry.entries[reg.Replica] == nil && e.registry.left(now, reg) {
 			e.log("replica_ignored", "replica", reg.Replica, "service", reg.Service, "reason", "older_copy")
@@ -206,6 +212,8 @@
 		listed[reg.Replica] = true
 		e.replicaSeen(now, reg)
 	}
+	e.registry.reading = false
+	e.log("replicas_read", "listed", len(listed), "before", before, "now", len(e.registry.entries))
 	var missing []api.ReplicaName
 	for name := range e.registry.entries {
 		if !listed[name] {
--- a/entry/changes/feed.go
+++ b/entry/changes/feed.go
@@ -12,8 +12,10 @@
 
 // Feed is what a node knows of the store. It is safe for concurrent use.
 type Feed struct {
-	mu        sync.Mutex
-	log       *changefeed.Log
+	mu  sync.Mutex
+	log *changefeed.Log
+	// known is set once the feed has had all keys.
+	known     bool
 	confirmed time.Time
 	failing   bool
 	direct    bool
@@ -43,6 +45,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.log.Replace(items, to)
+	f.known = true
 	f.wake()
 }
 
@@ -102,11 +105,20 @@
 	f.changed = make(chan struct{})
 }
 
-// since returns what a follower at a position is told, and a channel that is closed
-// when there is more.
-func (f *Feed) since(p changefeed.Position) (changefeed.Batch, changefeed.Health, <-chan struct{}) {
+// message is what a follower is told.
+type message struct {
+	changefeed.Batch
+	changefeed.Health
+}
+
+// since returns what a follower at a position is told, nil while the feed knows
+// nothing, and a channel that is closed when there is more.
+func (f *Feed) since(p changefeed.Position) (*message, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.known {
+		return nil, f.changed
+	}
 	h := changefeed.Health{Age: time.Since(f.confirmed), Failing: f.failing, Direct: f.direct}
-	return f.log.Since(p), h, f.changed
+	return &message{f.log.Since(p), h}, f.changed
 }
--- a/entry/changes/follow.go
+++ b/entry/changes/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/baobabsail/baobabsail/core/changefeed"
@@ -28,6 +29,8 @@
 	messagesPerSilence = 3
 	// messageBytes bounds a message; one with all keys is the largest.
 	messageBytes = 64 << 20
+	// connectPause is the time between two attempts to connect to a source that starts.
+	connectPause = 50 * time.Millisecond
 	// followBuffer is the size of the buffers of a connection, in bytes.
 	followBuffer = 4 << 10
 )
@@ -38,8 +41,12 @@
 	Address string
 	// From is the position of the follower.
 	From changefeed.Position
-	// Silence is the time without a message after which the source is left.
-	Silence time.Duration
+	// Silence is the time without a message after which the source is left, First that
+	// for the first message.
+	Silence, First time.Duration
+	// Starting says that the source may be about to start, so that a connection that
+	// it refuses is opened again.
+	Starting bool
 }
 
 // Follow passes the messages of a source on to take until that returns false, the
@@ -50,14 +57,18 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(followBuffer), grpc.WithWriteBufferSize(followBuffer),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes)))
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: connectPause, Multiplier: 1, MaxDelay: connectPause},
+			MinConnectTimeout: s.First,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes), grpc.WaitForReady(s.Starting)))
 	if err != nil {
 		return ErrEnded.Wrap(err, "node %s", s.Address)
 	}
 	defer func() { _ = conn.Close() }() // only this call used it
 	followed, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(s.Silence, func() { cancel(ErrSilent.New("node %s", s.Address)) })
+	watchdog := time.AfterFunc(s.First, func() { cancel(ErrSilent.New("node %s", s.Address)) })
 	defer watchdog.Stop()
 	err = receive(followed, conn, s, func(b changefeed.Batch, h changefeed.Health) bool {
 		watchdog.Reset(s.Silence)
--- a/entry/changes/serve.go
+++ b/entry/changes/serve.go
@@ -28,12 +28,14 @@
 	pace := time.NewTicker(max(time.Duration(q.GetPaceUs())*time.Microsecond, paceLeast))
 	defer pace.Stop()
 	for {
-		batch, health, changed := s.feed.since(position)
-		if err := stream.Send(toWire(batch, health)); err != nil {
-			return err
-		}
-		if position.Before(batch.To) {
-			position = batch.To
+		m, changed := s.feed.since(position)
+		if m != nil {
+			if err := stream.Send(toWire(m.Batch, m.Health)); err != nil {
+				return err
+			}
+			if position.Before(m.To) {
+				position = m.To
+			}
 		}
 		select {
 		case <-changed:
