forward: ranges are run beside the replicas

Pattern: replicas in three of six data centres, callers at nodes in all of them. A node far from the replicas let its neighbours run each range, so that every part crossed between data centres, and each range was run by the nodes of six data centres, each of which has to learn by itself which replicas are slow. Change: a range is run by its group's nodes in a data centre that has replicas of half of its shards: the own one if it has, else one of those, spread over the ranges; the own neighbours and the others stand in. Connections are prepared to these nodes in place of the neighbours, and only when the list changes.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -109,7 +109,10 @@
 	pressures map[api.ServiceName]*pressure
 	// groups says which nodes run which shards; divided and calls hold the
 	// requests and ranges that other nodes run for this one.
-	groups     groups
+	groups groups
+	homes  homes
+	// prepared are the addresses to which connections were asked for.
+	prepared   []string
 	divided    map[api.RequestID]*divided
 	calls      map[CallID]*call
 	newestCall CallID
