changes: all keys travel packed, and are packed once for all followers

Change: a complete batch is sent as the gzip form of its changes, which the feed keeps for its position. First tests of entry/changes: what followers get, a source that has just started, is silent, shuts down or is gone.

--- /dev/null
+++ b/entry/changes/changes_test.go
@@ -0,0 +1,168 @@
+package changes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/grpc"
+
+	"github.com/baobabsail/baobabsail/core/changefeed"
+)
+
+// serveFeed serves a feed on loopback and returns its address.
+func serveFeed(t *testing.T, f *Feed, address string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	Register(server, f)
+	go func() { _ = server.Serve(listener) }() // ends with the test
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func source(address string, from changefeed.Position) Source {
+	return Source{Address: address, From: from, Silence: 5 * time.Second, First: 5 * time.Second}
+}
+
+func position(revision int64) changefeed.Position {
+	return changefeed.Position{Era: 1, Revision: revision}
+}
+
+// manyKeys returns keys like those of replicas.
+func manyKeys(n int) []changefeed.Change {
+	var out []changefeed.Change
+	for i := range n {
+		value := fmt.Sprintf(`{"service":"s%03d","address":"10.0.0.%d:80","zone":"dc-a","version":"v1","slots":2,"state":"ready"}`, i, i%250)
+		out = append(out, changefeed.Change{Key: fmt.Sprintf("servers/i-%05d", i), Value: []byte(value), Revision: int64(i + 1)})
+	}
+	return out
+}
+
+// Guards against a follower that gets another set of keys or changes than its source
+// has, all of them at first and then one after the other.
+func TestFollowerGetsWhatTheSourceKnows(t *testing.T) {
+	f := NewFeed()
+	address := serveFeed(t, f, "127.0.0.1:0")
+	keys := manyKeys(2000)
+	f.Replace(keys, position(2000))
+	f.SetHealth(changefeed.Health{Age: time.Second, Direct: true})
+	var got []changefeed.Change
+	messages := 0
+	err := Follow(context.Background(), source(address, changefeed.Position{}), func(b changefeed.Batch, h changefeed.Health) bool {
+		messages++
+		got = append(got, b.Changes...)
+		if messages == 1 {
+			if !b.Complete || b.To != position(2000) || !h.Direct || h.Failing || h.Age < time.Second {
+				t.Errorf("first message: complete %v, to %+v, %+v", b.Complete, b.To, h)
+			}
+			f.Append(changefeed.Batch{Changes: []changefeed.Change{{Key: "op/config", Revision: 2001, Deleted: true}}, To: position(2001)})
+		}
+		return len(got) < 2001
+	})
+	if err != nil || len(got) != 2001 {
+		t.Fatalf("%d changes, error %v", len(got), err)
+	}
+	for i, c := range keys {
+		if got[i].Key != c.Key || string(got[i].Value) != string(c.Value) || got[i].Revision != c.Revision {
+			t.Fatalf("change %d is %+v, want %+v", i, got[i], c)
+		}
+	}
+	if last := got[2000]; last.Key != "op/config" || !last.Deleted {
+		t.Errorf("last change %+v", last)
+	}
+}
+
+// Guards against a source's link that is busy for a second when all followers of a data
+// centre start at once: 1,400 keys, 50 followers.
+func TestAllKeysTravelPacked(t *testing.T) {
+	f := NewFeed()
+	f.Replace(manyKeys(1400), position(1400))
+	m, _ := f.since(changefeed.Position{})
+	first, err := f.toWire(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain := 0
+	for _, c := range m.Changes {
+		plain += len(c.Key) + len(c.Value)
+	}
+	if len(first.GetPacked()) == 0 || len(first.GetChanges()) != 0 || 4*len(first.GetPacked()) > plain {
+		t.Errorf("%d bytes packed, %d plain", len(first.GetPacked()), plain)
+	}
+	again, err := f.toWire(m)
+	if err != nil || &again.GetPacked()[0] != &first.GetPacked()[0] {
+		t.Error("the keys are packed again for the next follower")
+	}
+}
+
+// Guards against a follower that is told that the store is empty by a node which has
+// only just started.
+func TestSourceThatKnowsNothingYet(t *testing.T) {
+	f := NewFeed()
+	address := serveFeed(t, f, "127.0.0.1:0")
+	time.AfterFunc(50*time.Millisecond, func() { f.Replace(manyKeys(1), position(1)) })
+	err := Follow(context.Background(), source(address, changefeed.Position{}), func(b changefeed.Batch, _ changefeed.Health) bool {
+		if len(b.Changes) != 1 {
+			t.Errorf("%d keys", len(b.Changes))
+		}
+		return false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against followers that stay with a source which is silent, shuts down or is
+// not there, and against one that gives up a source which is about to start.
+func TestFollowerLeaves(t *testing.T) {
+	ignore := func(changefeed.Batch, changefeed.Health) bool { return true }
+	t.Run("silent", func(t *testing.T) {
+		s := source(serveFeed(t, NewFeed(), "127.0.0.1:0"), changefeed.Position{})
+		s.First = 30 * time.Millisecond
+		if err := Follow(context.Background(), s, ignore); !errorx.IsOfType(err, ErrSilent) {
+			t.Errorf("error %v", err)
+		}
+	})
+	t.Run("shutdown", func(t *testing.T) {
+		f := NewFeed()
+		f.Replace(nil, position(1))
+		err := Follow(context.Background(), source(serveFeed(t, f, "127.0.0.1:0"), position(1)), func(changefeed.Batch, changefeed.Health) bool {
+			f.Close()
+			return true
+		})
+		if !errorx.IsOfType(err, ErrEnded) || !strings.Contains(err.Error(), "shuts down") {
+			t.Errorf("error %v", err)
+		}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	t.Run("gone", func(t *testing.T) {
+		if err := Follow(context.Background(), source(address, changefeed.Position{}), ignore); !errorx.IsOfType(err, ErrEnded) {
+			t.Errorf("error %v", err)
+		}
+	})
+	t.Run("starting", func(t *testing.T) {
+		f := NewFeed()
+		f.Replace(nil, position(1))
+		s := source(address, changefeed.Position{})
+		s.Starting = true
+		time.AfterFunc(60*time.Millisecond, func() { serveFeed(t, f, address) })
+		if err := Follow(context.Background(), s, func(changefeed.Batch, changefeed.Health) bool { return false }); err != nil {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- a/entry/changes/feed.go
+++ b/entry/changes/feed.go
@@ -21,6 +21,7 @@
 	direct    bool
 	// changed is closed when there is something new for followers.
 	changed chan struct{}
+	packer  packer
 	// closed is closed when followers are to look for another node.
 	closed chan struct{}
 }
--- a/entry/changes/follow.go
+++ b/entry/changes/follow.go
@@ -21,6 +21,8 @@
 	ErrSilent = Errors.NewType("silent", errorx.Temporary())
 	// ErrEnded marks a source that has ended or cannot be reached.
 	ErrEnded = Errors.NewType("ended", errorx.Temporary())
+	// ErrWire marks a message that cannot be encoded or decoded.
+	ErrWire = Errors.NewType("wire")
 )
 
 const (
@@ -95,7 +97,11 @@
 		if err != nil {
 			return err
 		}
-		if !take(fromWire(m)) {
+		batch, health, err := fromWire(m)
+		if err != nil {
+			return err
+		}
+		if !take(batch, health) {
 			return nil
 		}
 	}
--- a/entry/changes/serve.go
+++ b/entry/changes/serve.go
@@ -30,7 +30,11 @@
 	for {
 		m, changed := s.feed.since(position)
 		if m != nil {
-			if err := stream.Send(toWire(m.Batch, m.Health)); err != nil {
+			out, err := s.feed.toWire(m)
+			if err != nil {
+				return status.Error(codes.Internal, err.Error())
+			}
+			if err := stream.Send(out); err != nil {
 				return err
 			}
 			if position.Before(m.To) {
@@ -47,32 +51,3 @@
 		}
 	}
 }
-
-func toWire(b changefeed.Batch, h changefeed.Health) *nodepb.ChangeBatch {
-	out := &nodepb.ChangeBatch{
-		Era: b.To.Era, Revision: b.To.Revision, Complete: b.Complete, WaitedUs: b.Waited.Microseconds(),
-		AgeUs: h.Age.Microseconds(), Failing: h.Failing, Direct: h.Direct,
-	}
-	for _, c := range b.Changes {
-		out.Changes = append(out.Changes, &nodepb.StoreChange{
-			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted,
-		})
-	}
-	return out
-}
-
-func fromWire(m *nodepb.ChangeBatch) (changefeed.Batch, changefeed.Health) {
-	b := changefeed.Batch{
-		To:       changefeed.Position{Era: m.GetEra(), Revision: m.GetRevision()},
-		Complete: m.GetComplete(), Waited: time.Duration(m.GetWaitedUs()) * time.Microsecond,
-	}
-	for _, c := range m.GetChanges() {
-		b.Changes = append(b.Changes, changefeed.Change{
-			Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision(), Deleted: c.GetDeleted(),
-		})
-	}
-	h := changefeed.Health{
-		Age: time.Duration(m.GetAgeUs()) * time.Microsecond, Failing: m.GetFailing(), Direct: m.GetDirect(),
-	}
-	return b, h
-}
