Revert "forward: ranges are run beside the replicas"

Conclusion: where a range runs does not decide the bytes, since a node also uses replicas of other data centres beside its own; and fewer nodes that run ranges have less processor time for them: a small node has 0.192 of a core.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -109,10 +109,7 @@
 	pressures map[api.ServiceName]*pressure
 	// groups says which nodes run which shards; divided and calls hold the
 	// requests and ranges that other nodes run for this one.
-	groups groups
-	homes  homes
-	// prepared are the addresses to which connections were asked for.
-	prepared   []string
+	groups     groups
 	divided    map[api.RequestID]*divided
 	calls      map[CallID]*call
 	newestCall CallID
--- a/core/forward/groups.go
+++ b/core/forward/groups.go
@@ -140,20 +140,21 @@
 			e.groups.shared[service] = sharedShard{groups: n, own: own}
 		}
 	}
-	e.updateHomes()
+	e.preparePeers()
 }
 
-// preparePeers asks for connections to the nodes that run ranges for this one, if
-// shards are divided.
+// preparePeers asks for connections to the nodes of this data centre, if shards
+// are divided.
 func (e *Engine) preparePeers() {
 	if len(e.groups.shared) == 0 {
 		return
 	}
-	addresses := e.homePeers()
-	if slices.Equal(addresses, e.prepared) {
-		return
+	var addresses []string
+	for _, p := range e.groups.nodes[e.settings.DataCentre] {
+		if p.Node != e.settings.Node {
+			addresses = append(addresses, p.Address)
+		}
 	}
-	e.prepared = addresses
 	e.act(PreparePeers{Addresses: addresses})
 }
 
--- a/core/forward/nodechoice.go
+++ b/core/forward/nodechoice.go
@@ -15,8 +15,7 @@
 		return node
 	}
 	var suspects []api.ReplicaName
-	home := e.homeOf(now, d.request.route, i, len(d.ranges))
-	for _, p := range e.groups.members(home, i, len(d.ranges)) {
+	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
 		if p.Node != e.settings.Node && !slices.Contains(d.ranges[i].tried, p.Node) {
 			suspects = append(suspects, api.ReplicaName(p.Node))
 		}
@@ -29,29 +28,18 @@
 }
 
 // standIn returns a node of a range's group that has not been asked for it and is
-// not suspect: this one if it is beside the replicas, one of the range's data centre,
-// this one, or one of another data centre. They have the connections and the budget for
-// the range.
+// not suspect: this one, one of this data centre, or else of another one. They have
+// the connections and the budget for the range.
 func (e *Engine) standIn(now time.Time, d *divided, i int) (node string, ok bool) {
-	home := e.homeOf(now, d.request.route, i, len(d.ranges))
-	here := e.mayRunHere(d, i)
-	if here && home == e.settings.DataCentre {
+	members := e.groups.members(e.settings.DataCentre, i, len(d.ranges))
+	own := slices.ContainsFunc(members, func(p Peer) bool { return p.Node == e.settings.Node })
+	if own && !slices.Contains(d.ranges[i].tried, "") {
 		return "", true
 	}
-	if name, ok := e.pickNode(now, d, i, e.groups.members(home, i, len(d.ranges))); ok {
+	if name, ok := e.pickNode(now, d, i, members); ok {
 		return name, true
 	}
-	if here {
-		return "", true
-	}
-	return e.pickNode(now, d, i, e.groups.elsewhere(home, i, len(d.ranges)))
-}
-
-// mayRunHere reports whether this node is in the group of a range and has not tried it.
-func (e *Engine) mayRunHere(d *divided, i int) bool {
-	members := e.groups.members(e.settings.DataCentre, i, len(d.ranges))
-	own := slices.ContainsFunc(members, func(p Peer) bool { return p.Node == e.settings.Node })
-	return own && !slices.Contains(d.ranges[i].tried, "")
+	return e.pickNode(now, d, i, e.groups.elsewhere(e.settings.DataCentre, i, len(d.ranges)))
 }
 
 // pickNode returns one of the given nodes, without suspect ones, which get pings,
