--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -204,7 +204,7 @@
 	}
 	for _, list := range e.groups.nodes {
 		for _, p := range list {
-			e.groups.load.Set(now, api.ReplicaName(p.Node), balance.Spec{Address: p.Address, DataCentre: p.DataCentre, Slots: e.groups.capacity(p)})
+			e.groups.load.Set(now, api.ReplicaName(p.Node), balance.Spec{Address: p.Address, DataCentre: p.DataCentre, Slots: 1})
 		}
 	}
 	e.regroup()
--- a/core/forward/groups.go
+++ b/core/forward/groups.go
@@ -19,8 +19,6 @@
 	// nodesPerGroup is the least number of nodes for each group: a range is still
 	// run if several nodes of its group are lost.
 	nodesPerGroup = 3
-	// largeFactor is how many usual nodes a large one is worth at least.
-	largeFactor = 2
 	// ownShare is the part of the constant of the budget of a shard that the nodes
 	// of its group share; the rest is for nodes that run it in their stead.
 	ownShare = 0.85
@@ -32,8 +30,6 @@
 	DataCentre api.DataCentre
 	// Address is where it takes calls from other nodes.
 	Address string
-	// Cores is its share of processor cores; 0 if it does not say.
-	Cores float64
 }
 
 // groups knows the nodes that take calls, and which shards this node runs for
@@ -43,11 +39,6 @@
 	// nodes lists the nodes of each data centre, this one included, by name.
 	nodes map[api.DataCentre][]Peer
 	count int
-	// large holds the nodes that have several times the processor time of most. They
-	// are in each group: to run a range is mostly processor time.
-	large map[string]bool
-	// usual is the median of the nodes' processor cores; 0 if they do not say.
-	usual float64
 	// addresses and load are those of the other nodes.
 	addresses map[string]string
 	load      *balance.Replicas
@@ -80,46 +71,13 @@
 	for _, list := range g.nodes {
 		slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Node, b.Node) })
 	}
-	g.adoptSizes(peers)
-}
-
-// adoptSizes finds out which nodes are large.
-func (g *groups) adoptSizes(peers []Peer) {
-	g.large = make(map[string]bool)
-	g.usual = usualCores(peers)
-	for _, p := range peers {
-		if p.Address != "" && g.capacity(p) >= largeFactor {
-			g.large[p.Node] = true
-		}
-	}
-}
-
-// usualCores returns the median of the nodes' processor cores; 0 if most do not say.
-func usualCores(peers []Peer) float64 {
-	if len(peers) == 0 {
-		return 0
-	}
-	cores := make([]float64, len(peers))
-	for i, p := range peers {
-		cores[i] = p.Cores
-	}
-	slices.Sort(cores)
-	return cores[len(cores)/2]
-}
-
-// capacity returns how many usual nodes a node is worth.
-func (g *groups) capacity(p Peer) int {
-	if g.usual == 0 {
-		return 1
-	}
-	return max(int(math.Round(p.Cores/g.usual)), 1)
 }
 
 // members returns the nodes of one of n groups in a data centre.
 func (g *groups) members(dc api.DataCentre, group, n int) []Peer {
 	var found []Peer
 	for i, p := range g.nodes[dc] {
-		if i%n == group || g.large[p.Node] {
+		if i%n == group {
 			found = append(found, p)
 		}
 	}
@@ -178,7 +136,7 @@
 		}
 		place := e.groups.index(e.settings.DataCentre)
 		for shard, service := range route.Shards {
-			own := place >= 0 && (groupOf(shard, len(route.Shards), n) == place%n || e.groups.large[e.settings.Node])
+			own := place >= 0 && groupOf(shard, len(route.Shards), n) == place%n
 			e.groups.shared[service] = sharedShard{groups: n, own: own}
 		}
 	}
@@ -221,8 +179,7 @@
 // sharers returns how many nodes use the replicas of a service beside each other.
 func (e *Engine) sharers(service api.ServiceName) int {
 	if s, ok := e.groups.shared[service]; ok && s.own {
-		large := min(len(e.groups.large), e.nodes)
-		return max((e.nodes-large+s.groups-1)/s.groups+large, 1)
+		return max((e.nodes+s.groups-1)/s.groups, 1)
 	}
 	return e.nodes
 }
--- a/core/forward/nodechoice.go
+++ b/core/forward/nodechoice.go
@@ -32,7 +32,7 @@
 // the connections and the budget for the range.
 func (e *Engine) standIn(now time.Time, d *divided, i int) (node string, ok bool) {
 	members := e.groups.members(e.settings.DataCentre, i, len(d.ranges))
-	own := e.groups.index(e.settings.DataCentre)%len(d.ranges) == i // a large node runs one range of its own requests
+	own := slices.ContainsFunc(members, func(p Peer) bool { return p.Node == e.settings.Node })
 	if own && !slices.Contains(d.ranges[i].tried, "") {
 		return "", true
 	}
