--- a/core/changefeed/changefeed.go
+++ b/core/changefeed/changefeed.go
@@ -36,6 +36,9 @@
 	Changes []Change
 	// To is the position after these changes.
 	To Position
+	// Gapped says that the source does not know all that happened before To: a key that
+	// came and went may not be named.
+	Gapped bool
 	// Complete says that the batch holds all keys of the store: those that it does
 	// not name are gone.
 	Complete bool
--- a/core/changefeed/log.go
+++ b/core/changefeed/log.go
@@ -52,6 +52,9 @@
 		return
 	}
 	l.before, l.waited = l.position, b.Waited
+	if b.Gapped {
+		l.addGap(gap{l.position.Revision, b.To.Revision})
+	}
 	for _, c := range b.Changes {
 		if c.Revision > l.position.Revision {
 			l.take(c)
@@ -109,6 +112,11 @@
 	return slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
 }
 
+// gapAfter reports whether there is a gap after a revision.
+func (l *Log) gapAfter(revision int64) bool {
+	return slices.ContainsFunc(l.gaps, func(g gap) bool { return g.to > revision })
+}
+
 func (l *Log) reset(items []Change, to Position) {
 	*l = Log{position: to, before: to, floor: to.Revision, newest: make(map[string]Change, len(items))}
 	sorted := slices.Clone(items)
@@ -179,7 +187,7 @@
 	if p.Era != l.position.Era || p.Revision < l.floor || l.inGap(p.Revision) {
 		return Batch{Changes: l.all(), To: l.position, Complete: true}
 	}
-	b := Batch{To: l.position}
+	b := Batch{To: l.position, Gapped: l.gapAfter(p.Revision)}
 	if p == l.before {
 		b.Waited = l.waited
 	}
--- a/core/changefeed/log_test.go
+++ b/core/changefeed/log_test.go
@@ -99,6 +99,23 @@
 	expectBatch(t, l.Since(Position{2, 11}), true, "z@3")
 }
 
+// Guards against a gap that is forgotten when the changes are passed on: a follower of a
+// follower would keep a key that came and went in it (model test, seed 561361).
+func TestLogPassesGapsOn(t *testing.T) {
+	first, second := NewLog(), NewLog()
+	first.Replace([]Change{put("a", 1)}, Position{1, 10})
+	second.Replace([]Change{put("a", 1)}, Position{1, 10})
+	first.Replace([]Change{put("a", 1)}, Position{1, 20}) // a key lived from 12 to 18
+	second.Append(first.Since(second.Position()))
+	expectBatch(t, second.Since(Position{1, 15}), true, "a@1")
+	expectBatch(t, second.Since(Position{1, 10}), false)
+	first.Append(Batch{Changes: []Change{put("b", 21)}, To: Position{1, 21}})
+	second.Append(first.Since(second.Position()))
+	if len(second.gaps) != 1 {
+		t.Errorf("%d gaps after a change that follows the gap", len(second.gaps))
+	}
+}
+
 // Guards against a log that grows with the number of changes, and against followers
 // that miss a deletion which the log has forgotten.
 func TestLogIsBounded(t *testing.T) {
--- a/entry/changes/wire.go
+++ b/entry/changes/wire.go
@@ -67,7 +67,7 @@
 // toWire puts a message into its wire form.
 func (f *Feed) toWire(m *message) (*nodepb.ChangeBatch, error) {
 	out := &nodepb.ChangeBatch{
-		Era: m.To.Era, Revision: m.To.Revision, Complete: m.Complete, WaitedUs: m.Waited.Microseconds(),
+		Era: m.To.Era, Revision: m.To.Revision, Complete: m.Complete, Gapped: m.Gapped, WaitedUs: m.Waited.Microseconds(),
 		AgeUs: m.Age.Microseconds(), Failing: m.Failing, Direct: m.Direct,
 	}
 	if !m.Complete {
@@ -91,7 +91,7 @@
 func fromWire(m *nodepb.ChangeBatch) (changefeed.Batch, changefeed.Health, error) {
 	b := changefeed.Batch{
 		To:       changefeed.Position{Era: m.GetEra(), Revision: m.GetRevision()},
-		Complete: m.GetComplete(), Waited: time.Duration(m.GetWaitedUs()) * time.Microsecond,
+		Complete: m.GetComplete(), Gapped: m.GetGapped(), Waited: time.Duration(m.GetWaitedUs()) * time.Microsecond,
 	}
 	h := changefeed.Health{
 		Age: time.Duration(m.GetAgeUs()) * time.Microsecond, Failing: m.GetFailing(), Direct: m.GetDirect(),
