changefeed: nodes that are not ranked help when the store answers none that is

Change: a node that the store has just answered goes on watching while no ranked node is usable; a node whose knowledge is too old asks the others, one in each silence interval, and trusts one that the store itself answers.

--- a/core/changefeed/chooser.go
+++ b/core/changefeed/chooser.go
@@ -39,14 +39,18 @@
 	watches, ranked bool
 	// sources are the other nodes that are ranked, the preferred ones first.
 	sources []source
-	current string
+	// others are the nodes that are not ranked; nextOther is when the next one of them
+	// may be asked whether the store answers it.
+	others    []Member
+	nextOther time.Time
+	current   string
 	// avoided holds the nodes that were left, and failing those that know too little,
 	// and until when that counts.
 	avoided map[string]time.Time
 	failing map[string]time.Time
 	// storeAvoided is until when other nodes go before the store, which has not
-	// answered.
-	storeAvoided time.Time
+	// answered; storeAnswered is when it last has.
+	storeAvoided, storeAnswered time.Time
 }
 
 // source is a node that may be followed.
@@ -82,6 +86,13 @@
 		c.addSources(r)
 	}
 	slices.SortFunc(c.sources, c.compareSources)
+	c.others = slices.DeleteFunc(all, func(m Member) bool {
+		return m.Address == "" || m.Node == c.self.Node || c.isSource(m.Node)
+	})
+}
+
+func (c *Chooser) isSource(node string) bool {
+	return slices.ContainsFunc(c.sources, func(s source) bool { return s.Node == node })
 }
 
 // addSources takes over the ranking of one data centre.
@@ -143,10 +154,36 @@
 	if m, ok := c.pick(usable); ok {
 		return m, true
 	}
-	if storeAvoided || age < c.bounds.Age {
-		return c.pick(func(s source) bool { return c.asked(now, s) })
+	if !storeAvoided && (age >= c.bounds.Age || now.Sub(c.storeAnswered) < c.bounds.Avoid) {
+		return Member{}, false
+	}
+	if m, ok := c.pickOther(now, age); ok {
+		return m, true
+	}
+	return c.pick(func(s source) bool { return c.asked(now, s) })
+}
+
+// pickOther returns a node that is not ranked: the store may answer it, although it
+// answers none of those that are. They are asked one after the other, once what this
+// node knows is too old.
+func (c *Chooser) pickOther(now time.Time, age time.Duration) (Member, bool) {
+	var best *Member
+	for i := range c.others {
+		m := &c.others[i]
+		switch {
+		case now.Before(c.avoided[m.Node]) || now.Before(c.failing[m.Node]):
+		case m.Node == c.current:
+			return *m, true
+		case best == nil || c.preference(*m) < c.preference(*best):
+			best = m
+		}
+	}
+	if best == nil || age < c.bounds.Age || now.Before(c.nextOther) {
+		return Member{}, false
 	}
-	return Member{}, false
+	c.nextOther = now.Add(c.bounds.Silence)
+	c.current = best.Node
+	return *best, true
 }
 
 // pick returns the source that is followed already, or else the first one, of those
@@ -168,7 +205,7 @@
 // Heard takes in what a source says of its knowledge, and reports whether that is
 // trusted.
 func (c *Chooser) Heard(now time.Time, source string, h Health) bool {
-	trusted := c.trusted(h)
+	trusted := c.trusted(h) && (h.Direct || c.isSource(source))
 	if !trusted {
 		note(c.failing, now, source, c.bounds.Avoid)
 	}
@@ -204,4 +241,4 @@
 func (c *Chooser) StoreFailed(now time.Time) { c.storeAvoided = now.Add(c.bounds.Avoid) }
 
 // StoreAnswered notes that the store answers this node.
-func (c *Chooser) StoreAnswered() { c.storeAvoided = time.Time{} }
+func (c *Chooser) StoreAnswered(now time.Time) { c.storeAvoided, c.storeAnswered = time.Time{}, now }
--- a/core/changefeed/model_test.go
+++ b/core/changefeed/model_test.go
@@ -184,7 +184,7 @@
 	n.nextProbe = m.now.Add(n.chooser.Bounds().Silence)
 	m.store.calls++
 	if !m.store.down && !n.refused {
-		n.chooser.StoreAnswered()
+		n.chooser.StoreAnswered(m.now)
 	}
 }
 
@@ -212,7 +212,7 @@
 		changes, to := m.store.after(p.Revision)
 		n.log.Append(Batch{Changes: changes, To: Position{p.Era, to}})
 	}
-	n.chooser.StoreAnswered()
+	n.chooser.StoreAnswered(m.now)
 	n.confirmed, n.failing, n.direct = m.now, false, true
 	n.setMembers()
 }
