--- a/entry/changes/follow.go
+++ b/entry/changes/follow.go
@@ -7,9 +7,9 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/baobabsail/baobabsail/core/changefeed"
+	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
@@ -33,8 +33,6 @@
 	messageBytes = 64 << 20
 	// connectPause is the time between two attempts to connect to a source that starts.
 	connectPause = 50 * time.Millisecond
-	// followBuffer is the size of the buffers of a connection, in bytes.
-	followBuffer = 4 << 10
 )
 
 // Source says whom to follow.
@@ -55,15 +53,10 @@
 // source ends or falls silent, or ctx ends. The error says which; it is nil in the
 // first and the last case.
 func Follow(ctx context.Context, s Source, take func(changefeed.Batch, changefeed.Health) bool) error {
-	conn, err := grpc.NewClient("passthrough:///"+s.Address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithReadBufferSize(followBuffer), grpc.WithWriteBufferSize(followBuffer),
-		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: connectPause, Multiplier: 1, MaxDelay: connectPause},
-			MinConnectTimeout: s.First,
-		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes), grpc.WaitForReady(s.Starting)))
+	pace := nodeconn.Pace{
+		Backoff: backoff.Config{BaseDelay: connectPause, Multiplier: 1, MaxDelay: connectPause}, Timeout: s.First,
+	}
+	conn, err := nodeconn.New(s.Address, pace, grpc.MaxCallRecvMsgSize(messageBytes), grpc.WaitForReady(s.Starting))
 	if err != nil {
 		return ErrEnded.Wrap(err, "node %s", s.Address)
 	}
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -10,10 +10,10 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
@@ -230,14 +230,10 @@
 	if c := n.conns[address]; c != nil {
 		return c, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithReadBufferSize(nodeBuffer), grpc.WithWriteBufferSize(nodeBuffer),
-		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: nodeBackoffLeast, Multiplier: 2, Jitter: 0.2, MaxDelay: nodeBackoffMost},
-			MinConnectTimeout: nodeConnectTimeout,
-		}))
+	c, err := nodeconn.New(address, nodeconn.Pace{
+		Backoff: backoff.Config{BaseDelay: nodeBackoffLeast, Multiplier: 2, Jitter: 0.2, MaxDelay: nodeBackoffMost},
+		Timeout: nodeConnectTimeout,
+	})
 	if err != nil {
 		return nil, err
 	}
