changes, changefeed: tests use keys of their own

The tests of the change feed named keys of the users' platform, which only platform may know. The feed carries keys and values that it does not read, so any will do; no check changed.

--- a/core/changefeed/model_test.go
+++ b/core/changefeed/model_test.go
@@ -306,10 +306,10 @@
 	return map[string]func(*rapid.T){
 		"change": func(t *rapid.T) {
 			for range rapid.IntRange(1, 60).Draw(t, "changes") {
-				m.store.put(fmt.Sprint("servers/", rapid.IntRange(0, 40).Draw(t, "key")))
+				m.store.put(fmt.Sprint("replicas/", rapid.IntRange(0, 40).Draw(t, "key")))
 			}
 		},
-		"delete":  func(t *rapid.T) { m.store.remove(fmt.Sprint("servers/", rapid.IntRange(0, 40).Draw(t, "key"))) },
+		"delete":  func(t *rapid.T) { m.store.remove(fmt.Sprint("replicas/", rapid.IntRange(0, 40).Draw(t, "key"))) },
 		"pass":    func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "ticks")) * modelTick) },
 		"compact": func(*rapid.T) { m.store.compacted, m.store.history = m.store.revision, nil },
 		"down":    func(*rapid.T) { m.store.down = true },
@@ -380,7 +380,7 @@
 		m.heal()
 		m.pass(settleTime)
 		m.expectAgreement("after the faults", func(*modelNode) bool { return true })
-		m.store.put("servers/last")
+		m.store.put("replicas/last")
 		m.pass(settleTime)
 		m.expectAgreement("after one more change", func(*modelNode) bool { return true })
 		m.expectFewCalls()
@@ -430,7 +430,7 @@
 			n.refused = name != spared && (n.chooser.Watches() || rapid.IntRange(0, 2).Draw(t, "refused") == 0)
 		}
 		for range 20 {
-			m.store.put("servers/changing")
+			m.store.put("replicas/changing")
 			m.pass(modelTick)
 		}
 		m.pass(settleTime)
--- a/entry/changes/changes_test.go
+++ b/entry/changes/changes_test.go
@@ -40,8 +40,8 @@
 func manyKeys(n int) []changefeed.Change {
 	var out []changefeed.Change
 	for i := range n {
-		value := fmt.Sprintf(`{"service":"s%03d","address":"10.0.0.%d:80","zone":"dc-a","version":"v1","slots":2,"state":"ready"}`, i, i%250)
-		out = append(out, changefeed.Change{Key: fmt.Sprintf("servers/i-%05d", i), Value: []byte(value), Revision: int64(i + 1)})
+		value := fmt.Sprintf(`{"name":"s%03d","place":"10.0.0.%d:80","data_centre":"dc-a","release":"v1","room":2,"condition":"fine"}`, i, i%250)
+		out = append(out, changefeed.Change{Key: fmt.Sprintf("replicas/i-%05d", i), Value: []byte(value), Revision: int64(i + 1)})
 	}
 	return out
 }
@@ -63,7 +63,7 @@
 			if !b.Complete || b.To != position(2000) || !h.Direct || h.Failing || h.Age < time.Second {
 				t.Errorf("first message: complete %v, to %+v, %+v", b.Complete, b.To, h)
 			}
-			f.Append(changefeed.Batch{Changes: []changefeed.Change{{Key: "op/config", Revision: 2001, Deleted: true}}, To: position(2001)})
+			f.Append(changefeed.Batch{Changes: []changefeed.Change{{Key: "config", Revision: 2001, Deleted: true}}, To: position(2001)})
 		}
 		return len(got) < 2001
 	})
@@ -75,7 +75,7 @@
 			t.Fatalf("change %d is %+v, want %+v", i, got[i], c)
 		}
 	}
-	if last := got[2000]; last.Key != "op/config" || !last.Deleted {
+	if last := got[2000]; last.Key != "config" || !last.Deleted {
 		t.Errorf("last change %+v", last)
 	}
 }
