--- a/entry/changes/changes_test.go
+++ b/entry/changes/changes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -142,7 +143,8 @@
 			t.Errorf("error %v", err)
 		}
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own: nobody else gets the port while nothing listens there.
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.7.1:0", 1+os.Getpid()%250))
 	if err != nil {
 		t.Fatal(err)
 	}
