forward, relay: what replicas state about themselves is decoded and counted

Change: the adapter decodes them into forward.ReplicaStatus; the engine logs the first statement of each kind and counts it (replica_status), and counts attempts at replicas that name a rate limit by purpose (rate_limit). No decision depends on them yet.

--- a/core/count/count.go
+++ b/core/count/count.go
@@ -52,6 +52,10 @@
 	// Loss counts lost attempts, which may have crashed their replica, by how each
 	// case was resolved.
 	Loss Kind = "loss"
+	// ReplicaStatus counts what replicas state about themselves in their responses.
+	ReplicaStatus Kind = "replica_status"
+	// RateLimit counts attempts at replicas that name a rate limit.
+	RateLimit Kind = "rate_limit"
 )
 
 // Key identifies a counter: a kind and a reason or other detail within it.
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -51,7 +51,7 @@
 	name, reason := e.choose(now, r, p, firstAttempt)
 	switch reason {
 	case api.ReasonNone:
-		e.send(now, r, i, name)
+		e.send(now, r, i, name, firstAttempt)
 	case api.ReasonOverloaded:
 		e.enqueue(r, i, false)
 	default:
@@ -69,10 +69,11 @@
 }
 
 // send sends a part to a replica.
-func (e *Engine) send(now time.Time, r *request, i int, name api.ReplicaName) {
+func (e *Engine) send(now time.Time, r *request, i int, name api.ReplicaName, why purpose) {
 	p := &r.parts[i]
 	e.lastAttempt++
 	entry := e.registry.entries[name]
+	e.countRateLimited(entry, why)
 	a := &attempt{id: e.lastAttempt, request: r, part: i, service: p.service, replica: name, sentAt: now, processStart: entry.ProcessStart}
 	e.attempts[a.id] = a
 	p.state = partRunning
@@ -115,7 +116,7 @@
 		e.counts.Inc(count.RetryDenied, reason)
 		return reason
 	}
-	e.send(now, r, i, name)
+	e.send(now, r, i, name, why)
 	return api.ReasonNone
 }
 
@@ -157,6 +158,9 @@
 		return
 	}
 	e.recordAnswer(now, a.replica)
+	if ev.Reply.Kind != ReplyMisdirected { // that response came from another replica
+		e.observeStatus(now, a.replica, &ev.Reply.Status)
+	}
 	e.connections(a.replica).backoff = 0
 	e.observeReply(now, a, ev.Reply.Kind)
 	if !a.detached {
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -154,6 +154,8 @@
 	// not run. For a ReplyError the promise is false, so the reply must not reach
 	// callers.
 	PromisesNotRun bool
+	// Status is what the replica states about itself.
+	Status ReplicaStatus
 	// Wire is the driver's representation of the reply.
 	Wire any
 }
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -37,6 +37,11 @@
 type registryEntry struct {
 	Registration
 	rank float64 // see preferredRank
+	// leaving is set once the replica has stated that it will stop soon.
+	leaving bool
+	// rateLimited is set while the replica names a rate limit, in requests per second.
+	rateLimited bool
+	rateLimit   float64
 	// removeAt is when the registration is removed if it does not come back; zero while it
 	// is in the store.
 	removeAt time.Time
@@ -92,7 +97,11 @@
 	case old.Draining != reg.Draining:
 		e.log("replica_changed", "replica", reg.Replica, "service", reg.Service, "draining", reg.Draining)
 	}
-	e.registry.entries[reg.Replica] = &registryEntry{Registration: reg, rank: e.rank(reg.Replica)}
+	entry := &registryEntry{Registration: reg, rank: e.rank(reg.Replica)}
+	if old != nil {
+		entry.leaving, entry.rateLimited, entry.rateLimit = old.leaving, old.rateLimited, old.rateLimit
+	}
+	e.registry.entries[reg.Replica] = entry
 	e.replicas.Set(now, reg.Replica, balance.Spec{
 		Address: reg.Address, DataCentre: reg.DataCentre, Slots: reg.Slots,
 		Drained: reg.Draining, ColdFor: reg.ColdFor,
--- a/core/forward/waiting.go
+++ b/core/forward/waiting.go
@@ -62,7 +62,7 @@
 			reason = api.ReasonRetryBudget
 		}
 		if reason == api.ReasonNone {
-			e.send(now, w.request, w.part, name)
+			e.send(now, w.request, w.part, name, why)
 		} else {
 			e.giveUp(w.request, p, reason)
 		}
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -273,6 +273,7 @@
 	reply := forward.Reply{
 		Proof: h.Get(c.targets.headers.Proof), Body: body,
 		PromisesNotRun: promisesNotRun(response.StatusCode),
+		Status:         replicaStatus(c.targets.headers, response),
 		Wire:           &wireReply{status: response.StatusCode, header: h},
 	}
 	ok := response.StatusCode >= 200 && response.StatusCode < 300
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -31,6 +31,11 @@
 	ExpectReplica string
 	// NotRun marks the refusal of a replica that has not run the request.
 	NotRun string
+	// RateLimit is the number of requests per second that a replica accepts from all nodes
+	// together.
+	RateLimit string
+	// Leaving marks the responses of a replica that will stop soon.
+	Leaving string
 	// Proofs lists the proofs of the parts of a merged answer.
 	Proofs string
 	// Missing is the number of parts that are absent from a merged answer.
