core/forward: a failing test of replicas that name a rate limit (LIMIT)

TestReplicasStayWithinTheirRateLimit puts 1, 8 and 60 engines (the last in groups) in front of two replicas of a shard, of which one names a limit of 1.1, 5.9 or 25 requests a second.

--- /dev/null
+++ b/core/forward/ratelimit_test.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// These tests simulate nodes in front of replicas that name a rate limit in their responses.
+
+const (
+	// rateWindow is the span in which the requests to a rate-limited replica are counted. In
+	// it, rateTolerance times the requests that the limit allows may arrive, and
+	// rateAllowance more.
+	rateWindow    = 4 * time.Second
+	rateTolerance = 1.5
+	rateAllowance = 5
+	// informedAfter is the time from the first response with the limit after which the
+	// requests of a node count.
+	informedAfter = 500 * time.Millisecond
+	// loadStep is the time between two requests of callers.
+	loadStep = 10 * time.Millisecond
+)
+
+// limitedFleet is a fleet some of whose replicas name a rate limit.
+type limitedFleet struct {
+	*fleet
+	// limits holds the rate limits that replicas name, in requests per second.
+	limits map[api.ReplicaName]float64
+	// informedAt is when a node first got a response with the limit, by node and replica.
+	informedAt map[string]time.Time
+	// arrivals holds the times at which requests of informed nodes reached each limited
+	// replica.
+	arrivals map[api.ReplicaName][]time.Time
+	// ids holds the requests of callers, sentAt their arrival.
+	ids    []string
+	sentAt map[string]time.Time
+}
+
+func newLimitedFleet(t *testing.T, seed uint64, size fleetSize) *limitedFleet {
+	l := &limitedFleet{
+		fleet: newFleetOf(t, seed, size, func(int) api.DataCentre { return "dc-a" }), limits: map[api.ReplicaName]float64{},
+		informedAt: map[string]time.Time{}, arrivals: map[api.ReplicaName][]time.Time{}, sentAt: map[string]time.Time{},
+	}
+	l.sendTo = l.sendLimited
+	return l
+}
+
+// sendLimited runs an attempt at a replica, which names its limit in the response.
+func (l *limitedFleet) sendLimited(node int, s Send) {
+	limit, limited := l.limits[s.Replica]
+	key := fmt.Sprint(node, "/", s.Replica)
+	if at, ok := l.informedAt[key]; limited && ok && l.now.Sub(at) >= informedAfter {
+		l.arrivals[s.Replica] = append(l.arrivals[s.Replica], l.now)
+	}
+	took := 5 * time.Millisecond
+	if l.rng.IntN(20) == 0 {
+		took = 120 * time.Millisecond // long enough for a hedge
+	}
+	reply := Reply{
+		Kind: ReplyOK, Proof: "proof-" + string(s.Replica), Body: []byte("ab"),
+		Status: ReplicaStatus{HasRateLimit: limited, RateLimit: limit},
+	}
+	l.events = append(l.events, fleetEvent{at: l.now.Add(took), do: func() {
+		if _, ok := l.informedAt[key]; limited && !ok {
+			l.informedAt[key] = l.now
+		}
+		l.step(node, Replied{Attempt: s.Attempt, Reply: reply})
+	}})
+}
+
+// load sends requests of callers for a time, more of them to nodes with low numbers.
+func (l *limitedFleet) load(path string, d time.Duration) {
+	for end := l.now.Add(d); l.now.Before(end); l.run(loadStep) {
+		node := min(l.rng.IntN(l.size.nodes), l.rng.IntN(l.size.nodes))
+		id := l.requestWith(node, path, api.Fingerprint(l.next+1))
+		l.ids = append(l.ids, id)
+		l.sentAt[id] = l.now
+	}
+	l.run(time.Second)
+}
+
+// checkLimits fails the test if more requests of informed nodes reached a replica in some
+// rateWindow than its limit allows.
+func (l *limitedFleet) checkLimits() {
+	l.t.Helper()
+	for replica, limit := range l.limits {
+		allowed := int(rateTolerance*limit*rateWindow.Seconds()) + rateAllowance
+		times := l.arrivals[replica]
+		slices.SortFunc(times, time.Time.Compare)
+		from, most := 0, 0
+		for i, at := range times {
+			for at.Sub(times[from]) > rateWindow {
+				from++
+			}
+			most = max(most, i-from+1)
+		}
+		if most > allowed {
+			l.t.Errorf("%s, limit %.1f a second: %d requests of informed nodes in %v, allowed %d", replica, limit, most, rateWindow, allowed)
+		}
+	}
+}
+
+// rateSizes are fleets of one node, a few, and so many that they are divided into groups.
+var rateSizes = []fleetSize{
+	{nodes: 1, shards: 4, replicas: 2, accepted: 25},
+	{nodes: 8, shards: 4, replicas: 2, accepted: 25},
+	{nodes: 60, shards: 16, replicas: 2, accepted: 54},
+}
+
+// Guards against replicas that get more requests than the rate limit that they name (LIMIT):
+// nodes did not read it. The sum over all nodes counts, whatever the share of each and
+// whichever node runs a range of shards.
+func TestReplicasStayWithinTheirRateLimit(t *testing.T) {
+	for _, size := range rateSizes {
+		for _, limit := range []float64{1.1, 5.9, 25} {
+			for _, path := range []string{"/all/x", "/one/x"} {
+				t.Run(fmt.Sprintf("%d nodes, %.1f a second, %s", size.nodes, limit, path), func(t *testing.T) {
+					l := newLimitedFleet(t, 1, size)
+					l.load(path, time.Second)
+					l.limits[replicaOf(0, 0)] = limit
+					l.load(path, 12*time.Second)
+					l.checkLimits()
+				})
+			}
+		}
+	}
+}
