forward: requests to a replica stay within the rate limit that it names

Change: core/ratelimit. One node for each limited replica, chosen by a hash of both names, is the allocator and runs the token bucket of that replica; a node needs a permit for each attempt at it, whatever the purpose, and asks for permits (RequestPermits between nodes) when it lacks one. Permits expire after 0.5 s. Parts that can go to another replica do so at once; parts that cannot wait for one exchange with the allocator (at most 100 ms) and are refused at once when none is granted (rate_limited, Retry-After). Hedges do not go to a limited replica. The newest statement of a limit, or its end, travels with the requests and grants. A node that reaches no allocator grants itself its share of the limit. Conclusion: the sum over all nodes keeps the limit without dividing it.

--- a/core/api/request.go
+++ b/core/api/request.go
@@ -136,6 +136,7 @@
 	ReasonWrongEpoch       Reason = "wrong_epoch"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonShed             Reason = "shed"
+	ReasonRateLimited      Reason = "rate_limited"
 	ReasonCrashed          Reason = "crashed"
 	ReasonDraining         Reason = "draining"
 	ReasonTruncated        Reason = "truncated"
--- a/core/forward/action.go
+++ b/core/forward/action.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 )
 
 // Action is an output of the engine, which the driver carries out.
@@ -150,6 +151,22 @@
 	Notices []gossip.Notice
 }
 
+// RequestPermits asks the node that is the allocator of a replica for permits. The driver
+// responds with PermitsGranted or PermitsFailed.
+type RequestPermits struct {
+	action
+	ratelimit.Request
+	Node    string
+	Address string
+}
+
+// GrantPermits is the response to a PermitsRequested.
+type GrantPermits struct {
+	action
+	ratelimit.Grant
+	Call CallID
+}
+
 // Log writes one log line of key=value pairs.
 type Log struct {
 	action
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -73,7 +73,7 @@
 	p := &r.parts[i]
 	e.lastAttempt++
 	entry := e.registry.entries[name]
-	e.countRateLimited(entry, why)
+	e.usePermit(name, why)
 	a := &attempt{id: e.lastAttempt, request: r, part: i, service: p.service, replica: name, sentAt: now, processStart: entry.ProcessStart}
 	e.attempts[a.id] = a
 	p.state = partRunning
@@ -159,7 +159,7 @@
 	}
 	e.recordAnswer(now, a.replica)
 	if ev.Reply.Kind != ReplyMisdirected { // that response came from another replica
-		e.observeStatus(now, a.replica, &ev.Reply.Status)
+		e.observeStatus(now, a, &ev.Reply.Status)
 	}
 	e.connections(a.replica).backoff = 0
 	e.observeReply(now, a, ev.Reply.Kind)
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -39,13 +39,14 @@
 // if there is no other, and stalled ones only for a probe. A replica that failed the
 // part before is used only if no other is left to replace the failed attempt. A hedge
 // goes neither to a replica with overdue attempts nor to a suspect one: waiting for
-// these would help nobody.
+// these would help nobody. A replica that names a rate limit is used only with a permit, and
+// not for a hedge, which would take the permit of another request.
 func (e *Engine) choose(now time.Time, r *request, p *part, why purpose) (api.ReplicaName, api.Reason) {
 	e.candidates = e.candidates[:0]
 	slow := true
 	reason := api.ReasonNoReplica
 	preferred := e.preferredRank(p.service)
-	var overdue, notPreferred, failed []api.ReplicaName
+	var overdue, notPreferred, failed, unpermitted []api.ReplicaName
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
 		if entry.Draining || !e.mayUseReplica(r, p, name, why) {
@@ -58,7 +59,11 @@
 		if e.stalledReplicas[name] && !e.replicas.ProbeDue(now, name) {
 			continue
 		}
-		if why == hedgeAttempt && (e.overdueReplicas[name] || e.replicas.Suspect(name)) {
+		if why == hedgeAttempt && (e.overdueReplicas[name] || e.replicas.Suspect(name) || e.limiter.Limited(name)) {
+			continue
+		}
+		if !e.limiter.Permitted(now, name) {
+			unpermitted = append(unpermitted, name)
 			continue
 		}
 		switch {
@@ -83,10 +88,14 @@
 		e.candidates = append(e.candidates, failed...)
 	}
 	name, ok := e.replicas.Pick(now, e.candidates, nil)
-	if !ok {
+	if ok {
+		e.missPermits(now, unpermitted, 0)
+		return name, api.ReasonNone
+	}
+	if len(unpermitted) == 0 {
 		return "", reason
 	}
-	return name, api.ReasonNone
+	return e.awaitPermit(now, p.service, unpermitted, reason)
 }
 
 // mayUseReplica reports whether an attempt for a part may go to a replica, considering
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -17,6 +17,8 @@
 	fleetNodes    = 18
 	fleetShards   = 16
 	fleetReplicas = 2
+	// permitTimeout is how long a node waits for the response of an allocator.
+	permitTimeout = 100 * time.Millisecond
 )
 
 // fleet simulates several engines that are connected by a network and send requests to
@@ -43,13 +45,17 @@
 	// deliveredCalls holds the calls that reached their node, by the calling node and call ID.
 	deliveredCalls map[string]fleetCall
 	// reached holds, for each request and service, the replicas that received an attempt.
-	reached   map[string]map[api.ServiceName]map[api.ReplicaName]bool
-	answers   map[string]Answer
-	calls     int
-	usedCalls map[string]bool // IDs of calls
-	pings     map[string]bool // IDs of calls that are pings
+	reached map[string]map[api.ServiceName]map[api.ReplicaName]bool
+	answers map[string]Answer
+	// answeredAt is when callers were answered.
+	answeredAt map[string]time.Time
+	calls      int
+	usedCalls  map[string]bool // IDs of calls
+	pings      map[string]bool // IDs of calls that are pings
 	// refusedRanges is the number of ranges refused because the node did not know the shards.
 	refusedRanges int
+	// permitRequests holds the nodes that wait for permits by the ID of their request.
+	permitRequests map[CallID]int
 	// sendTo handles Send actions in place of send if it is set.
 	sendTo func(node int, s Send)
 	// otherActions handles the actions that the fleet ignores if it is set.
@@ -93,6 +99,7 @@
 		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
 		deliveredCalls: map[string]fleetCall{}, reached: map[string]map[api.ServiceName]map[api.ReplicaName]bool{},
 		answers: map[string]Answer{}, usedCalls: map[string]bool{}, pings: map[string]bool{},
+		answeredAt: map[string]time.Time{}, permitRequests: map[CallID]int{},
 	}
 	f.dataCentre = dataCentre
 	for i := range size.nodes {
@@ -164,6 +171,10 @@
 		}
 	case Answer:
 		f.answer(node, a)
+	case RequestPermits:
+		f.requestPermits(node, a)
+	case GrantPermits:
+		f.grantPermits(a)
 	default:
 		if f.otherActions != nil {
 			f.otherActions(node, a)
@@ -202,6 +213,27 @@
 	}
 }
 
+// requestPermits delivers a request for permits to the allocator of a replica.
+func (f *fleet) requestPermits(node int, a RequestPermits) {
+	if f.unreachable[a.Node] || f.unresponsive[a.Node] {
+		f.later(permitTimeout, node, PermitsFailed{Node: a.Node, Replica: a.Replica})
+		return
+	}
+	var to int
+	if _, err := fmt.Sscanf(a.Node, "n%d", &to); err != nil || to == node {
+		f.t.Fatalf("%s asks %q for permits", nodeName(node), a.Node)
+	}
+	f.next++
+	f.permitRequests[CallID(f.next)] = node
+	f.later(time.Millisecond, to, PermitsRequested{Request: a.Request, Call: CallID(f.next)})
+}
+
+// grantPermits delivers the response of an allocator to the node that asked it.
+func (f *fleet) grantPermits(a GrantPermits) {
+	f.later(time.Millisecond, f.permitRequests[a.Call], PermitsGranted{Grant: a.Grant})
+	delete(f.permitRequests, a.Call)
+}
+
 // cancelCall cancels a call on the node that runs it.
 func (f *fleet) cancelCall(node int, id CallID) {
 	if c, ok := f.deliveredCalls[callKey(node, id)]; ok {
@@ -242,6 +274,7 @@
 		f.t.Fatalf("%s is answered twice", id)
 	}
 	f.answers[id] = a
+	f.answeredAt[id] = f.now
 }
 
 // send simulates a replica that runs an attempt; some replies are late.
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -9,6 +9,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/core/timerqueue"
@@ -52,9 +53,9 @@
 	// still count. The rest covers moments in which the nodes disagree on their number.
 	steadyConstantShare     = 0.55
 	newProcessConstantShare = 0.25
-	// quarantineCleanupInterval is how often expired quarantine entries are dropped;
-	// entries last for an hour.
-	quarantineCleanupInterval = 10 * time.Second
+	// cleanupInterval is how often expired quarantine entries and unused buckets of rate
+	// limits are dropped; the former last for an hour, the latter for a minute.
+	cleanupInterval = 10 * time.Second
 	// hedgeBudgetShare is the fraction of the budget that hedges may use; the rest is
 	// kept for attempts that replace failed ones.
 	hedgeBudgetShare = 0.6
@@ -97,8 +98,8 @@
 	// lastReplyAt is when each replica last answered.
 	lastReplyAt map[api.ReplicaName]time.Time
 	quarantine  *quarantine.Registry
-	// quarantineCleanedAt is when expired quarantine entries were last dropped.
-	quarantineCleanedAt time.Time
+	// cleanedUpAt is when expired quarantine entries and unused buckets were last dropped.
+	cleanedUpAt time.Time
 	// possibleCrashes holds the replicas whose process may have ended. pendingAttributions
 	// holds the lost attempts at processes that have ended, for requests whose content was
 	// answered before.
@@ -109,6 +110,16 @@
 	// a liveness check.
 	controlReplica      api.ReplicaName
 	lastCheckAnsweredAt time.Time
+	// limiter holds the rate limits that replicas name and the permits of this node; allocator
+	// grants permits for the replicas that this node is the allocator of.
+	limiter   *ratelimit.Limiter
+	allocator *ratelimit.Allocator
+	// failedAllocators holds the nodes that did not respond to a request for permits, and
+	// until when other nodes are asked. allocatorFailures counts such requests in a row.
+	// Until disconnectedUntil, this node takes itself for disconnected from the others.
+	failedAllocators  map[string]time.Time
+	allocatorFailures int
+	disconnectedUntil time.Time
 	// admissions holds the admission control state of sharded requests, keyed by the
 	// first shard of the route.
 	admissions map[api.ServiceName]*admissionControl
@@ -162,12 +173,16 @@
 		stalledReplicas: make(map[api.ReplicaName]bool),
 		lastReplyAt:     make(map[api.ReplicaName]time.Time),
 		quarantine:      quarantine.New(counts),
+		limiter:         ratelimit.NewLimiter(),
+		allocator:       ratelimit.NewAllocator(),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
 		groups:          nodeGroups{node: s.Node, balancer: balance.New(rng, s.DataCentre)},
 		divided:         make(map[api.RequestID]*dividedRequest),
 		calls:           make(map[CallID]*call),
+
+		failedAllocators: make(map[string]time.Time),
 	}
 	e.replicas.SetRemoteSurcharge(remoteSurcharge)
 	return e
@@ -232,10 +247,18 @@
 		e.callLost(now, ev)
 	case CallUnanswered:
 		e.callNotAccepted(now, ev.Call)
+	case PermitsRequested:
+		e.permitsRequested(now, ev)
+	case PermitsGranted:
+		e.permitsGranted(now, ev)
+	case PermitsFailed:
+		e.permitsFailed(now, ev)
 	}
-	if now.Sub(e.quarantineCleanedAt) >= quarantineCleanupInterval {
-		e.quarantineCleanedAt = now
+	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
+		e.cleanedUpAt = now
 		e.quarantine.Tick(now)
+		e.allocator.Tick(now)
+		e.dropFailedAllocators(now)
 	}
 	e.runTimers(now)
 	return e.actions
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -325,3 +326,27 @@
 	// Peers are the nodes that accept calls from other nodes.
 	Peers []Peer
 }
+
+// PermitsRequested reports that another node asks this one, the allocator of a replica, for
+// permits. The engine responds with GrantPermits.
+type PermitsRequested struct {
+	event
+	ratelimit.Request
+	// Call identifies the request of the other node.
+	Call CallID
+}
+
+// PermitsGranted holds the response to a RequestPermits.
+type PermitsGranted struct {
+	event
+	ratelimit.Grant
+}
+
+// PermitsFailed reports that a node did not respond to a RequestPermits.
+type PermitsFailed struct {
+	event
+	Node    string
+	Replica api.ReplicaName
+	// Error describes the cause for the log.
+	Error string
+}
--- /dev/null
+++ b/core/forward/ratelimit.go
@@ -0,0 +1,171 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
+)
+
+// This file keeps the attempts of all nodes at a replica within the rate limit that the replica
+// names. Each attempt needs a permit, which the allocator of the replica grants. All nodes
+// choose the same allocator by a hash, so that they need not agree on it.
+
+const (
+	// allocatorFailedTime is how long a node that did not respond to a request for permits is
+	// not asked again.
+	allocatorFailedTime = 2 * time.Second
+	// maxAllocatorFailures is the number of unanswered requests in a row after which this node
+	// takes itself for disconnected from the others. For allocatorFailedTime, it then grants
+	// itself its share of each limit.
+	maxAllocatorFailures = 3
+)
+
+// observeRateLimit records whether a replica names a rate limit in the response to an attempt.
+func (e *Engine) observeRateLimit(now time.Time, a *attempt, s *ReplicaStatus) {
+	if s.Invalid != "" && !s.HasRateLimit {
+		return // the invalid field may be the limit
+	}
+	service := a.service
+	switch e.limiter.Observe(now, a.replica, s.HasRateLimit, s.RateLimit, a.sentAt) {
+	case ratelimit.Named:
+		e.counts.Inc(count.ReplicaStatus, statusRateLimit)
+		e.log("replica_rate_limit", "replica", a.replica, "service", service, "per_second", s.RateLimit)
+	case ratelimit.Ended:
+		e.rateLimitEnded(a.replica, service)
+		// The other nodes learn of it from the allocator when they next ask for permits.
+		e.requestPermits(now, ratelimit.Request{Replica: a.replica})
+	}
+}
+
+func (e *Engine) rateLimitEnded(name api.ReplicaName, service api.ServiceName) {
+	e.counts.Inc(count.ReplicaStatus, statusRateLimitEnded)
+	e.log("replica_rate_limit_ended", "replica", name, "service", service)
+}
+
+// usePermit consumes and counts the permit of an attempt if its replica names a rate limit.
+func (e *Engine) usePermit(name api.ReplicaName, why purpose) {
+	if !e.limiter.Limited(name) {
+		return
+	}
+	e.limiter.Use(name)
+	if why == retryAttempt {
+		e.counts.Inc(count.RateLimit, "sent_retry")
+		return
+	}
+	e.counts.Inc(count.RateLimit, "sent_first")
+}
+
+// awaitPermit handles a part that can only be sent to replicas for which there is no permit. It
+// returns a replica if permits were granted at once, ReasonOverloaded if the part should wait,
+// and ReasonRateLimited if the allocators granted none. otherwise is the reason why the other
+// replicas cannot be used.
+func (e *Engine) awaitPermit(now time.Time, service api.ServiceName, unpermitted []api.ReplicaName, otherwise api.Reason) (api.ReplicaName, api.Reason) {
+	e.missPermits(now, unpermitted, 1+len(e.waiting[service]))
+	requesting := false
+	for _, name := range unpermitted {
+		if e.limiter.Permitted(now, name) {
+			return name, api.ReasonNone
+		}
+		requesting = requesting || e.limiter.Requesting(name)
+	}
+	if requesting || otherwise == api.ReasonOverloaded {
+		return "", api.ReasonOverloaded
+	}
+	return "", api.ReasonRateLimited
+}
+
+// missPermits requests permits for replicas that could not be used for lack of one. waiting is
+// the number of parts that can only go to these replicas.
+func (e *Engine) missPermits(now time.Time, names []api.ReplicaName, waiting int) {
+	for _, name := range names {
+		if r, ok := e.limiter.Miss(now, name, waiting); ok {
+			e.counts.Inc(count.RateLimit, "permits_requested")
+			e.requestPermits(now, r)
+		}
+	}
+}
+
+// requestPermits sends a request to the allocator of a replica, or handles it if that is this
+// node.
+func (e *Engine) requestPermits(now time.Time, r ratelimit.Request) {
+	node, share := e.allocatorOf(now, r.Replica)
+	if node == e.settings.Node {
+		e.applyGrant(now, e.allocator.Allocate(now, r, share))
+		return
+	}
+	e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node]})
+}
+
+// allocatorOf returns the node that is the allocator of a replica and the share of the limit that it
+// may grant: the reachable node with the lowest hash of both names, or this node with its own
+// share of the limit if no other node accepts calls or responds.
+func (e *Engine) allocatorOf(now time.Time, replica api.ReplicaName) (node string, share float64) {
+	if now.Before(e.disconnectedUntil) {
+		return e.settings.Node, 1 / float64(e.nodeCount)
+	}
+	lowest := uint64(math.MaxUint64)
+	for _, peers := range e.groups.nodes {
+		for _, p := range peers {
+			failed := now.Before(e.failedAllocators[p.Node])
+			if h := xxhash.Sum64String(p.Node + "/" + string(replica)); !failed && h < lowest {
+				node, lowest = p.Node, h
+			}
+		}
+	}
+	if node == "" {
+		return e.settings.Node, 1 / float64(e.nodeCount)
+	}
+	return node, 1
+}
+
+// dropFailedAllocators forgets the nodes that may be asked for permits again.
+func (e *Engine) dropFailedAllocators(now time.Time) {
+	for node, until := range e.failedAllocators {
+		if !now.Before(until) {
+			delete(e.failedAllocators, node)
+		}
+	}
+}
+
+// permitsRequested grants permits to another node.
+func (e *Engine) permitsRequested(now time.Time, ev PermitsRequested) {
+	g := e.allocator.Allocate(now, ev.Request, 1)
+	e.counts.Add(count.RateLimit, "permits_granted", uint64(g.Permits))
+	e.emit(GrantPermits{Grant: g, Call: ev.Call})
+}
+
+// permitsGranted applies a response of an allocator and resumes the parts that wait for it.
+func (e *Engine) permitsGranted(now time.Time, ev PermitsGranted) {
+	e.allocatorFailures = 0
+	e.applyGrant(now, ev.Grant)
+	if entry := e.registry.entries[ev.Replica]; entry != nil {
+		e.resume(now, entry.Service)
+	}
+}
+
+func (e *Engine) applyGrant(now time.Time, g ratelimit.Grant) {
+	entry := e.registry.entries[g.Replica]
+	if e.limiter.Granted(now, g) && entry != nil {
+		e.rateLimitEnded(g.Replica, entry.Service)
+	}
+}
+
+// permitsFailed handles an allocator that did not respond. Parts that wait for a permit ask the
+// next one.
+func (e *Engine) permitsFailed(now time.Time, ev PermitsFailed) {
+	e.counts.Inc(count.RateLimit, "permits_failed")
+	e.log("permits_failed", "node", ev.Node, "replica", ev.Replica, "error", ev.Error)
+	e.failedAllocators[ev.Node] = now.Add(allocatorFailedTime)
+	if e.allocatorFailures++; e.allocatorFailures >= maxAllocatorFailures {
+		e.allocatorFailures, e.disconnectedUntil = 0, now.Add(allocatorFailedTime)
+	}
+	e.limiter.Failed(ev.Replica)
+	if entry := e.registry.entries[ev.Replica]; entry != nil {
+		e.resume(now, entry.Service)
+	}
+}
--- a/core/forward/ratelimit_test.go
+++ b/core/forward/ratelimit_test.go
@@ -23,6 +23,12 @@
 	informedAfter = 500 * time.Millisecond
 	// loadStep is the time between two requests of callers.
 	loadStep = 10 * time.Millisecond
+	// maxRefusalTime is how soon a request is refused that no replica can take: one exchange
+	// with an allocator takes 2 ms.
+	maxRefusalTime = 20 * time.Millisecond
+	// minUsedShare is the fraction of the limits of a service that is used if there is more
+	// than enough to do.
+	minUsedShare = 0.7
 )
 
 // limitedFleet is a fleet some of whose replicas name a rate limit.
@@ -57,7 +63,7 @@
 		l.arrivals[s.Replica] = append(l.arrivals[s.Replica], l.now)
 	}
 	took := 5 * time.Millisecond
-	if l.rng.IntN(20) == 0 {
+	if !l.noSlowReplies && l.rng.IntN(20) == 0 {
 		took = 120 * time.Millisecond // long enough for a hedge
 	}
 	reply := Reply{
@@ -129,3 +135,110 @@
 		}
 	}
 }
+
+// TestRateLimitsAreUsed guards against limits that are wasted: with one share for each node,
+// those of the nodes with few callers go unused. It also guards against requests that wait
+// although no replica can take them.
+func TestRateLimitsAreUsed(t *testing.T) {
+	const limit, seconds = 10.0, 10
+	for _, size := range rateSizes {
+		t.Run(fmt.Sprint(size.nodes, " nodes"), func(t *testing.T) {
+			l := newLimitedFleet(t, 1, size)
+			l.limits[replicaOf(0, 0)], l.limits[replicaOf(0, 1)] = limit, limit
+			l.load("/one/x", time.Second)
+			l.ids = nil
+			l.load("/one/x", seconds*time.Second)
+			l.checkLimits()
+			served := 0
+			for _, id := range l.ids {
+				a := l.answers[id]
+				if a.Outcome == api.Answered {
+					served++
+					continue
+				}
+				if a.Outcome != api.NotRun || a.Reason != api.ReasonRateLimited || a.RetryAfter <= 0 {
+					t.Fatalf("%s ended with %v, %q, retry after %v", id, a.Outcome, a.Reason, a.RetryAfter)
+				}
+				if took := l.answeredAt[id].Sub(l.sentAt[id]); took > maxRefusalTime {
+					t.Errorf("%s is refused after %v", id, took)
+				}
+			}
+			if allowed := 2 * limit * seconds; float64(served) < minUsedShare*allowed {
+				t.Errorf("%d requests are served, the limits allow %.0f", served, allowed)
+			}
+		})
+	}
+}
+
+// TestLimitedShardIsLeftOut guards against searches that are late or refused because all
+// replicas of one shard are limited.
+func TestLimitedShardIsLeftOut(t *testing.T) {
+	for _, size := range rateSizes {
+		t.Run(fmt.Sprint(size.nodes, " nodes"), func(t *testing.T) {
+			l := newLimitedFleet(t, 1, size)
+			l.noSlowReplies = true
+			l.limits[replicaOf(0, 0)], l.limits[replicaOf(0, 1)] = 2, 2
+			l.load("/all/x", 6*time.Second)
+			l.checkLimits()
+			for _, id := range l.ids {
+				a := l.answers[id]
+				if a.Outcome != api.Answered || a.Merged.Missing > 1 {
+					t.Fatalf("%s ended with %v, %q, parts %+v", id, a.Outcome, a.Reason, a.Merged)
+				}
+			}
+		})
+	}
+}
+
+// TestReplicaIsUsedAfterItsRateLimit guards against nodes that keep a limit that has ended,
+// since a node that sends nothing to a replica does not hear that it names none any more.
+func TestReplicaIsUsedAfterItsRateLimit(t *testing.T) {
+	for _, size := range rateSizes {
+		t.Run(fmt.Sprint(size.nodes, " nodes"), func(t *testing.T) {
+			l := newLimitedFleet(t, 1, size)
+			l.limits[replicaOf(0, 0)], l.limits[replicaOf(0, 1)] = 5, 5
+			l.load("/one/x", 5*time.Second)
+			clear(l.limits)
+			l.load("/one/x", time.Second)
+			l.ids = nil
+			l.load("/one/x", 2*time.Second)
+			for _, id := range l.ids {
+				if a := l.answers[id]; a.Outcome != api.Answered {
+					t.Fatalf("%s ended with %v, %q", id, a.Outcome, a.Reason)
+				}
+			}
+		})
+	}
+}
+
+// TestRateLimitsHoldWithoutAllocators guards against limits that are exceeded or unused while
+// nodes do not respond, or while the nodes have different lists of each other.
+func TestRateLimitsHoldWithoutAllocators(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, limit := range []float64{1.1, 8, 25} {
+			l := newLimitedFleet(t, seed, rateSizes[1])
+			l.limits[replicaOf(0, 0)], l.limits[replicaOf(0, 1)] = limit, limit
+			l.load("/one/x", time.Second)
+			l.ids = nil
+			for range 10 {
+				clear(l.unreachable)
+				l.unreachable[nodeName(l.rng.IntN(l.size.nodes))] = true
+				l.unreachable[nodeName(l.rng.IntN(l.size.nodes))] = true
+				behind := l.rng.IntN(l.size.nodes)
+				l.step(behind, Members{Nodes: l.size.nodes, Peers: slices.Delete(l.peers(), 2, 3)})
+				l.load("/one/x", time.Second)
+				l.step(behind, Members{Nodes: l.size.nodes, Peers: l.peers()})
+			}
+			l.checkLimits()
+			served := 0
+			for _, id := range l.ids {
+				if l.answers[id].Outcome == api.Answered {
+					served++
+				}
+			}
+			if allowed := 2 * limit * 10; float64(served) < allowed/2 {
+				t.Errorf("seed %d, limit %.1f: %d requests are served, the limits allow %.0f", seed, limit, served, allowed)
+			}
+		}
+	}
+}
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -39,9 +39,6 @@
 	rank float64 // see preferredRank
 	// leaving is set once the replica has stated that it will stop soon.
 	leaving bool
-	// rateLimited is set while the replica names a rate limit, in requests per second.
-	rateLimited bool
-	rateLimit   float64
 	// removeAt is when the registration is removed if it does not come back; zero while it
 	// is in the store.
 	removeAt time.Time
@@ -99,7 +96,7 @@
 	}
 	entry := &registryEntry{Registration: reg, rank: e.rank(reg.Replica)}
 	if old != nil {
-		entry.leaving, entry.rateLimited, entry.rateLimit = old.leaving, old.rateLimited, old.rateLimit
+		entry.leaving = old.leaving
 	}
 	e.registry.entries[reg.Replica] = entry
 	e.replicas.Set(now, reg.Replica, balance.Spec{
@@ -182,6 +179,7 @@
 	delete(e.lastReplyAt, name)
 	delete(e.overdueReplicas, name)
 	delete(e.stalledReplicas, name)
+	e.limiter.Remove(name)
 	e.counts.Inc(count.Connection, "replica_removed")
 	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
 	e.emit(CloseIdle{Replica: name})
--- a/core/forward/status.go
+++ b/core/forward/status.go
@@ -30,8 +30,9 @@
 	statusInvalid        api.Reason = "invalid"
 )
 
-// observeStatus records what a replica states about itself.
-func (e *Engine) observeStatus(now time.Time, name api.ReplicaName, s *ReplicaStatus) {
+// observeStatus records what a replica states about itself in the response to an attempt.
+func (e *Engine) observeStatus(now time.Time, a *attempt, s *ReplicaStatus) {
+	name := a.replica
 	entry := e.registry.entries[name]
 	if entry == nil {
 		return // it was removed in the meantime
@@ -40,7 +41,7 @@
 		e.counts.Inc(count.ReplicaStatus, statusInvalid)
 		e.log("replica_status_invalid", "replica", name, "service", entry.Service, "fields", s.Invalid)
 	}
-	e.observeRateLimit(entry, s)
+	e.observeRateLimit(now, a, s)
 	if s.Leaving && !entry.leaving {
 		entry.leaving = true
 		e.counts.Inc(count.ReplicaStatus, statusLeaving)
@@ -51,31 +52,3 @@
 		e.log("replica_backoff", "replica", name, "service", entry.Service, "for_ms", s.Backoff.Milliseconds())
 	}
 }
-
-// observeRateLimit records whether a replica names a rate limit.
-func (e *Engine) observeRateLimit(entry *registryEntry, s *ReplicaStatus) {
-	switch {
-	case s.HasRateLimit && (!entry.rateLimited || entry.rateLimit != s.RateLimit):
-		e.counts.Inc(count.ReplicaStatus, statusRateLimit)
-		e.log("replica_rate_limit", "replica", entry.Replica, "service", entry.Service, "per_second", s.RateLimit)
-	case !s.HasRateLimit && entry.rateLimited:
-		e.counts.Inc(count.ReplicaStatus, statusRateLimitEnded)
-		e.log("replica_rate_limit_ended", "replica", entry.Replica, "service", entry.Service)
-	}
-	entry.rateLimited, entry.rateLimit = s.HasRateLimit, s.RateLimit
-}
-
-// countRateLimited counts an attempt sent to a replica that names a rate limit, by purpose.
-func (e *Engine) countRateLimited(entry *registryEntry, why purpose) {
-	if !entry.rateLimited {
-		return
-	}
-	switch why {
-	case hedgeAttempt:
-		e.counts.Inc(count.RateLimit, "sent_hedge")
-	case retryAttempt:
-		e.counts.Inc(count.RateLimit, "sent_retry")
-	default:
-		e.counts.Inc(count.RateLimit, "sent_first")
-	}
-}
--- /dev/null
+++ b/core/ratelimit/allocator.go
@@ -0,0 +1,96 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+const (
+	// usableShare is the fraction of a limit that is granted. The rest covers the time in
+	// which the nodes disagree on which of them is the allocator.
+	usableShare = 0.9
+	// burstTime is the time whose permits a bucket can hold; it holds at least one.
+	burstTime = 250 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound RetryAfter.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Second
+	// retryMargin is added to the time until the next token, so that rounding does not make
+	// the next request come too early.
+	retryMargin = time.Millisecond
+	// bucketTTL is how long a bucket is kept after the last request for it.
+	bucketTTL = time.Minute
+)
+
+// Allocator grants permits for the replicas that this node is the allocator of.
+type Allocator struct {
+	buckets map[api.ReplicaName]*bucket
+}
+
+// bucket is the token bucket of one replica.
+type bucket struct {
+	limited   bool
+	perSecond float64
+	statedAt  time.Time
+	tokens    float64
+	// updatedAt is the time of the last request, up to which tokens has been computed.
+	updatedAt time.Time
+}
+
+// NewAllocator returns an Allocator without buckets.
+func NewAllocator() *Allocator {
+	return &Allocator{buckets: make(map[api.ReplicaName]*bucket)}
+}
+
+// Allocate handles a request for permits. The allocator grants at most the given share, from
+// 0 to 1, of the limit.
+func (a *Allocator) Allocate(now time.Time, r Request, share float64) Grant {
+	b := a.buckets[r.Replica]
+	if b == nil {
+		b = &bucket{tokens: share, updatedAt: now}
+		a.buckets[r.Replica] = b
+	}
+	if statedAt := now.Add(-r.Statement.Age); statedAt.After(b.statedAt) {
+		b.limited, b.perSecond, b.statedAt = r.Statement.Limited, r.Statement.PerSecond, statedAt
+	}
+	rate := share * usableShare * b.perSecond
+	b.refill(now, rate)
+	g := Grant{Replica: r.Replica, Statement: Statement{Limited: b.limited, PerSecond: b.perSecond, Age: now.Sub(b.statedAt)}}
+	if !b.limited {
+		return g
+	}
+	g.Permits = min(r.Wanted, int(b.tokens))
+	b.tokens -= float64(g.Permits)
+	if g.Permits == 0 {
+		g.RetryAfter = b.timeToToken(rate)
+	}
+	return g
+}
+
+// refill adds the tokens since the last update, at a rate in tokens per second.
+func (b *bucket) refill(now time.Time, rate float64) {
+	b.tokens = min(b.tokens+rate*now.Sub(b.updatedAt).Seconds(), max(rate*burstTime.Seconds(), 1))
+	if rate == 0 {
+		b.tokens = 0
+	}
+	b.updatedAt = now
+}
+
+// timeToToken returns the time until the bucket holds a token, within the bounds of
+// RetryAfter.
+func (b *bucket) timeToToken(rate float64) time.Duration {
+	seconds := (1 - b.tokens) / rate
+	if !(seconds < maxRetryAfter.Seconds()) { // also if the rate is 0
+		return maxRetryAfter
+	}
+	return max(time.Duration(seconds*float64(time.Second))+retryMargin, minRetryAfter)
+}
+
+// Tick drops the buckets that have not been used for bucketTTL.
+func (a *Allocator) Tick(now time.Time) {
+	for name, b := range a.buckets {
+		if now.Sub(b.updatedAt) >= bucketTTL {
+			delete(a.buckets, name)
+		}
+	}
+}
--- /dev/null
+++ b/core/ratelimit/limiter.go
@@ -0,0 +1,163 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+const (
+	// permitTTL is how long a permit is valid. Permits that were granted and not used in time
+	// must not add up with those granted later.
+	permitTTL = 500 * time.Millisecond
+	// requestInterval is the minimum time between two requests for permits while requests can
+	// go to other replicas.
+	requestInterval = 50 * time.Millisecond
+	// maxWanted is the largest number of permits in one request.
+	maxWanted = 64
+)
+
+// Change is how a response changed what is known about the rate limit of a replica.
+type Change uint8
+
+const (
+	// Unchanged means that the response stated nothing new.
+	Unchanged Change = iota
+	// Named means that the replica named a limit, or another one than before.
+	Named
+	// Ended means that the replica no longer names a limit.
+	Ended
+)
+
+// Limiter holds the rate limits that replicas have named to this node, and its permits.
+type Limiter struct {
+	replicas map[api.ReplicaName]*limitedReplica
+}
+
+// limitedReplica is a replica that names a rate limit.
+type limitedReplica struct {
+	perSecond float64
+	// statedAt is when the limit was last named.
+	statedAt time.Time
+	// permits holds the expiry of each unused permit, in ascending order.
+	permits []time.Time
+	// missed counts the requests that were not sent to the replica for lack of a permit since
+	// the last request for permits.
+	missed int
+	// requesting is set while a request for permits is unanswered.
+	requesting  bool
+	requestedAt time.Time
+	// retryAt is when permits may be requested again after none were granted.
+	retryAt time.Time
+}
+
+// NewLimiter returns a Limiter without limits.
+func NewLimiter() *Limiter {
+	return &Limiter{replicas: make(map[api.ReplicaName]*limitedReplica)}
+}
+
+// Observe records whether a replica named a limit in the response to a request sent at sentAt.
+// A response without a limit ends the limit only if its request was sent after the limit was
+// last named: responses of concurrent requests may arrive out of order.
+func (l *Limiter) Observe(now time.Time, name api.ReplicaName, limited bool, perSecond float64, sentAt time.Time) Change {
+	r := l.replicas[name]
+	switch {
+	case limited && r == nil:
+		l.replicas[name] = &limitedReplica{perSecond: perSecond, statedAt: now}
+		return Named
+	case limited:
+		changed := r.perSecond != perSecond
+		r.perSecond, r.statedAt = perSecond, now
+		if changed {
+			return Named
+		}
+	case r != nil && sentAt.After(r.statedAt):
+		delete(l.replicas, name)
+		return Ended
+	}
+	return Unchanged
+}
+
+// Remove forgets a replica.
+func (l *Limiter) Remove(name api.ReplicaName) { delete(l.replicas, name) }
+
+// Limited reports whether a replica names a rate limit.
+func (l *Limiter) Limited(name api.ReplicaName) bool { return l.replicas[name] != nil }
+
+// Permitted reports whether a request may be sent to a replica: it names no limit, or there is
+// a permit.
+func (l *Limiter) Permitted(now time.Time, name api.ReplicaName) bool {
+	r := l.replicas[name]
+	if r == nil {
+		return true
+	}
+	r.dropExpired(now)
+	return len(r.permits) > 0
+}
+
+// Use consumes a permit for a request that is sent to a replica, if it names a limit.
+func (l *Limiter) Use(name api.ReplicaName) {
+	if r := l.replicas[name]; r != nil && len(r.permits) > 0 {
+		r.permits = r.permits[1:]
+	}
+}
+
+// Miss records that a request cannot be sent to a limited replica for lack of a permit, and
+// returns the request for permits that is to be sent now, if any. It must not be called for a
+// replica without a limit. waiting is the number of requests that can only go to this replica;
+// it is 0 if this one can go elsewhere.
+func (l *Limiter) Miss(now time.Time, name api.ReplicaName, waiting int) (Request, bool) {
+	r := l.replicas[name]
+	r.missed++
+	tooSoon := waiting == 0 && now.Sub(r.requestedAt) < requestInterval
+	if r.requesting || tooSoon || now.Before(r.retryAt) {
+		return Request{}, false
+	}
+	wanted := min(max(r.missed, waiting), maxWanted)
+	r.requesting, r.requestedAt, r.missed = true, now, 0
+	return Request{Replica: name, Wanted: wanted, Statement: Statement{Limited: true, PerSecond: r.perSecond, Age: now.Sub(r.statedAt)}}, true
+}
+
+// Requesting reports whether a request for permits for a replica is unanswered.
+func (l *Limiter) Requesting(name api.ReplicaName) bool {
+	r := l.replicas[name]
+	return r != nil && r.requesting
+}
+
+// Granted handles the response to a request for permits. It reports whether the allocator
+// knows that the limit has ended.
+func (l *Limiter) Granted(now time.Time, g Grant) (ended bool) {
+	r := l.replicas[g.Replica]
+	if r == nil {
+		return false // the limit has ended in the meantime
+	}
+	r.requesting = false
+	if statedAt := now.Add(-g.Statement.Age); statedAt.After(r.statedAt) {
+		if !g.Statement.Limited {
+			delete(l.replicas, g.Replica)
+			return true
+		}
+		r.perSecond, r.statedAt = g.Statement.PerSecond, statedAt
+	}
+	r.dropExpired(now)
+	for range g.Permits {
+		r.permits = append(r.permits, now.Add(permitTTL))
+	}
+	if g.Permits == 0 {
+		r.retryAt = now.Add(g.RetryAfter)
+	}
+	return false
+}
+
+// Failed handles a request for permits that got no response.
+func (l *Limiter) Failed(name api.ReplicaName) {
+	if r := l.replicas[name]; r != nil {
+		r.requesting = false
+	}
+}
+
+func (r *limitedReplica) dropExpired(now time.Time) {
+	for len(r.permits) > 0 && !now.Before(r.permits[0]) {
+		r.permits = r.permits[1:]
+	}
+}
--- a/entry/relay/callers_test.go
+++ b/entry/relay/callers_test.go
@@ -43,7 +43,7 @@
 		if v := recover(); v != http.ErrAbortHandler {
 			t.Errorf("recovered %v, want http.ErrAbortHandler", v)
 		}
-		if n := c.loop.nextID.Load(); n != 0 {
+		if n := registered(c.loop); n != 0 {
 			t.Errorf("%d requests were forwarded, want 0", n)
 		}
 	}()
@@ -111,3 +111,10 @@
 		}
 	}
 }
+
+// registered returns the number of requests that were passed to the engine.
+func registered(l *Loop) uint64 {
+	l.answers.mu.Lock()
+	defer l.answers.mu.Unlock()
+	return l.answers.lastID
+}
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -14,6 +14,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -70,9 +71,8 @@
 	running bool
 	timerAt time.Time
 
-	pendingMu sync.Mutex
-	pending   map[api.RequestID]chan forward.Answer
-	nextID    atomic.Uint64
+	answers *pending[forward.Answer]
+	grants  *pending[ratelimit.Grant]
 
 	limits   atomic.Pointer[routing.Limits]
 	ready    atomic.Bool
@@ -83,7 +83,7 @@
 func NewLoop(engine *forward.Engine, log Logger, notices Publisher) *Loop {
 	l := &Loop{
 		engine: engine, log: log, notices: notices, started: time.Now(),
-		pending: make(map[api.RequestID]chan forward.Answer),
+		answers: newPending[forward.Answer](maxAnswers), grants: newPending[ratelimit.Grant](1),
 	}
 	l.timer = time.AfterFunc(time.Hour, func() { l.Post(forward.Timer{}) })
 	l.timer.Stop()
@@ -169,7 +169,11 @@
 	case forward.CancelCall:
 		l.nodes.cancel(a.Call)
 	case forward.Answer:
-		l.deliverAnswer(a)
+		l.answers.deliver(uint64(a.Request), a, !a.More)
+	case forward.RequestPermits:
+		l.nodes.requestPermits(a)
+	case forward.GrantPermits:
+		l.grants.deliver(uint64(a.Call), a.Grant, true)
 	case forward.Publish:
 		l.notices.Publish(a.Notices)
 	case forward.Log:
@@ -194,39 +198,16 @@
 // register allocates the ID of a request and returns it with the channel that receives its
 // answers.
 func (l *Loop) register() (api.RequestID, chan forward.Answer) {
-	id := api.RequestID(l.nextID.Add(1))
-	answer := make(chan forward.Answer, maxAnswers)
-	l.pendingMu.Lock()
-	l.pending[id] = answer
-	l.pendingMu.Unlock()
-	return id, answer
-}
-
-// unregister removes a request whose caller has disconnected.
-func (l *Loop) unregister(id api.RequestID) {
-	l.pendingMu.Lock()
-	delete(l.pending, id)
-	l.pendingMu.Unlock()
+	id, answers := l.answers.register()
+	return api.RequestID(id), answers
 }
 
 // abandon removes a request whose caller has disconnected and notifies the engine.
 func (l *Loop) abandon(id api.RequestID) {
-	l.unregister(id)
+	l.answers.unregister(uint64(id))
 	l.Post(forward.CallerGone{Request: id})
 }
 
-func (l *Loop) deliverAnswer(a forward.Answer) {
-	l.pendingMu.Lock()
-	waiting := l.pending[a.Request]
-	if !a.More {
-		delete(l.pending, a.Request)
-	}
-	l.pendingMu.Unlock()
-	if waiting != nil {
-		waiting <- a
-	}
-}
-
 // Ready reports whether the engine can serve requests.
 func (l *Loop) Ready() bool { return l.ready.Load() }
 
--- /dev/null
+++ b/entry/relay/permits_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
+	"github.com/baobabsail/baobabsail/wire/nodepb"
+)
+
+// serveLoop starts the server of a node that calls of other nodes reach.
+func serveLoop(t *testing.T) (address string) {
+	t.Helper()
+	loop := NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
+	loop.Connect(NewTargets(loop, Headers{}), NewNodes(loop))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewNodeServer(loop)
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func permitsFor(limit float64, node, address string, wanted int) forward.RequestPermits {
+	return forward.RequestPermits{
+		Node: node, Address: address,
+		Request: ratelimit.Request{Replica: "r", Wanted: wanted, Statement: ratelimit.Statement{Limited: true, PerSecond: limit, Age: time.Second}},
+	}
+}
+
+// Guards against permits that get lost between nodes (LIMIT): a node asks the allocator of a
+// replica over the network and gets its permits, or the time after which to ask again.
+func TestPermitsAreGrantedByAnotherNode(t *testing.T) {
+	address := serveLoop(t)
+	events := &eventRecorder{}
+	nodes := NewNodes(events)
+	defer nodes.Close()
+	nodes.requestPermits(permitsFor(5, "n2", address, 3))
+	first, ok := events.wait(t, 0).(forward.PermitsGranted)
+	if !ok || first.Replica != "r" || first.Permits != 1 || first.Statement.PerSecond != 5 || first.Statement.Age < time.Second {
+		t.Fatalf("%+v, want the one permit of a new allocator", events.events[0])
+	}
+	nodes.requestPermits(permitsFor(5, "n2", address, 3))
+	second, ok := events.wait(t, 1).(forward.PermitsGranted)
+	if !ok || second.Permits != 0 || second.RetryAfter <= 0 {
+		t.Fatalf("%+v, want no permit and the time of the next one", events.events[1])
+	}
+}
+
+// Guards against requests that wait for an allocator that is gone: the failure is reported, so
+// that another node is asked.
+func TestLostAllocatorIsReported(t *testing.T) {
+	events := &eventRecorder{}
+	nodes := NewNodes(events)
+	defer nodes.Close()
+	nodes.requestPermits(permitsFor(5, "n3", "127.0.0.1:1", 1))
+	if ev, ok := events.wait(t, 0).(forward.PermitsFailed); !ok || ev.Node != "n3" || ev.Replica != "r" || ev.Error == "" {
+		t.Fatalf("%+v, want a failure of n3", events.events[0])
+	}
+}
+
+// Guards against rates in messages of other nodes that break the arithmetic of the allocator.
+func TestInvalidRateLimitIsRefused(t *testing.T) {
+	for _, m := range []*nodepb.RateLimit{{PerSecond: math.NaN()}, {PerSecond: math.Inf(1)}, {PerSecond: -1}, {AgeUs: -1}} {
+		if s, err := rateLimitFromProto(m); err == nil {
+			t.Errorf("%v is accepted as %+v", m, s)
+		}
+	}
+}
