forward, relay: a replica that states its leave gets no more requests (DRAIN)

What replicas saw: a replica that said Server-Leaving in its answers got new requests until the store listed it as draining, which may come late or never. Change: the statement drains the replica at the node that heard it, for the life of the replica's process: also while the store lists it as ready, after a registration that lapsed and came back, and after a restore of the store. Statements in responses that answer no attempt (another request's, cut off in the body) count as well (StatusReported); those of a misdirected request do not, since another replica sent it. The rate limit of a replica survives a lapse of its registration too.

--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -176,7 +176,7 @@
 // hasReplica reports whether a service has a replica that is not draining.
 func (e *Engine) hasReplica(service api.ServiceName) bool {
 	for _, name := range e.registry.byService[service] {
-		if !e.registry.entries[name].Draining {
+		if !e.registry.entries[name].draining() {
 			return true
 		}
 	}
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -49,7 +49,7 @@
 	var overdue, notPreferred, failed, unpermitted []api.ReplicaName
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
-		if entry.Draining || !e.mayUseReplica(r, p, name, why) {
+		if entry.draining() || !e.mayUseReplica(r, p, name, why) {
 			continue
 		}
 		if !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)) {
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -85,7 +85,7 @@
 	}
 	lowest := 1.0
 	for _, name := range e.registry.byService[service] {
-		if entry := e.registry.entries[name]; !entry.Draining {
+		if entry := e.registry.entries[name]; !entry.draining() {
 			lowest = min(lowest, entry.rank)
 		}
 	}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -206,6 +206,8 @@
 		e.sendDelay.Add(now, ev.Late)
 	case Replied:
 		e.replied(now, &ev)
+	case StatusReported:
+		e.statusReported(now, ev)
 	case Lost:
 		e.lost(now, ev)
 	case ReplicaChecked:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -175,6 +175,14 @@
 	Reply   Reply
 }
 
+// StatusReported holds what a replica states about itself in a response that no Replied event
+// is reported for, since no attempt waits for it or its body is invalid.
+type StatusReported struct {
+	event
+	Replica api.ReplicaName
+	Status  ReplicaStatus
+}
+
 // CheckResult is the result of a CheckReplica.
 type CheckResult uint8
 
--- a/core/forward/ratelimit.go
+++ b/core/forward/ratelimit.go
@@ -25,20 +25,20 @@
 	maxAllocatorFailures = 3
 )
 
-// observeRateLimit records whether a replica names a rate limit in the response to an attempt.
-func (e *Engine) observeRateLimit(now time.Time, a *attempt, s *ReplicaStatus) {
+// observeRateLimit records whether a replica names a rate limit in the response to a request
+// sent at sentAt.
+func (e *Engine) observeRateLimit(now time.Time, entry *registryEntry, sentAt time.Time, s *ReplicaStatus) {
 	if s.Invalid != "" && !s.HasRateLimit {
 		return // the invalid field may be the limit
 	}
-	service := a.service
-	switch e.limiter.Observe(now, a.replica, s.HasRateLimit, s.RateLimit, a.sentAt) {
+	switch e.limiter.Observe(now, entry.Replica, s.HasRateLimit, s.RateLimit, sentAt) {
 	case ratelimit.Named:
 		e.counts.Inc(count.ReplicaStatus, statusRateLimit)
-		e.log("replica_rate_limit", "replica", a.replica, "service", service, "per_second", s.RateLimit)
+		e.log("replica_rate_limit", "replica", entry.Replica, "service", entry.Service, "per_second", s.RateLimit)
 	case ratelimit.Ended:
-		e.rateLimitEnded(a.replica, service)
+		e.rateLimitEnded(entry.Replica, entry.Service)
 		// The other nodes learn of it from the allocator when they next ask for permits.
-		e.requestPermits(now, ratelimit.Request{Replica: a.replica})
+		e.requestPermits(now, ratelimit.Request{Replica: entry.Replica})
 	}
 }
 
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -24,21 +24,21 @@
 	removed map[api.ReplicaName]removedReplica
 }
 
-// removedTTL is how long a removed replica is remembered, since an older copy of the store may
-// still list it.
+// removedTTL is how long a removed replica is remembered: an older copy of the store may still
+// list it, and a registration that lapsed may come back.
 const removedTTL = time.Minute
 
-// removedReplica is the last registration of a removed replica and the time of its removal.
+// removedReplica is what was known of a removed replica, and the time of its removal.
 type removedReplica struct {
 	Registration
-	at time.Time
+	stated statements
+	at     time.Time
 }
 
 type registryEntry struct {
 	Registration
-	rank float64 // see preferredRank
-	// leaving is set once the replica has stated that it will stop soon.
-	leaving bool
+	rank   float64 // see preferredRank
+	stated statements
 	// removeAt is when the registration is removed if it does not come back; zero while it
 	// is in the store.
 	removeAt time.Time
@@ -52,6 +52,10 @@
 	}
 }
 
+// draining reports whether the replica gets no new work because it will stop, according to its
+// registration or to its own responses.
+func (r *registryEntry) draining() bool { return r.Draining || r.stated.leaving }
+
 // restartedSince reports whether the process has restarted since an earlier registration.
 // Of two registrations with the same start time, the one with the smaller sequence number is
 // the older report, as read from an older copy of the store; without start times, a smaller
@@ -94,16 +98,31 @@
 	case old.Draining != reg.Draining:
 		e.log("replica_changed", "replica", reg.Replica, "service", reg.Service, "draining", reg.Draining)
 	}
-	entry := &registryEntry{Registration: reg, rank: e.rank(reg.Replica)}
+	entry := &registryEntry{Registration: reg, rank: e.rank(reg.Replica), stated: e.earlierStatements(old, reg)}
+	e.registry.entries[reg.Replica] = entry
+	e.setBalancerSpec(now, entry)
+	e.resume(now, reg.Service)
+}
+
+// earlierStatements returns what the process of a replica stated before this registration. old
+// is its current entry; nil if it has none.
+func (e *Engine) earlierStatements(old *registryEntry, reg Registration) statements {
 	if old != nil {
-		entry.leaving = old.leaving
+		return old.stated
 	}
-	e.registry.entries[reg.Replica] = entry
-	e.replicas.Set(now, reg.Replica, balance.Spec{
-		Address: reg.Address, DataCentre: reg.DataCentre, Slots: reg.Slots,
-		Drained: reg.Draining, ColdFor: reg.ColdFor,
+	if removed, ok := e.registry.removed[reg.Replica]; ok && !reg.restartedSince(removed.Registration) {
+		return removed.stated
+	}
+	e.limiter.Remove(reg.Replica)
+	return statements{}
+}
+
+// setBalancerSpec passes a replica to the load balancer.
+func (e *Engine) setBalancerSpec(now time.Time, entry *registryEntry) {
+	e.replicas.Set(now, entry.Replica, balance.Spec{
+		Address: entry.Address, DataCentre: entry.DataCentre, Slots: entry.Slots,
+		Drained: entry.draining(), ColdFor: entry.ColdFor,
 	})
-	e.resume(now, reg.Service)
 }
 
 func (r *registry) add(reg Registration) {
@@ -170,7 +189,7 @@
 func (e *Engine) removeReplica(now time.Time, name api.ReplicaName, reason string) {
 	entry := e.registry.entries[name]
 	delete(e.registry.entries, name)
-	e.registry.rememberRemoved(now, entry.Registration)
+	e.rememberRemoved(now, entry)
 	names := e.registry.byService[entry.Service]
 	if i, found := slices.BinarySearch(names, name); found {
 		e.registry.byService[entry.Service] = slices.Delete(names, i, i+1)
@@ -179,22 +198,25 @@
 	delete(e.lastReplyAt, name)
 	delete(e.overdueReplicas, name)
 	delete(e.stalledReplicas, name)
-	e.limiter.Remove(name)
 	e.counts.Inc(count.Connection, "replica_removed")
 	e.log("replica_removed", "replica", name, "service", entry.Service, "reason", reason)
 	e.emit(CloseIdle{Replica: name})
 	e.resume(now, entry.Service)
 }
 
-// rememberRemoved keeps the registration of a removed replica and forgets those older than
-// removedTTL.
-func (r *registry) rememberRemoved(now time.Time, reg Registration) {
-	for name, removed := range r.removed {
-		if now.Sub(removed.at) > removedTTL {
-			delete(r.removed, name)
+// rememberRemoved keeps what is known of a removed replica and forgets those removed longer
+// than removedTTL ago.
+func (e *Engine) rememberRemoved(now time.Time, entry *registryEntry) {
+	for name, removed := range e.registry.removed {
+		if now.Sub(removed.at) <= removedTTL {
+			continue
+		}
+		delete(e.registry.removed, name)
+		if e.registry.entries[name] == nil {
+			e.limiter.Remove(name)
 		}
 	}
-	r.removed[reg.Replica] = removedReplica{Registration: reg, at: now}
+	e.registry.removed[entry.Replica] = removedReplica{Registration: entry.Registration, stated: entry.stated, at: now}
 }
 
 // removedSince reports whether a registration from an older copy of the store belongs to a
--- a/core/forward/status.go
+++ b/core/forward/status.go
@@ -30,9 +30,16 @@
 	statusInvalid        api.Reason = "invalid"
 )
 
-// observeStatus records what a replica states about itself in the response to an attempt.
-func (e *Engine) observeStatus(now time.Time, a *attempt, s *ReplicaStatus) {
-	name := a.replica
+// statements are what a process of a replica stated about itself that stays in force.
+type statements struct {
+	// leaving is set once the replica has stated that it will stop soon. It cannot be taken
+	// back: the store may list the replica as ready for some time.
+	leaving bool
+}
+
+// observeStatus applies what a replica states about itself in the response to a request sent
+// at sentAt; zero if that time is not known.
+func (e *Engine) observeStatus(now time.Time, name api.ReplicaName, sentAt time.Time, s *ReplicaStatus) {
 	entry := e.registry.entries[name]
 	if entry == nil {
 		return // it was removed in the meantime
@@ -41,14 +48,30 @@
 		e.counts.Inc(count.ReplicaStatus, statusInvalid)
 		e.log("replica_status_invalid", "replica", name, "service", entry.Service, "fields", s.Invalid)
 	}
-	e.observeRateLimit(now, a, s)
-	if s.Leaving && !entry.leaving {
-		entry.leaving = true
-		e.counts.Inc(count.ReplicaStatus, statusLeaving)
-		e.log("replica_leaving", "replica", name, "service", entry.Service, "draining", entry.Draining)
+	e.observeRateLimit(now, entry, sentAt, s)
+	if s.Leaving && !entry.stated.leaving {
+		e.replicaLeaving(now, entry)
 	}
 	if s.Backoff > 0 {
 		e.counts.Inc(count.ReplicaStatus, statusBackoff)
 		e.log("replica_backoff", "replica", name, "service", entry.Service, "for_ms", s.Backoff.Milliseconds())
 	}
 }
+
+// statusReported applies a statement that came without a Replied event.
+func (e *Engine) statusReported(now time.Time, ev StatusReported) {
+	entry := e.registry.entries[ev.Replica]
+	if entry == nil {
+		return // it was removed in the meantime
+	}
+	e.observeStatus(now, ev.Replica, time.Time{}, &ev.Status)
+	e.resume(now, entry.Service)
+}
+
+// replicaLeaving gives a replica that stated that it will stop soon no new work.
+func (e *Engine) replicaLeaving(now time.Time, entry *registryEntry) {
+	entry.stated.leaving = true
+	e.setBalancerSpec(now, entry)
+	e.counts.Inc(count.ReplicaStatus, statusLeaving)
+	e.log("replica_leaving", "replica", entry.Replica, "service", entry.Service, "draining", entry.Draining)
+}
--- /dev/null
+++ b/core/forward/status_test.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// singleReplicas returns a harness with one shard and the given number of replicas.
+func singleReplicas(t *testing.T, replicas int) *harness {
+	h := newHarness(t, nil)
+	h.table(1, 1)
+	h.replicas(1, replicas)
+	return h
+}
+
+// sendTo sends requests until one reaches a replica, and returns its attempt. The attempts at
+// other replicas are answered.
+func (h *harness) sendTo(name api.ReplicaName) Send {
+	h.t.Helper()
+	for range 50 {
+		h.request("/one/x")
+		for _, s := range h.takeSends() {
+			if s.Replica == name {
+				return s
+			}
+			h.ok(s, "ab")
+		}
+	}
+	h.t.Fatalf("no request reaches %s", name)
+	return Send{}
+}
+
+// checkUnused fails the test if any of the given number of requests reaches a replica.
+func (h *harness) checkUnused(name api.ReplicaName, requests int) {
+	h.t.Helper()
+	for range requests {
+		h.advance(20 * time.Millisecond)
+		h.request("/one/x")
+		for _, s := range h.takeSends() {
+			if s.Replica == name {
+				h.t.Fatalf("%s gets a request at %v", name, h.now.Sub(start))
+			}
+			h.ok(s, "ab")
+		}
+	}
+}
+
+func leaving(kind ReplyKind) Reply {
+	return Reply{Kind: kind, Proof: "p", Body: []byte("ab"), Status: ReplicaStatus{Leaving: true}}
+}
+
+// TestReplicaThatStatesItsLeaveGetsNoRequests guards against requests to a replica that said in
+// an answer of any kind that it leaves (DRAIN): the node waited for the store, which may say so
+// late or never.
+func TestReplicaThatStatesItsLeaveGetsNoRequests(t *testing.T) {
+	for _, kind := range []ReplyKind{ReplyOK, ReplyError, ReplyRefused, ReplyInvalid} {
+		h := singleReplicas(t, 2)
+		name := replicaOf(0, 0)
+		h.reply(h.sendTo(name), leaving(kind))
+		h.takeSends() // the retry of a failed attempt
+		h.checkUnused(name, 200)
+	}
+}
+
+// TestStatedLeaveOutlastsTheRegistration guards against a replica that is used again because
+// the store still lists it as ready, lists it again after a lapse, or is restored.
+func TestStatedLeaveOutlastsTheRegistration(t *testing.T) {
+	h := singleReplicas(t, 2)
+	name := replicaOf(0, 0)
+	h.reply(h.sendTo(name), leaving(ReplyOK))
+	ready := registration(0, 0)
+	ready.Sequence = 7
+	h.step(ReplicaRegistered{Registration: ready})
+	h.checkUnused(name, 50)
+	h.step(ReplicaUnregistered{Replica: name})
+	h.step(ReplicaRegistered{Registration: ready})
+	h.checkUnused(name, 50)
+	h.step(RegistryRead{Registrations: []Registration{ready, registration(0, 1)}, Restored: true})
+	h.checkUnused(name, 50)
+	ready.ProcessStart++
+	h.step(ReplicaRegistered{Registration: ready})
+	h.sendTo(name) // the next process is used
+}
+
+// TestLeaveInADiscardedAnswerCounts guards against a statement that is lost because nobody
+// waits for the answer that it came with.
+func TestLeaveInADiscardedAnswerCounts(t *testing.T) {
+	h := singleReplicas(t, 2)
+	name := replicaOf(0, 0)
+	h.step(StatusReported{Replica: name, Status: ReplicaStatus{Leaving: true}})
+	h.checkUnused(name, 100)
+}
+
+// TestServiceWhoseReplicasLeaveIsRefusedAtOnce guards against requests that wait for replicas
+// that all said that they leave.
+func TestServiceWhoseReplicasLeaveIsRefusedAtOnce(t *testing.T) {
+	h := singleReplicas(t, 1)
+	h.reply(h.sendTo(replicaOf(0, 0)), leaving(ReplyOK))
+	a := h.answer(h.request("/one/x"))
+	if a.Outcome != api.NotRun || a.Reason != api.ReasonNoReplica || a.RetryAfter <= 0 {
+		t.Errorf("%+v, want a refusal", a)
+	}
+}
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -198,19 +198,32 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	switch {
 	case err != nil:
+		c.reportStatus(response)
 		return err
 	case len(body) > maxReplyBytes:
+		c.reportStatus(response)
 		return errors.New("the response body is too long")
 	case response.StatusCode < http.StatusOK:
 		return nil // an interim response; the final one follows
 	}
 	if echoed := response.Header.Get(c.targets.headers.RequestID); echoed != "" && echoed != x.wire.id {
+		c.reportStatus(response)
 		c.markOutOfSync()
 		return nil // the response to an earlier request
 	}
 	return c.completeExchange(x, response, body)
 }
 
+// reportStatus reports what the replica states about itself in a response that answers no
+// attempt.
+func (c *conn) reportStatus(response *http.Response) {
+	s := replicaStatus(c.targets.headers, response)
+	if s == (forward.ReplicaStatus{}) || response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	c.targets.sink.Post(forward.StatusReported{Replica: c.replica, Status: s})
+}
+
 func (c *conn) markOutOfSync() {
 	c.targets.mu.Lock()
 	defer c.targets.mu.Unlock()
@@ -234,6 +247,8 @@
 	c.targets.mu.Unlock()
 	if pending {
 		c.targets.sink.Post(forward.Replied{Attempt: x.attempt, Reply: reply})
+	} else {
+		c.reportStatus(response)
 	}
 	if !reusable {
 		return io.EOF
