--- a/core/api/request.go
+++ b/core/api/request.go
@@ -137,6 +137,7 @@
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonShed             Reason = "shed"
 	ReasonRateLimited      Reason = "rate_limited"
+	ReasonBackoff          Reason = "backoff"
 	ReasonCrashed          Reason = "crashed"
 	ReasonDraining         Reason = "draining"
 	ReasonTruncated        Reason = "truncated"
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -40,10 +40,11 @@
 // part before is used only if no other is left to replace the failed attempt. A hedge
 // goes neither to a replica with overdue attempts nor to a suspect one: waiting for
 // these would help nobody. A replica that names a rate limit is used only with a permit, and
-// not for a hedge, which would take the permit of another request.
+// not for a hedge, which would take the permit of another request. One that asked for a pause
+// is not used before its end.
 func (e *Engine) choose(now time.Time, r *request, p *part, why purpose) (api.ReplicaName, api.Reason) {
 	e.candidates = e.candidates[:0]
-	slow := true
+	slow, backoff := true, false
 	reason := api.ReasonNoReplica
 	preferred := e.preferredRank(p.service)
 	var overdue, notPreferred, failed, unpermitted []api.ReplicaName
@@ -52,6 +53,10 @@
 		if entry.draining() || !e.mayUseReplica(r, p, name, why) {
 			continue
 		}
+		if now.Before(entry.stated.backoffUntil) {
+			backoff = true
+			continue
+		}
 		if !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)) {
 			reason = api.ReasonOverloaded
 			continue
@@ -92,6 +97,9 @@
 		e.missPermits(now, unpermitted, 0)
 		return name, api.ReasonNone
 	}
+	if backoff && reason == api.ReasonNoReplica {
+		reason = api.ReasonBackoff
+	}
 	if len(unpermitted) == 0 {
 		return "", reason
 	}
--- a/core/forward/status.go
+++ b/core/forward/status.go
@@ -35,6 +35,8 @@
 	// leaving is set once the replica has stated that it will stop soon. It cannot be taken
 	// back: the store may list the replica as ready for some time.
 	leaving bool
+	// backoffUntil is the time until which the replica wants no requests from this node.
+	backoffUntil time.Time
 }
 
 // observeStatus applies what a replica states about itself in the response to a request sent
@@ -53,8 +55,7 @@
 		e.replicaLeaving(now, entry)
 	}
 	if s.Backoff > 0 {
-		e.counts.Inc(count.ReplicaStatus, statusBackoff)
-		e.log("replica_backoff", "replica", name, "service", entry.Service, "for_ms", s.Backoff.Milliseconds())
+		e.replicaBacksOff(now, entry, s.Backoff)
 	}
 }
 
@@ -75,3 +76,14 @@
 	e.counts.Inc(count.ReplicaStatus, statusLeaving)
 	e.log("replica_leaving", "replica", entry.Replica, "service", entry.Service, "draining", entry.Draining)
 }
+
+// replicaBacksOff gives a replica that asked for a pause no new work until its end. A shorter
+// pause than one that is in force changes nothing.
+func (e *Engine) replicaBacksOff(now time.Time, entry *registryEntry, pause time.Duration) {
+	e.counts.Inc(count.ReplicaStatus, statusBackoff)
+	e.log("replica_backoff", "replica", entry.Replica, "service", entry.Service, "for_ms", pause.Milliseconds())
+	if until := now.Add(pause); until.After(entry.stated.backoffUntil) {
+		entry.stated.backoffUntil = until
+		e.timers.Add(until, timer{service: entry.Service})
+	}
+}
--- a/core/forward/status_test.go
+++ b/core/forward/status_test.go
@@ -103,3 +103,58 @@
 		t.Errorf("%+v, want a refusal", a)
 	}
 }
+
+// TestBackoffOfAReplicaIsRespected guards against requests to a replica that asked for a pause
+// (BUDGET), against forgetting it when the registration lapses, and against a replica that is
+// not used again.
+func TestBackoffOfAReplicaIsRespected(t *testing.T) {
+	const wait = 3 * time.Second
+	for _, kind := range []ReplyKind{ReplyRefused, ReplyError} {
+		h := singleReplicas(t, 2)
+		name := replicaOf(0, 0)
+		h.reply(h.sendTo(name), Reply{Kind: kind, PromisesNotRun: true, Status: ReplicaStatus{Backoff: wait}})
+		h.takeSends() // the retry
+		until := h.now.Add(wait)
+		h.checkUnused(name, 50)
+		h.step(ReplicaUnregistered{Replica: name})
+		h.step(ReplicaRegistered{Registration: registration(0, 0)})
+		h.step(StatusReported{Replica: name, Status: ReplicaStatus{Backoff: time.Millisecond}})
+		h.checkUnused(name, 50)
+		h.advance(until.Sub(h.now))
+		h.sendTo(name)
+	}
+}
+
+// TestRequestsOnTheWayBeforeABackoff guards against waiting parts that are sent to a replica
+// after it asked for a pause, and against parts that wait beyond its end.
+func TestRequestsOnTheWayBeforeABackoff(t *testing.T) {
+	h := singleReplicas(t, 1)
+	name := replicaOf(0, 0)
+	var running []Send
+	for range 4 { // as many as the replica may get at a time
+		h.request("/one/x")
+	}
+	running = h.takeSends()
+	waiting := h.request("/one/x")
+	if len(running) != 4 || len(h.takeSends()) != 0 {
+		t.Fatalf("%d requests run, want 4 and one that waits", len(running))
+	}
+	h.reply(running[0], Reply{Kind: ReplyRefused, Status: ReplicaStatus{Backoff: time.Second}})
+	for _, s := range running[1:] {
+		h.ok(s, "ab")
+	}
+	if sends := h.takeSends(); len(sends) != 0 {
+		t.Errorf("%d requests are sent to %s after it asked for a pause", len(sends), name)
+	}
+	if a := h.answer(waiting); a.Outcome != api.NotRun || a.Reason != api.ReasonBackoff || a.RetryAfter <= 0 {
+		t.Errorf("the waiting request gets %+v", a)
+	}
+	if a := h.answer(h.request("/one/x")); a.Outcome != api.NotRun || a.Reason != api.ReasonBackoff || a.RetryAfter <= 0 {
+		t.Errorf("a new request gets %+v", a)
+	}
+	h.advance(time.Second)
+	h.request("/one/x")
+	if sends := h.takeSends(); len(sends) != 1 {
+		t.Errorf("%d requests are sent after the pause", len(sends))
+	}
+}
