entry/relay: the reading of responses in a file of its own

Opening, writing and teardown of connections stay, reading and classifying responses moves to response.go.

--- /dev/null
+++ b/entry/relay/response.go
@@ -0,0 +1,175 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/forward"
+)
+
+const (
+	// maxReplyBytes bounds the body of a response.
+	maxReplyBytes = 16 << 20
+)
+
+var errUnsolicited = errors.New("received bytes without a pending request")
+
+// wireReply is a replica's response as it was received.
+type wireReply struct {
+	status int
+	header http.Header
+}
+
+// readLoop reads responses until the connection ends.
+func (c *conn) readLoop() {
+	for {
+		_, err := c.reader.Peek(1)
+		answered := err == nil
+		if answered {
+			err = c.readResponse()
+		}
+		if err != nil {
+			c.teardown(c.readLoss(answered))
+			return
+		}
+	}
+}
+
+// readLoss classifies the loss of a request whose connection ended. answered says whether
+// a byte of a response had been received.
+func (c *conn) readLoss(answered bool) forward.Loss {
+	c.targets.mu.Lock()
+	defer c.targets.mu.Unlock()
+	if c.reused && !answered {
+		return forward.LostStale
+	}
+	return forward.LostBroken
+}
+
+// readResponse reads one response and reports it. After an error, the connection must be
+// closed.
+func (c *conn) readResponse() error {
+	c.targets.mu.Lock()
+	x := c.current
+	c.targets.mu.Unlock()
+	if x == nil {
+		return errUnsolicited
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: x.wire.method})
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	switch {
+	case err != nil:
+		c.reportStatus(response)
+		return err
+	case len(body) > maxReplyBytes:
+		c.reportStatus(response)
+		return errors.New("the response body is too long")
+	case response.StatusCode < http.StatusOK:
+		return nil // an interim response; the final one follows
+	}
+	if echoed := response.Header.Get(c.targets.headers.RequestID); echoed != "" && echoed != x.wire.id {
+		c.reportStatus(response)
+		c.markOutOfSync()
+		return nil // the response to an earlier request
+	}
+	return c.completeExchange(x, response, body)
+}
+
+// reportStatus reports what the replica states about itself in a response that answers no
+// attempt.
+func (c *conn) reportStatus(response *http.Response) {
+	s := replicaStatus(c.targets.headers, response)
+	if s == (forward.ReplicaStatus{}) || response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	c.targets.sink.Post(forward.StatusReported{Replica: c.replica, Status: s})
+}
+
+func (c *conn) markOutOfSync() {
+	c.targets.mu.Lock()
+	defer c.targets.mu.Unlock()
+	c.outOfSync = true
+}
+
+// completeExchange reports a response and makes the connection idle. It returns io.EOF if
+// the connection cannot be reused.
+func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte) error {
+	reply := c.classify(response, body)
+	c.targets.mu.Lock()
+	pending := c.current == x
+	c.current = nil
+	if pending {
+		delete(c.targets.attempts, x.attempt)
+	}
+	reusable := pending && !response.Close && !c.writing && !c.outOfSync && c.reader.Buffered() == 0
+	if reusable {
+		c.putIdle(idleReuseTime(response.Header))
+	}
+	c.targets.mu.Unlock()
+	if pending {
+		c.targets.sink.Post(forward.Replied{Attempt: x.attempt, Reply: reply})
+	} else {
+		c.reportStatus(response)
+	}
+	if !reusable {
+		return io.EOF
+	}
+	return nil
+}
+
+// idleReuseTime returns how long an idle connection may be reused after a response with the
+// given header.
+func idleReuseTime(h http.Header) time.Duration {
+	for option := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(option), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+			return min(time.Duration(seconds*keepAliveFraction*float64(time.Second)), maxIdleTime)
+		}
+	}
+	return maxIdleTime
+}
+
+// classify converts a response to a reply of the kind that its status and header imply.
+func (c *conn) classify(response *http.Response, body []byte) forward.Reply {
+	h := response.Header
+	reply := forward.Reply{
+		Proof: h.Get(c.targets.headers.Proof), Body: body,
+		PromisesNotRun: promisesNotRun(response.StatusCode),
+		Status:         replicaStatus(c.targets.headers, response),
+		Wire:           &wireReply{status: response.StatusCode, header: h},
+	}
+	ok := response.StatusCode >= 200 && response.StatusCode < 300
+	switch {
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		reply.Kind = forward.ReplyMisdirected
+	case h.Get(c.targets.headers.NotRun) != "":
+		reply.Kind = forward.ReplyRefused
+	case ok && (reply.Proof == "" || h.Get("Content-Encoding") != ""):
+		reply.Kind = forward.ReplyInvalid
+	case ok:
+		reply.Kind = forward.ReplyOK
+	default:
+		reply.Kind = forward.ReplyError
+	}
+	return reply
+}
+
+// promisesNotRun reports whether callers resend a request after this status even if it
+// must not run twice.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
