relay: bytes without end from a replica are cut off

The body of a response was bounded, its head was not; nor were interim responses and responses to other requests, of which any number was read, nor the memory of many bodies at once. What is longer is lost as oversized: the connection is closed, the request may have run, and an idempotent one goes to another replica. Not bounded: complete bodies that wait for the rest of their search or for a slow caller.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -299,6 +299,9 @@
 	case LostStale:
 		e.counts.Inc(count.Connection, "stale")
 		return "stale"
+	case LostOversized:
+		e.counts.Inc(count.Connection, "oversized")
+		return "oversized"
 	}
 	e.counts.Inc(count.Connection, "broken")
 	return "broken"
@@ -307,7 +310,7 @@
 func (e *Engine) applyLoss(now time.Time, a *attempt, loss Loss) {
 	r := a.request
 	p := &r.parts[a.part]
-	if loss == LostBroken || loss == LostStale {
+	if loss == LostBroken || loss == LostStale || loss == LostOversized {
 		r.mayHaveRun = true
 		r.brokenAttempts++
 		p.failed = append(p.failed, a.replica)
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -219,6 +219,9 @@
 	// LostStale is LostBroken on a reused connection without any byte of an answer: the
 	// replica had probably closed the idle connection.
 	LostStale
+	// LostOversized means that the replica sent more bytes than a response may have. The
+	// request may have run.
+	LostOversized
 )
 
 // Lost reports that an attempt ended without an answer.
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -24,6 +24,11 @@
 	replica api.ReplicaName
 	address string
 	reader  *bufio.Reader
+	// source bounds what reader reads: the heads of the responses to the current request.
+	// While a body is read, bodyBytesLeft bounds it and framedBytesLeft bounds it with its
+	// framing. Only the reading goroutine uses these fields.
+	source                         *boundedReader
+	bodyBytesLeft, framedBytesLeft int64
 
 	// Guarded by targets.mu.
 	socket  net.Conn
@@ -64,7 +69,9 @@
 // serve sends the first request, if there is one, and reads responses until the connection
 // ends.
 func (c *conn) serve(socket net.Conn) {
-	c.reader = bufio.NewReaderSize(socket, readBufferSize)
+	c.source = &boundedReader{source: socket}
+	c.resetBounds()
+	c.reader = bufio.NewReaderSize(c.source, readBufferSize)
 	c.targets.mu.Lock()
 	c.socket = socket
 	x := c.current
--- a/entry/relay/conn_test.go
+++ b/entry/relay/conn_test.go
@@ -17,6 +17,9 @@
 	NotRun: "X-Not-Run", RateLimit: "X-Rate", Leaving: "X-Leaving", Proofs: "X-Proofs", Missing: "X-Missing",
 }
 
+// testBodyMemory is enough for the responses of all tests but those of the bound itself.
+const testBodyMemory = 256 << 20
+
 // events is an EventSink that passes events to the test.
 type events chan forward.Event
 
@@ -98,7 +101,7 @@
 
 func newFixture(t *testing.T, script func(conn, request int, r *http.Request) string) *fixture {
 	e := make(events, 16)
-	return &fixture{t: t, targets: NewTargets(e, testHeaders), events: e, replica: serve(t, script)}
+	return &fixture{t: t, targets: NewTargets(e, testHeaders, testBodyMemory), events: e, replica: serve(t, script)}
 }
 
 func (f *fixture) send(body string) forward.AttemptID {
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -182,7 +182,7 @@
 		t.Fatal(err)
 	}
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2"}), discardLog{}, nil)
-	loop.Connect(NewTargets(loop, Headers{}), NewNodes(loop))
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop))
 	server := NewNodeServer(loop)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	defer server.Stop()
--- a/entry/relay/notify_test.go
+++ b/entry/relay/notify_test.go
@@ -15,7 +15,7 @@
 // node that received the notice directly refuses the request (BUDGET).
 func TestNotifiedNodeRefusesQuarantinedRequest(t *testing.T) {
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
-	loop.Connect(NewTargets(loop, Headers{}), NewNodes(loop))
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/entry/relay/permits_test.go
+++ b/entry/relay/permits_test.go
@@ -15,7 +15,7 @@
 func serveLoop(t *testing.T) (address string) {
 	t.Helper()
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
-	loop.Connect(NewTargets(loop, Headers{}), NewNodes(loop))
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -12,8 +12,13 @@
 )
 
 const (
-	// maxReplyBytes bounds the body of a response.
+	// maxHeadBytes bounds the heads of all responses to one request, interim ones included.
+	maxHeadBytes = 64 << 10
+	// maxReplyBytes bounds the bodies of all responses to one request.
 	maxReplyBytes = 16 << 20
+	// maxFramedBytes bounds those bodies with their framing, which for small chunks takes more
+	// than the bodies.
+	maxFramedBytes = 2 * maxReplyBytes
 )
 
 var errUnsolicited = errors.New("received bytes without a pending request")
@@ -33,7 +38,7 @@
 			err = c.readResponse()
 		}
 		if err != nil {
-			c.teardown(c.readLoss(answered))
+			c.teardown(c.readLoss(answered, err))
 			return
 		}
 	}
@@ -41,10 +46,14 @@
 
 // readLoss classifies the loss of a request whose connection ended. answered says whether
 // a byte of a response had been received.
-func (c *conn) readLoss(answered bool) forward.Loss {
+func (c *conn) readLoss(answered bool, err error) forward.Loss {
 	c.targets.mu.Lock()
 	defer c.targets.mu.Unlock()
-	if c.reused && !answered {
+	switch {
+	case errors.Is(err, errResponseTooLarge) || c.source.left <= 0:
+		// The parser of the head replaces some errors of its reader.
+		return forward.LostOversized
+	case c.reused && !answered:
 		return forward.LostStale
 	}
 	return forward.LostBroken
@@ -63,16 +72,13 @@
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	switch {
-	case err != nil:
+	if response.StatusCode < http.StatusOK {
+		return nil // an interim response; the final one follows
+	}
+	body, err := c.readBody(response)
+	if err != nil {
 		c.reportStatus(response)
 		return err
-	case len(body) > maxReplyBytes:
-		c.reportStatus(response)
-		return errors.New("the response body is too long")
-	case response.StatusCode < http.StatusOK:
-		return nil // an interim response; the final one follows
 	}
 	if echoed := response.Header.Get(c.targets.headers.RequestID); echoed != "" && echoed != x.wire.id {
 		c.reportStatus(response)
@@ -82,6 +88,24 @@
 	return c.completeExchange(x, response, body)
 }
 
+// readBody reads the body of a response.
+func (c *conn) readBody(response *http.Response) ([]byte, error) {
+	headBytesLeft := c.source.left
+	c.source.left = c.framedBytesLeft
+	body, err := c.targets.bodies.readAll(response.Body, c.bodyBytesLeft)
+	c.bodyBytesLeft -= int64(len(body))
+	c.framedBytesLeft = c.source.left
+	if err == nil {
+		c.source.left = headBytesLeft
+	}
+	return body, err
+}
+
+// resetBounds allows the connection to read the responses to the next request.
+func (c *conn) resetBounds() {
+	c.source.left, c.bodyBytesLeft, c.framedBytesLeft = maxHeadBytes, maxReplyBytes, maxFramedBytes
+}
+
 // reportStatus reports what the replica states about itself in a response that answers no
 // attempt.
 func (c *conn) reportStatus(response *http.Response) {
@@ -102,6 +126,7 @@
 // the connection cannot be reused.
 func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte) error {
 	reply := c.classify(response, body)
+	c.resetBounds()
 	c.targets.mu.Lock()
 	pending := c.current == x
 	c.current = nil
--- a/entry/relay/status_test.go
+++ b/entry/relay/status_test.go
@@ -70,7 +70,7 @@
 // process that reuses the address.
 func TestStatusOfAnotherReplicaIsIgnored(t *testing.T) {
 	e := make(events, 1)
-	c := &conn{targets: NewTargets(e, testHeaders), replica: "r"}
+	c := &conn{targets: NewTargets(e, testHeaders, testBodyMemory), replica: "r"}
 	c.reportStatus(&http.Response{StatusCode: http.StatusMisdirectedRequest, Header: http.Header{"X-Leaving": {"1"}}})
 	if len(e) != 0 {
 		t.Errorf("%+v is reported", <-e)
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -49,16 +49,19 @@
 	headers Headers
 	// acceptWait is how long a new connection is observed before a request is sent on it.
 	acceptWait time.Duration
+	// bodies bounds the memory of the response bodies that are being read.
+	bodies memoryBudget
 
 	mu       sync.Mutex
 	idle     map[api.ReplicaName][]*conn
 	attempts map[forward.AttemptID]*conn
 }
 
-// NewTargets returns an empty pool of connections.
-func NewTargets(poster EventSink, headers Headers) *Targets {
+// NewTargets returns an empty pool of connections. The bodies of responses that are being read
+// take at most bodyMemory bytes together.
+func NewTargets(poster EventSink, headers Headers, bodyMemory int64) *Targets {
 	return &Targets{
-		sink: poster, headers: headers, acceptWait: defaultAcceptWait,
+		sink: poster, headers: headers, acceptWait: defaultAcceptWait, bodies: memoryBudget{limit: bodyMemory},
 		idle:     make(map[api.ReplicaName][]*conn),
 		attempts: make(map[forward.AttemptID]*conn),
 	}
