--- a/entry/etcdstore/etcdstore.go
+++ b/entry/etcdstore/etcdstore.go
@@ -37,6 +37,8 @@
 	// errorBodyLimit bounds, in bytes, the part of an error response's body that
 	// is quoted in the error.
 	errorBodyLimit = 300
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Settings describes the store to connect to. Zero values mean the defaults.
@@ -84,13 +86,14 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c.transport = &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
-		Protocols:             protocols,
-		MaxConnsPerHost:       s.MaxConnections,
-		MaxIdleConnsPerHost:   s.MaxConnections,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: s.CallTimeout,
-		DisableCompression:    true,
+		DialContext:            (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
+		Protocols:              protocols,
+		MaxConnsPerHost:        s.MaxConnections,
+		MaxIdleConnsPerHost:    s.MaxConnections,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  s.CallTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	c.client = &http.Client{
 		Transport: c.transport,
--- a/entry/etcdstore/etcdstore_test.go
+++ b/entry/etcdstore/etcdstore_test.go
@@ -17,6 +17,7 @@
 	"github.com/baobabsail/baobabsail/core/event"
 	"github.com/baobabsail/baobabsail/entry/etcdstore"
 	"github.com/baobabsail/baobabsail/entry/store"
+	"github.com/baobabsail/baobabsail/standin/endless"
 	"github.com/baobabsail/baobabsail/standin/platform"
 )
 
@@ -348,3 +349,25 @@
 		t.Fatal("the redirect was followed")
 	}
 }
+
+// Guards against reading a response head without end: the client read 10 MiB of it, a large
+// part of the memory of a small VM.
+func TestEndlessResponseHead(t *testing.T) {
+	server, err := endless.NewServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	c := connect(t, 0, "http://"+server.Address())
+	read := c.Get(t.Context(), key)
+	err = read.Err
+	if err == nil {
+		t.Error("a head without end is accepted")
+	}
+	if sent := server.Sent(); sent > maxEndlessBytes {
+		t.Errorf("the client took %d bytes", sent)
+	}
+}
+
+// maxEndlessBytes is the bound of a response head with generous buffers of the sockets.
+const maxEndlessBytes = 1 << 20
--- a/entry/vmlist/vmlist.go
+++ b/entry/vmlist/vmlist.go
@@ -35,6 +35,8 @@
 	// maxResponseBytes limits the size of a response: 20,000 VMs at 200 bytes each, several
 	// times the planned scale.
 	maxResponseBytes = 4 << 20
+	// maxHeaderBytes limits the size of a response's header.
+	maxHeaderBytes = 64 << 10
 )
 
 // Settings holds the address of the VM list service and the timeout of a call.
@@ -61,7 +63,7 @@
 	if s.Timeout == 0 {
 		s.Timeout = defaultTimeout
 	}
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: s.Timeout}).DialContext, MaxConnsPerHost: 2}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: s.Timeout}).DialContext, MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{
 		url:     strings.TrimRight(s.Endpoint, "/") + "/v1/vms",
 		timeout: s.Timeout,
--- a/entry/vmlist/vmlist_test.go
+++ b/entry/vmlist/vmlist_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabsail/baobabsail/core/event"
 	"github.com/baobabsail/baobabsail/entry/vmlist"
+	"github.com/baobabsail/baobabsail/standin/endless"
 	"github.com/baobabsail/baobabsail/standin/platform"
 )
 
@@ -62,3 +63,28 @@
 		}
 	}
 }
+
+// Guards against reading a response head without end: the client read 10 MiB of it, a large
+// part of the memory of a small VM.
+func TestEndlessResponseHead(t *testing.T) {
+	server, err := endless.NewServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	c, err := vmlist.New(vmlist.Settings{Endpoint: "http://" + server.Address()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	_, err = c.List(t.Context())
+	if err == nil {
+		t.Error("a head without end is accepted")
+	}
+	if sent := server.Sent(); sent > maxEndlessBytes {
+		t.Errorf("the client took %d bytes", sent)
+	}
+}
+
+// maxEndlessBytes is the bound of a response head with generous buffers of the sockets.
+const maxEndlessBytes = 1 << 20
