core/forward: random events with rate limits, pauses and leaves

TestRandomStatements runs the model of TestRandomEvents while replicas state limits, pauses and their leave in answers of all kinds, another node grants permits, and responses are oversized. No attempt may disregard a statement. Found by writing it: the statement in a late answer of a former process was applied to the process that replaced it; a status counts for its own process only now.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -158,7 +158,7 @@
 		return
 	}
 	e.recordAnswer(now, a.replica)
-	if ev.Reply.Kind != ReplyMisdirected { // that response came from another replica
+	if ev.Reply.Kind != ReplyMisdirected && e.sameProcess(a) {
 		e.observeStatus(now, a.replica, a.sentAt, &ev.Reply.Status)
 	}
 	e.connections(a.replica).backoff = 0
@@ -170,6 +170,12 @@
 	e.resume(now, a.service)
 }
 
+// sameProcess reports whether the process that an attempt was sent to is still registered.
+func (e *Engine) sameProcess(a *attempt) bool {
+	entry := e.registry.entries[a.replica]
+	return entry != nil && entry.ProcessStart == a.processStart
+}
+
 // observeReply updates the health and latency records of the replica.
 func (e *Engine) observeReply(now time.Time, a *attempt, kind ReplyKind) {
 	latency := now.Sub(a.sentAt)
--- a/core/forward/model_test.go
+++ b/core/forward/model_test.go
@@ -38,6 +38,9 @@
 type trackedAttempt struct {
 	Send
 	service api.ServiceName
+	// processStart identifies the process of the replica, sentAt is when it was sent.
+	processStart int64
+	sentAt       time.Time
 	// open is set until the attempt is answered, lost or cancelled.
 	open bool
 	// reached is set unless no part of the request arrived at the replica.
@@ -62,6 +65,10 @@
 	pendingChecks []api.ReplicaName
 	version       uint64
 	shards        int
+	// stated holds what replicas have stated about themselves.
+	stated map[api.ReplicaName]*modelStatements
+	// permitRequests holds the requests for permits that have no response yet.
+	permitRequests []RequestPermits
 }
 
 const modelServices = 5
@@ -74,6 +81,7 @@
 		requests: make(map[string]*trackedRequest), byID: make(map[api.RequestID]*trackedRequest),
 		attempts: make(map[AttemptID]*trackedAttempt), replicas: make(map[api.ReplicaName]Registration),
 		used: make(map[api.ReplicaName]int), opened: make(map[api.ReplicaName]int),
+		stated: make(map[api.ReplicaName]*modelStatements),
 	}
 	m.configure(modelServices)
 	for s := range modelServices {
@@ -92,6 +100,7 @@
 
 func (m *model) register(r Registration) {
 	m.replicas[r.Replica] = r
+	m.statements(r.Replica) // a restart ends what the former process stated
 	m.step(ReplicaRegistered{Registration: r})
 }
 
@@ -110,6 +119,8 @@
 		m.end(a.Attempt)
 	case CheckReplica:
 		m.pendingChecks = append(m.pendingChecks, a.Replica)
+	case RequestPermits:
+		m.permitRequests = append(m.permitRequests, a)
 	case Answer:
 		m.answered(a)
 	}
@@ -181,6 +192,8 @@
 	if r.path != "/all/" && total > len(reached) || total > 2+maxRepeats {
 		m.t.Fatalf("%s is sent to %s for the %dth time", s.Message.CallerRequest, a.service, total)
 	}
+	m.checkStatements(s)
+	a.processStart, a.sentAt = replica.ProcessStart, m.h.now
 	r.sends = append(r.sends, a)
 	m.attempts[s.Attempt] = a
 	if m.used[s.Replica]++; m.used[s.Replica] > m.h.accepted {
@@ -259,7 +272,8 @@
 				if slices.Contains(p.failed, name) {
 					allowed = w.extra && p.mayRetryFailedReplica(w.request)
 				}
-				usable := !entry.Draining && allowed && !e.stalledReplicas[name]
+				usable := !entry.draining() && allowed && !e.stalledReplicas[name] &&
+					!m.h.now.Before(entry.stated.backoffUntil) && e.limiter.Permitted(m.h.now, name)
 				if usable && e.connections(name).hasCapacity(m.h.now, e.quota(service, entry.Slots)) {
 					m.t.Fatalf("%s waits for %s although %s has capacity", w.request.message.CallerRequest, service, name)
 				}
@@ -282,13 +296,19 @@
 	return rapid.SampledFrom(open).Draw(t, "attempt")
 }
 
-func (m *model) reply(a *trackedAttempt, kind ReplyKind) {
+func (m *model) reply(a *trackedAttempt, kind ReplyKind) { m.replyWith(a, kind, ReplicaStatus{}) }
+
+// replyWith answers an attempt with a status of the replica.
+func (m *model) replyWith(a *trackedAttempt, kind ReplyKind, status ReplicaStatus) {
 	if m.opened[a.Replica] < m.used[a.Replica] {
 		m.opened[a.Replica]++
 		m.step(ConnOpened{Replica: a.Replica})
 	}
 	m.end(a.Attempt)
-	reply := Reply{Kind: kind, Body: []byte("aa")}
+	reply := Reply{Kind: kind, Body: []byte("aa"), Status: status}
+	if m.replicas[a.Replica].ProcessStart == a.processStart && kind != ReplyMisdirected {
+		m.recordStatus(a, status)
+	}
 	switch kind {
 	case ReplyOK:
 		a.proof = fmt.Sprint("proof-", a.Attempt)
@@ -345,8 +365,11 @@
 	}
 }
 
-func randomEvents(t *rapid.T) {
-	m := newModel(t)
+func randomEvents(t *rapid.T) { newModel(t).run(t, nil) }
+
+// run performs random actions, among them the additional ones, which replace those of the same
+// name, and checks that every request ends.
+func (m *model) run(t *rapid.T, additional map[string]func(*rapid.T)) {
 	duration := func(t *rapid.T, most int) time.Duration {
 		return time.Duration(rapid.IntRange(1, most).Draw(t, "ms")) * time.Millisecond
 	}
@@ -402,6 +425,7 @@
 			}}})
 		},
 	}
+	maps.Copy(actions, additional)
 	t.Repeat(actions)
 	m.advance(defaultTimeout + time.Minute)
 	for id, r := range m.requests {
