--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -43,67 +43,97 @@
 // not for a hedge, which would take the permit of another request. One that asked for a pause
 // is not used before its end.
 func (e *Engine) choose(now time.Time, r *request, p *part, why purpose) (api.ReplicaName, api.Reason) {
-	e.candidates = e.candidates[:0]
-	slow, backoff := true, false
-	reason := api.ReasonNoReplica
-	preferred := e.preferredRank(p.service)
-	var overdue, notPreferred, failed, unpermitted []api.ReplicaName
+	c := e.findCandidates(now, r, p, why)
+	name, ok := e.replicas.Pick(now, c.best(), nil)
+	switch {
+	case ok:
+		e.missPermits(now, c.unpermitted, 0)
+		return name, api.ReasonNone
+	case len(c.unpermitted) == 0:
+		return "", c.reason
+	}
+	return e.awaitPermit(now, p.service, c.unpermitted, c.reason)
+}
+
+// candidates holds the replicas that may get an attempt, by preference.
+type candidates struct {
+	preferred, notPreferred, overdue, failed []api.ReplicaName
+	// slow is set if all preferred replicas are expected to be slow.
+	slow bool
+	// unpermitted holds those that lack only a permit.
+	unpermitted []api.ReplicaName
+	// reason is why the other replicas of the service may not get the attempt.
+	reason api.Reason
+}
+
+// findCandidates returns the candidates for an attempt. They are valid until the next call.
+func (e *Engine) findCandidates(now time.Time, r *request, p *part, why purpose) candidates {
+	c := candidates{preferred: e.candidates[:0], slow: true, reason: api.ReasonNoReplica}
+	preferredRank := e.preferredRank(p.service)
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
-		if entry.draining() || !e.mayUseReplica(r, p, name, why) {
-			continue
-		}
-		if now.Before(entry.stated.backoffUntil) {
-			backoff = true
-			continue
-		}
-		if !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)) {
-			reason = api.ReasonOverloaded
-			continue
-		}
-		if e.stalledReplicas[name] && !e.replicas.ProbeDue(now, name) {
-			continue
-		}
-		if why == hedgeAttempt && (e.overdueReplicas[name] || e.replicas.Suspect(name) || e.limiter.Limited(name)) {
-			continue
-		}
-		if !e.limiter.Permitted(now, name) {
-			unpermitted = append(unpermitted, name)
-			continue
-		}
-		switch {
+		switch reason := e.exclusion(now, r, p, entry, why); {
+		case reason == api.ReasonRateLimited:
+			c.unpermitted = append(c.unpermitted, name)
+		case reason != api.ReasonNone:
+			c.exclude(reason)
 		case slices.Contains(p.tried, name):
-			failed = append(failed, name)
+			c.failed = append(c.failed, name)
 		case e.overdueReplicas[name]:
-			overdue = append(overdue, name)
-		case entry.rank > preferred:
-			notPreferred = append(notPreferred, name)
+			c.overdue = append(c.overdue, name)
+		case entry.rank > preferredRank:
+			c.notPreferred = append(c.notPreferred, name)
 		default:
-			e.candidates = append(e.candidates, name)
-			slow = slow && e.replicas.ExpectedLatency(now, name) > slowLatencyFactor*r.hedgeAfter
+			c.preferred = append(c.preferred, name)
+			c.slow = c.slow && e.replicas.ExpectedLatency(now, name) > slowLatencyFactor*r.hedgeAfter
 		}
 	}
-	if slow {
-		e.candidates = append(e.candidates, notPreferred...)
-	}
-	if len(e.candidates) == 0 {
-		e.candidates = append(e.candidates, overdue...)
+	e.candidates = c.preferred
+	return c
+}
+
+// exclusion returns why a replica may not get an attempt now, or ReasonNone. ReasonRateLimited
+// means that it lacks only a permit.
+func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
+	name := entry.Replica
+	switch {
+	case entry.draining() || !e.mayUseReplica(r, p, name, why):
+		return api.ReasonNoReplica
+	case now.Before(entry.stated.backoffUntil):
+		return api.ReasonBackoff
+	case !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)):
+		return api.ReasonOverloaded
+	case e.stalledReplicas[name] && !e.replicas.ProbeDue(now, name):
+		return api.ReasonNoReplica
+	case why == hedgeAttempt && (e.overdueReplicas[name] || e.replicas.Suspect(name) || e.limits.limiter.Limited(name)):
+		return api.ReasonNoReplica
+	case !e.limits.limiter.Permitted(now, name):
+		return api.ReasonRateLimited
 	}
-	if len(e.candidates) == 0 {
-		e.candidates = append(e.candidates, failed...)
+	return api.ReasonNone
+}
+
+// exclude records why a replica may not get the attempt. A reason that will pass, and soonest,
+// takes precedence.
+func (c *candidates) exclude(reason api.Reason) {
+	if reason == api.ReasonOverloaded || c.reason == api.ReasonNoReplica {
+		c.reason = reason
 	}
-	name, ok := e.replicas.Pick(now, e.candidates, nil)
-	if ok {
-		e.missPermits(now, unpermitted, 0)
-		return name, api.ReasonNone
+}
+
+// best returns the candidates of the highest preference.
+func (c *candidates) best() []api.ReplicaName {
+	best := c.preferred
+	if c.slow {
+		best = append(best, c.notPreferred...)
 	}
-	if backoff && reason == api.ReasonNoReplica {
-		reason = api.ReasonBackoff
+	if len(best) == 0 {
+		best = c.overdue
 	}
-	if len(unpermitted) == 0 {
-		return "", reason
+	if len(best) == 0 {
+		best = c.failed
 	}
-	return e.awaitPermit(now, p.service, unpermitted, reason)
+	return best
 }
 
 // mayUseReplica reports whether an attempt for a part may go to a replica, considering
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -9,7 +9,6 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
-	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/core/timerqueue"
@@ -110,16 +109,7 @@
 	// a liveness check.
 	controlReplica      api.ReplicaName
 	lastCheckAnsweredAt time.Time
-	// limiter holds the rate limits that replicas name and the permits of this node; allocator
-	// grants permits for the replicas that this node is the allocator of.
-	limiter   *ratelimit.Limiter
-	allocator *ratelimit.Allocator
-	// failedAllocators holds the nodes that did not respond to a request for permits, and
-	// until when other nodes are asked. allocatorFailures counts such requests in a row.
-	// Until disconnectedUntil, this node takes itself for disconnected from the others.
-	failedAllocators  map[string]time.Time
-	allocatorFailures int
-	disconnectedUntil time.Time
+	limits              rateLimits
 	// admissions holds the admission control state of sharded requests, keyed by the
 	// first shard of the route.
 	admissions map[api.ServiceName]*admissionControl
@@ -173,16 +163,13 @@
 		stalledReplicas: make(map[api.ReplicaName]bool),
 		lastReplyAt:     make(map[api.ReplicaName]time.Time),
 		quarantine:      quarantine.New(counts),
-		limiter:         ratelimit.NewLimiter(),
-		allocator:       ratelimit.NewAllocator(),
+		limits:          newRateLimits(),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
 		groups:          nodeGroups{node: s.Node, balancer: balance.New(rng, s.DataCentre)},
 		divided:         make(map[api.RequestID]*dividedRequest),
 		calls:           make(map[CallID]*call),
-
-		failedAllocators: make(map[string]time.Time),
 	}
 	e.replicas.SetRemoteSurcharge(remoteSurcharge)
 	return e
@@ -259,8 +246,7 @@
 	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
 		e.cleanedUpAt = now
 		e.quarantine.Tick(now)
-		e.allocator.Tick(now)
-		e.dropFailedAllocators(now)
+		e.limits.tick(now)
 	}
 	e.runTimers(now)
 	return e.actions
--- a/core/forward/model_test.go
+++ b/core/forward/model_test.go
@@ -273,7 +273,7 @@
 					allowed = w.extra && p.mayRetryFailedReplica(w.request)
 				}
 				usable := !entry.draining() && allowed && !e.stalledReplicas[name] &&
-					!m.h.now.Before(entry.stated.backoffUntil) && e.limiter.Permitted(m.h.now, name)
+					!m.h.now.Before(entry.stated.backoffUntil) && e.limits.limiter.Permitted(m.h.now, name)
 				if usable && e.connections(name).hasCapacity(m.h.now, e.quota(service, entry.Slots)) {
 					m.t.Fatalf("%s waits for %s although %s has capacity", w.request.message.CallerRequest, service, name)
 				}
--- a/core/forward/ratelimit.go
+++ b/core/forward/ratelimit.go
@@ -25,13 +25,44 @@
 	maxAllocatorFailures = 3
 )
 
+// rateLimits is the state of an engine that concerns the rate limits of replicas.
+type rateLimits struct {
+	// limiter holds the limits that replicas name and the permits of this node; allocator
+	// grants permits for the replicas that this node is the allocator of.
+	limiter   *ratelimit.Limiter
+	allocator *ratelimit.Allocator
+	// failedAllocators holds the nodes that did not respond to a request for permits, and
+	// until when other nodes are asked. failures counts such requests in a row.
+	failedAllocators map[string]time.Time
+	failures         int
+	// disconnectedUntil is the time until which this node takes itself for disconnected from
+	// the others.
+	disconnectedUntil time.Time
+}
+
+func newRateLimits() rateLimits {
+	return rateLimits{
+		limiter: ratelimit.NewLimiter(), allocator: ratelimit.NewAllocator(), failedAllocators: make(map[string]time.Time),
+	}
+}
+
+// tick drops unused buckets, and the nodes that may be asked for permits again.
+func (l *rateLimits) tick(now time.Time) {
+	l.allocator.Tick(now)
+	for node, until := range l.failedAllocators {
+		if !now.Before(until) {
+			delete(l.failedAllocators, node)
+		}
+	}
+}
+
 // observeRateLimit records whether a replica names a rate limit in the response to a request
 // sent at sentAt.
 func (e *Engine) observeRateLimit(now time.Time, entry *registryEntry, sentAt time.Time, s *ReplicaStatus) {
 	if s.Invalid != "" && !s.HasRateLimit {
 		return // the invalid field may be the limit
 	}
-	switch e.limiter.Observe(now, entry.Replica, s.HasRateLimit, s.RateLimit, sentAt) {
+	switch e.limits.limiter.Observe(now, entry.Replica, s.HasRateLimit, s.RateLimit, sentAt) {
 	case ratelimit.Named:
 		e.counts.Inc(count.ReplicaStatus, statusRateLimit)
 		e.log("replica_rate_limit", "replica", entry.Replica, "service", entry.Service, "per_second", s.RateLimit)
@@ -49,10 +80,10 @@
 
 // usePermit consumes and counts the permit of an attempt if its replica names a rate limit.
 func (e *Engine) usePermit(name api.ReplicaName, why purpose) {
-	if !e.limiter.Limited(name) {
+	if !e.limits.limiter.Limited(name) {
 		return
 	}
-	e.limiter.Use(name)
+	e.limits.limiter.Use(name)
 	if why == retryAttempt {
 		e.counts.Inc(count.RateLimit, "sent_retry")
 		return
@@ -68,10 +99,10 @@
 	e.missPermits(now, unpermitted, 1+len(e.waiting[service]))
 	requesting := false
 	for _, name := range unpermitted {
-		if e.limiter.Permitted(now, name) {
+		if e.limits.limiter.Permitted(now, name) {
 			return name, api.ReasonNone
 		}
-		requesting = requesting || e.limiter.Requesting(name)
+		requesting = requesting || e.limits.limiter.Requesting(name)
 	}
 	if requesting || otherwise == api.ReasonOverloaded {
 		return "", api.ReasonOverloaded
@@ -83,7 +114,7 @@
 // the number of parts that can only go to these replicas.
 func (e *Engine) missPermits(now time.Time, names []api.ReplicaName, waiting int) {
 	for _, name := range names {
-		if r, ok := e.limiter.Miss(now, name, waiting); ok {
+		if r, ok := e.limits.limiter.Miss(now, name, waiting); ok {
 			e.counts.Inc(count.RateLimit, "permits_requested")
 			e.requestPermits(now, r)
 		}
@@ -95,7 +126,7 @@
 func (e *Engine) requestPermits(now time.Time, r ratelimit.Request) {
 	node, share := e.allocatorOf(now, r.Replica)
 	if node == e.settings.Node {
-		e.applyGrant(now, e.allocator.Allocate(now, r, share))
+		e.applyGrant(now, e.limits.allocator.Allocate(now, r, share))
 		return
 	}
 	e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node]})
@@ -105,13 +136,13 @@
 // may grant: the reachable node with the lowest hash of both names, or this node with its own
 // share of the limit if no other node accepts calls or responds.
 func (e *Engine) allocatorOf(now time.Time, replica api.ReplicaName) (node string, share float64) {
-	if now.Before(e.disconnectedUntil) {
+	if now.Before(e.limits.disconnectedUntil) {
 		return e.settings.Node, 1 / float64(e.nodeCount)
 	}
 	lowest := uint64(math.MaxUint64)
 	for _, peers := range e.groups.nodes {
 		for _, p := range peers {
-			failed := now.Before(e.failedAllocators[p.Node])
+			failed := now.Before(e.limits.failedAllocators[p.Node])
 			if h := xxhash.Sum64String(p.Node + "/" + string(replica)); !failed && h < lowest {
 				node, lowest = p.Node, h
 			}
@@ -123,25 +154,16 @@
 	return node, 1
 }
 
-// dropFailedAllocators forgets the nodes that may be asked for permits again.
-func (e *Engine) dropFailedAllocators(now time.Time) {
-	for node, until := range e.failedAllocators {
-		if !now.Before(until) {
-			delete(e.failedAllocators, node)
-		}
-	}
-}
-
 // permitsRequested grants permits to another node.
 func (e *Engine) permitsRequested(now time.Time, ev PermitsRequested) {
-	g := e.allocator.Allocate(now, ev.Request, 1)
+	g := e.limits.allocator.Allocate(now, ev.Request, 1)
 	e.counts.Add(count.RateLimit, "permits_granted", uint64(g.Permits))
 	e.emit(GrantPermits{Grant: g, Call: ev.Call})
 }
 
 // permitsGranted applies a response of an allocator and resumes the parts that wait for it.
 func (e *Engine) permitsGranted(now time.Time, ev PermitsGranted) {
-	e.allocatorFailures = 0
+	e.limits.failures = 0
 	e.applyGrant(now, ev.Grant)
 	if entry := e.registry.entries[ev.Replica]; entry != nil {
 		e.resume(now, entry.Service)
@@ -150,7 +172,7 @@
 
 func (e *Engine) applyGrant(now time.Time, g ratelimit.Grant) {
 	entry := e.registry.entries[g.Replica]
-	if e.limiter.Granted(now, g) && entry != nil {
+	if e.limits.limiter.Granted(now, g) && entry != nil {
 		e.rateLimitEnded(g.Replica, entry.Service)
 	}
 }
@@ -160,11 +182,11 @@
 func (e *Engine) permitsFailed(now time.Time, ev PermitsFailed) {
 	e.counts.Inc(count.RateLimit, "permits_failed")
 	e.log("permits_failed", "node", ev.Node, "replica", ev.Replica, "error", ev.Error)
-	e.failedAllocators[ev.Node] = now.Add(allocatorFailedTime)
-	if e.allocatorFailures++; e.allocatorFailures >= maxAllocatorFailures {
-		e.allocatorFailures, e.disconnectedUntil = 0, now.Add(allocatorFailedTime)
+	e.limits.failedAllocators[ev.Node] = now.Add(allocatorFailedTime)
+	if e.limits.failures++; e.limits.failures >= maxAllocatorFailures {
+		e.limits.failures, e.limits.disconnectedUntil = 0, now.Add(allocatorFailedTime)
 	}
-	e.limiter.Failed(ev.Replica)
+	e.limits.limiter.Failed(ev.Replica)
 	if entry := e.registry.entries[ev.Replica]; entry != nil {
 		e.resume(now, entry.Service)
 	}
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -113,7 +113,7 @@
 	if removed, ok := e.registry.removed[reg.Replica]; ok && !reg.restartedSince(removed.Registration) {
 		return removed.stated
 	}
-	e.limiter.Remove(reg.Replica)
+	e.limits.limiter.Remove(reg.Replica)
 	return statements{}
 }
 
@@ -213,7 +213,7 @@
 		}
 		delete(e.registry.removed, name)
 		if e.registry.entries[name] == nil {
-			e.limiter.Remove(name)
+			e.limits.limiter.Remove(name)
 		}
 	}
 	e.registry.removed[entry.Replica] = removedReplica{Registration: entry.Registration, stated: entry.stated, at: now}
