core/forward: the status of a replica travels with its reply, not in it

Parts keep the replies of a search until it is answered, and each carried the 48 bytes of a status that was applied on arrival.

--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -155,8 +155,6 @@
 	// not run. For a ReplyError the promise is false, so the reply must not reach
 	// callers.
 	PromisesNotRun bool
-	// Status is what the replica states about itself.
-	Status ReplicaStatus
 	// Wire is the driver's representation of the reply.
 	Wire any
 }
@@ -173,6 +171,8 @@
 	event
 	Attempt AttemptID
 	Reply   Reply
+	// Status is what the replica states about itself.
+	Status ReplicaStatus
 }
 
 // StatusReported holds what a replica states about itself in a response that no Replied event
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -162,7 +162,11 @@
 	h.reply(s, Reply{Kind: ReplyOK, Proof: fmt.Sprint("proof-", s.Replica), Body: []byte(body)})
 }
 
-func (h *harness) reply(s Send, r Reply) { h.step(Replied{Attempt: s.Attempt, Reply: r}) }
+func (h *harness) reply(s Send, r Reply) { h.replyWith(s, r, ReplicaStatus{}) }
+
+func (h *harness) replyWith(s Send, r Reply, status ReplicaStatus) {
+	h.step(Replied{Attempt: s.Attempt, Reply: r, Status: status})
+}
 
 // answer returns the final answer to a request and fails the test if there is none.
 func (h *harness) answer(id api.RequestID) Answer {
--- a/core/forward/model_test.go
+++ b/core/forward/model_test.go
@@ -305,7 +305,7 @@
 		m.step(ConnOpened{Replica: a.Replica})
 	}
 	m.end(a.Attempt)
-	reply := Reply{Kind: kind, Body: []byte("aa"), Status: status}
+	reply := Reply{Kind: kind, Body: []byte("aa")}
 	if m.replicas[a.Replica].ProcessStart == a.processStart && kind != ReplyMisdirected {
 		m.recordStatus(a, status)
 	}
@@ -319,7 +319,7 @@
 	if kind == ReplyMisdirected {
 		delete(m.replicas, a.Replica)
 	}
-	m.step(Replied{Attempt: a.Attempt, Reply: reply})
+	m.step(Replied{Attempt: a.Attempt, Reply: reply, Status: status})
 }
 
 func (m *model) lose(a *trackedAttempt, loss Loss) {
--- a/core/forward/ratelimit_test.go
+++ b/core/forward/ratelimit_test.go
@@ -66,15 +66,15 @@
 	if !l.noSlowReplies && l.rng.IntN(20) == 0 {
 		took = 120 * time.Millisecond // long enough for a hedge
 	}
-	reply := Reply{
-		Kind: ReplyOK, Proof: "proof-" + string(s.Replica), Body: []byte("ab"),
+	replied := Replied{
+		Attempt: s.Attempt, Reply: Reply{Kind: ReplyOK, Proof: "proof-" + string(s.Replica), Body: []byte("ab")},
 		Status: ReplicaStatus{HasRateLimit: limited, RateLimit: limit},
 	}
 	l.events = append(l.events, fleetEvent{at: l.now.Add(took), do: func() {
 		if _, ok := l.informedAt[key]; limited && !ok {
 			l.informedAt[key] = l.now
 		}
-		l.step(node, Replied{Attempt: s.Attempt, Reply: reply})
+		l.step(node, replied)
 	}})
 }
 
--- a/core/forward/reply.go
+++ b/core/forward/reply.go
@@ -16,7 +16,7 @@
 	}
 	e.recordAnswer(now, a.replica)
 	if ev.Reply.Kind != ReplyMisdirected && e.sameProcess(a) {
-		e.observeStatus(now, a.replica, a.sentAt, &ev.Reply.Status)
+		e.observeStatus(now, a.replica, a.sentAt, &ev.Status)
 	}
 	e.connections(a.replica).backoff = 0
 	e.observeReply(now, a, ev.Reply.Kind)
--- a/core/forward/status_test.go
+++ b/core/forward/status_test.go
@@ -47,8 +47,9 @@
 	}
 }
 
-func leaving(kind ReplyKind) Reply {
-	return Reply{Kind: kind, Proof: "p", Body: []byte("ab"), Status: ReplicaStatus{Leaving: true}}
+// replyLeaving answers an attempt; the replica states that it leaves.
+func (h *harness) replyLeaving(s Send, kind ReplyKind) {
+	h.replyWith(s, Reply{Kind: kind, Proof: "p", Body: []byte("ab")}, ReplicaStatus{Leaving: true})
 }
 
 // TestReplicaThatStatesItsLeaveGetsNoRequests guards against requests to a replica that said in
@@ -58,7 +59,7 @@
 	for _, kind := range []ReplyKind{ReplyOK, ReplyError, ReplyRefused, ReplyInvalid} {
 		h := singleReplicas(t, 2)
 		name := replicaOf(0, 0)
-		h.reply(h.sendTo(name), leaving(kind))
+		h.replyLeaving(h.sendTo(name), kind)
 		h.takeSends() // the retry of a failed attempt
 		h.checkUnused(name, 200)
 	}
@@ -69,7 +70,7 @@
 func TestStatedLeaveOutlastsTheRegistration(t *testing.T) {
 	h := singleReplicas(t, 2)
 	name := replicaOf(0, 0)
-	h.reply(h.sendTo(name), leaving(ReplyOK))
+	h.replyLeaving(h.sendTo(name), ReplyOK)
 	ready := registration(0, 0)
 	ready.Sequence = 7
 	h.step(ReplicaRegistered{Registration: ready})
@@ -97,7 +98,7 @@
 // that all said that they leave.
 func TestServiceWhoseReplicasLeaveIsRefusedAtOnce(t *testing.T) {
 	h := singleReplicas(t, 1)
-	h.reply(h.sendTo(replicaOf(0, 0)), leaving(ReplyOK))
+	h.replyLeaving(h.sendTo(replicaOf(0, 0)), ReplyOK)
 	a := h.answer(h.request("/one/x"))
 	if a.Outcome != api.NotRun || a.Reason != api.ReasonNoReplica || a.RetryAfter <= 0 {
 		t.Errorf("%+v, want a refusal", a)
@@ -112,7 +113,7 @@
 	for _, kind := range []ReplyKind{ReplyRefused, ReplyError} {
 		h := singleReplicas(t, 2)
 		name := replicaOf(0, 0)
-		h.reply(h.sendTo(name), Reply{Kind: kind, PromisesNotRun: true, Status: ReplicaStatus{Backoff: wait}})
+		h.replyWith(h.sendTo(name), Reply{Kind: kind, PromisesNotRun: true}, ReplicaStatus{Backoff: wait})
 		h.takeSends() // the retry
 		until := h.now.Add(wait)
 		h.checkUnused(name, 50)
@@ -139,7 +140,7 @@
 	if len(running) != 4 || len(h.takeSends()) != 0 {
 		t.Fatalf("%d requests run, want 4 and one that waits", len(running))
 	}
-	h.reply(running[0], Reply{Kind: ReplyRefused, Status: ReplicaStatus{Backoff: time.Second}})
+	h.replyWith(running[0], Reply{Kind: ReplyRefused}, ReplicaStatus{Backoff: time.Second})
 	for _, s := range running[1:] {
 		h.ok(s, "ab")
 	}
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -87,6 +87,9 @@
 // Permitted reports whether a request may be sent to a replica: it names no limit, or there is
 // a permit.
 func (l *Limiter) Permitted(now time.Time, name api.ReplicaName) bool {
+	if len(l.replicas) == 0 {
+		return true
+	}
 	r := l.replicas[name]
 	if r == nil {
 		return true
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -139,7 +139,8 @@
 	}
 	c.targets.mu.Unlock()
 	if pending {
-		c.targets.sink.Post(forward.Replied{Attempt: x.attempt, Reply: reply})
+		status := replicaStatus(c.targets.headers, response)
+		c.targets.sink.Post(forward.Replied{Attempt: x.attempt, Reply: reply, Status: status})
 	} else {
 		c.reportStatus(response)
 	}
@@ -170,7 +171,6 @@
 	reply := forward.Reply{
 		Proof: h.Get(c.targets.headers.Proof), Body: body,
 		PromisesNotRun: promisesNotRun(response.StatusCode),
-		Status:         replicaStatus(c.targets.headers, response),
 		Wire:           &wireReply{status: response.StatusCode, header: h},
 	}
 	ok := response.StatusCode >= 200 && response.StatusCode < 300
