core/forward, core/quarantine: probation, targetTime, RequestsUnanswered

"isolated" was a second word for the probation of core/quarantine and the glossary; the field target of a request is a time, while a target is a back end; TargetsUnresponsive took fingerprints of requests. Outer names (the counter detail probation, log keys) stay. core/forward, core/quarantine and core/testbed pass.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -13,7 +13,7 @@
 // costs the replica less than a new connection.
 func (e *Engine) finish(now time.Time, r *request, reason api.Reason) {
 	delete(e.requests, r.id)
-	e.endIsolation(now, r)
+	e.endProbation(now, r)
 	e.observeLoad(now, r)
 	answer := e.answer(r, reason)
 	for i := range r.parts {
@@ -45,8 +45,8 @@
 // time, either because too few parts had arrived ("parts") or because this node was
 // busy ("node").
 func (e *Engine) countLate(now time.Time, r *request, a *Answer) {
-	if r.subset == nil && a.Merged != nil && now.After(r.target.Add(lateTolerance)) {
-		if r.minCoverageAt.After(r.target) {
+	if r.subset == nil && a.Merged != nil && now.After(r.targetTime.Add(lateTolerance)) {
+		if r.minCoverageAt.After(r.targetTime) {
 			e.counts.Inc(count.Late, "parts")
 		} else {
 			e.counts.Inc(count.Late, "node")
@@ -89,7 +89,7 @@
 		a.Outcome = api.Answered
 		a.Merged = r.mergeUnsent()
 		if reason == api.ReasonEarlyReturn {
-			a.TargetTime = r.target
+			a.TargetTime = r.targetTime
 		}
 	case !r.route.Sharded() && r.answered == 1:
 		a.Outcome = api.Answered
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -61,22 +61,22 @@
 		e.refuse(now, ev, route, api.ReasonOverloaded, overloadRetryAfter(e.rng))
 		return
 	}
-	isolated, ok := e.admit(now, ev, r)
+	probation, ok := e.admit(now, ev, r)
 	if !ok {
 		return
 	}
-	if groups := e.groupCount(route); groups > 1 && !isolated && ev.Subset == nil {
+	if groups := e.groupCount(route); groups > 1 && !probation && ev.Subset == nil {
 		e.divide(now, r, groups)
 		return
 	}
 	e.requests[r.id] = r
-	r.isolated, r.hasHeldParts = isolated, isolated
+	r.onProbation, r.hasHeldParts = probation, probation
 	e.start(now, r)
 	e.progress(now, r)
 }
 
-// start sends all parts of a request, or only the first one if the request runs in
-// isolation.
+// start sends all parts of a request, or only the first one if the request runs on
+// probation.
 func (e *Engine) start(now time.Time, r *request) {
 	repeat := r.subset != nil && r.subset.PriorAttempts > 0
 	r.singleAttempt = r.subset != nil
@@ -87,7 +87,7 @@
 			continue
 		}
 		e.budget(now, r.parts[i].service).Earn(now)
-		if i == 0 || !r.isolated {
+		if i == 0 || !r.onProbation {
 			e.dispatch(now, r, i)
 		}
 	}
@@ -101,11 +101,11 @@
 	}
 	if ev.Subset != nil {
 		r.maxAttempts = ev.Subset.MaxAttempts
-		r.deadline, r.target = now.Add(ev.CallerTimeout), now.Add(ev.Target)
+		r.deadline, r.targetTime = now.Add(ev.CallerTimeout), now.Add(ev.Target)
 	} else {
 		e.setTimes(r, ev)
 	}
-	left := r.target.Sub(now)
+	left := r.targetTime.Sub(now)
 	if left < maxHedgeDivisor*retry.DefaultFloor {
 		left = r.deadline.Sub(now) // the target cannot be met
 	}
@@ -138,9 +138,9 @@
 			r.deadline = callerDeadline
 		}
 	}
-	r.target = r.deadline
+	r.targetTime = r.deadline
 	if r.route.TargetLatency > 0 {
-		r.target = r.start.Add(r.route.TargetLatency - ev.Transit - e.answerMargin(r.route.TargetLatency))
+		r.targetTime = r.start.Add(r.route.TargetLatency - ev.Transit - e.answerMargin(r.route.TargetLatency))
 	}
 }
 
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -78,20 +78,20 @@
 	}
 	p.hedgeAt = now.Add(r.hedgeAfter)
 	r.hedgeAt = earliest(r.hedgeAt, p.hedgeAt)
-	// An isolated request is written only once the replica has accepted a new connection
+	// A request on probation is written only once the replica has accepted a new connection
 	// for it.
-	a.replicaUnresponsive = !r.isolated && e.unresponsive(name)
+	a.replicaUnresponsive = !r.onProbation && e.unresponsive(name)
 	c := e.connections(name)
-	a.dialing = r.isolated || c.used >= c.open
+	a.dialing = r.onProbation || c.used >= c.open
 	c.used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
-	if r.isolated {
+	if r.onProbation {
 		e.quarantine.ProbationStarted(now, r.message.Fingerprint, name)
 	}
 	e.emit(Send{
 		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
-		ShortLived: entry.rank > e.preferredRank(p.service), NewConnection: r.isolated, Remaining: r.deadline.Sub(now),
+		ShortLived: entry.rank > e.preferredRank(p.service), NewConnection: r.onProbation, Remaining: r.deadline.Sub(now),
 	})
 }
 
--- a/core/forward/attribution.go
+++ b/core/forward/attribution.go
@@ -106,7 +106,7 @@
 			continue
 		case r.crashAttributed:
 			additional = append(additional, fp)
-		case l.timedOut && !r.isolated:
+		case l.timedOut && !r.onProbation:
 			byTimeout = append(byTimeout, fp)
 			additional = append(additional, fp)
 		default:
@@ -122,7 +122,7 @@
 		"oldest_ms", now.Sub(lostAttempts[0].at).Milliseconds(), "fingerprints", confirmed, "by_silence", byTimeout, "further", additional)
 	e.publish(e.quarantine.Crashed(now, name, process, confirmed))
 	// byTimeout holds the fingerprints of the requests whose attempts timed out at the process.
-	e.publish(e.quarantine.TargetsUnresponsive(now, byTimeout))
+	e.publish(e.quarantine.RequestsUnanswered(now, byTimeout))
 	e.publish(e.quarantine.AdditionalCrash(now, name, process, additional))
 }
 
--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -52,7 +52,7 @@
 		d.bodies = append(d.bodies, ev.Body)
 	}
 	d.mayHaveRun = d.mayHaveRun || ev.MayHaveRun || len(ev.Proofs) > 0
-	if due := d.request.target.Add(-e.returnMargin(d.request.target.Sub(c.sentAt))); c.node != "" && now.After(due) && !ev.Last {
+	if due := d.request.targetTime.Add(-e.returnMargin(d.request.targetTime.Sub(c.sentAt))); c.node != "" && now.After(due) && !ev.Last {
 		e.callReplyDelay.Add(now, now.Sub(due))
 	}
 	if ev.Last {
--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -11,7 +11,7 @@
 const (
 	// A node has acceptFactor times the usual time to accept a call, but at least
 	// minAcceptTimeout and at most 1/acceptDivisor of the time left until the target time,
-	// by which the request should be answered (request.target).
+	// by which the request should be answered (request.targetTime).
 	minAcceptTimeout = 20 * time.Millisecond
 	acceptFactor     = 3
 	acceptDivisor    = 2
@@ -92,7 +92,7 @@
 		return
 	}
 	r := d.request
-	left := r.target.Sub(now)
+	left := r.targetTime.Sub(now)
 	c.acceptDeadline = now.Add(e.acceptTimeout(left))
 	c.responseDeadline = now.Add(r.deadline.Sub(now) / responseDivisor)
 	d.callsSent++
@@ -111,7 +111,7 @@
 	subset := c.subset()
 	id := localRequestBit | api.RequestID(c.id)
 	e.arrived(now, Arrived{
-		Request: id, Message: r.message, CallerTimeout: r.deadline.Sub(now), Target: r.target.Sub(now) - localMargin, Subset: &subset,
+		Request: id, Message: r.message, CallerTimeout: r.deadline.Sub(now), Target: r.targetTime.Sub(now) - localMargin, Subset: &subset,
 	})
 	e.extraAttemptsAllowed(now, id)
 }
@@ -165,7 +165,7 @@
 		c.extended = true
 		// As for the first deadline, the timeout depends on the whole time from sending the
 		// call to the target time, not on the time that is left.
-		c.acceptDeadline = now.Add(e.acceptTimeout(d.request.target.Sub(c.sentAt)))
+		c.acceptDeadline = now.Add(e.acceptTimeout(d.request.targetTime.Sub(c.sentAt)))
 		return
 	}
 	c.acceptDeadline, c.overdue = time.Time{}, true
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -78,8 +78,8 @@
 		return
 	}
 	wake := r.deadline
-	if r.target.After(now) {
-		wake = earliest(wake, r.target)
+	if r.targetTime.After(now) {
+		wake = earliest(wake, r.targetTime)
 	}
 	for i := range d.ranges {
 		for _, c := range slices.Clone(d.ranges[i].calls) {
@@ -115,7 +115,7 @@
 		e.finishDivided(now, d, d.reason)
 	case !now.Before(r.deadline):
 		e.finishDivided(now, d, api.ReasonDeadline)
-	case !now.Before(r.target) && r.hasMinCoverage(d.covered):
+	case !now.Before(r.targetTime) && r.hasMinCoverage(d.covered):
 		e.finishDivided(now, d, api.ReasonEarlyReturn)
 	default:
 		return false
@@ -127,7 +127,7 @@
 func (e *Engine) finishDivided(now time.Time, d *dividedRequest, reason api.Reason) {
 	r := d.request
 	delete(e.divided, r.id)
-	e.endIsolation(now, r)
+	e.endProbation(now, r)
 	outstanding := e.cancelCalls(now, d)
 	d.mayHaveRun = d.mayHaveRun || outstanding
 	if len(d.halfTimes) > 0 {
@@ -144,7 +144,7 @@
 	e.log("request_ended", "id", r.message.CallerRequest, "route", r.route.Name, "version", r.version,
 		"outcome", a.Outcome, "reason", a.Reason, "took_ms", now.Sub(r.start).Milliseconds(),
 		"parts", len(r.route.Shards), "covered", d.covered, "ranges", len(d.ranges), "ranges_open", d.openRanges,
-		"target_ms", r.target.Sub(r.start).Milliseconds())
+		"target_ms", r.targetTime.Sub(r.start).Milliseconds())
 }
 
 // answer builds the final answer.
@@ -156,7 +156,7 @@
 		a.Outcome = api.Answered
 		a.Merged = &Merged{Proofs: d.proofs, Missing: len(r.route.Shards) - d.covered, Body: mergeRecords(r.route.Merge, d.bodies)}
 		if reason == api.ReasonEarlyReturn {
-			a.TargetTime = r.target
+			a.TargetTime = r.targetTime
 		}
 	case !d.mayHaveRun:
 		a.Outcome = api.NotRun
@@ -171,7 +171,7 @@
 func (e *Engine) dividedCallerGone(now time.Time, d *dividedRequest) {
 	r := d.request
 	delete(e.divided, r.id)
-	e.endIsolation(now, r)
+	e.endProbation(now, r)
 	e.cancelCalls(now, d)
 	e.counts.Inc(count.SearchEnded, api.ReasonCallerGone)
 	e.log("request_abandoned", "id", r.message.CallerRequest, "route", r.route.Name,
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -169,7 +169,7 @@
 func (e *Engine) resolveLostAttempt(now time.Time, r *request) {
 	r.unresolvedLosses--
 	if r.unresolvedLosses == 0 && e.requests[r.id] != r {
-		e.endIsolation(now, r)
+		e.endProbation(now, r)
 	}
 }
 
--- a/core/forward/overload.go
+++ b/core/forward/overload.go
@@ -143,7 +143,7 @@
 	if !r.route.Sharded() || r.subset != nil {
 		return
 	}
-	limit := time.Duration(overloadLatencyShare * float64(r.target.Sub(r.start)))
+	limit := time.Duration(overloadLatencyShare * float64(r.targetTime.Sub(r.start)))
 	half := r.halfAnsweredAt.Sub(r.start)
 	if r.halfAnsweredAt.IsZero() {
 		half = now.Sub(r.start)
@@ -157,7 +157,7 @@
 // observeDividedLoad records the load seen by a divided request: half is the median over
 // its ranges of the time until half of the parts of a range were answered.
 func (e *Engine) observeDividedLoad(now time.Time, r *request, half time.Duration) {
-	limit := time.Duration(overloadLatencyShare * float64(r.target.Sub(r.start)))
+	limit := time.Duration(overloadLatencyShare * float64(r.targetTime.Sub(r.start)))
 	e.admissionControlFor(now, r.route).observe(now, r.route.Name, half, limit)
 }
 
--- a/core/forward/isolation.go
+++ b/core/forward/probation.go
@@ -12,28 +12,28 @@
 	// any part is answered: a request that crashes replicas must not take down a
 	// second replica of each shard.
 	maxRetriesBeforeAnswer = 2
-	// isolationRetryAfter is the time after which a caller may retry whose request is
-	// running in isolation for another caller.
-	isolationRetryAfter = 200 * time.Millisecond
+	// probationRetryAfter is the time after which a caller may retry whose request is
+	// running on probation for another caller.
+	probationRetryAfter = 200 * time.Millisecond
 )
 
 // admit asks the quarantine how a request may run. It either refuses the request (ok is
-// false) or returns whether the request must run in isolation.
-func (e *Engine) admit(now time.Time, ev Arrived, r *request) (isolated, ok bool) {
+// false) or returns whether the request must run on probation.
+func (e *Engine) admit(now time.Time, ev Arrived, r *request) (probation, ok bool) {
 	verdict := e.quarantine.Admit(now, ev.Message.Fingerprint, quarantine.Options{Work: !r.route.Idempotent})
 	switch verdict.Kind {
 	case quarantine.Refuse:
 		e.refuse(now, ev, r.route, api.ReasonQuarantined, verdict.RetryAfter)
 		return false, false
 	case quarantine.Wait:
-		e.refuse(now, ev, r.route, api.ReasonQuarantined, isolationRetryAfter)
+		e.refuse(now, ev, r.route, api.ReasonQuarantined, probationRetryAfter)
 		return false, false
 	}
 	return verdict.Kind == quarantine.RunProbation, true
 }
 
 // recordFirstAnswer handles the first answer of a replica to a request, which shows that the
-// request does not crash replicas: it reports this to the quarantine, ends the isolation and
+// request does not crash replicas: it reports this to the quarantine, ends the probation and
 // resumes waiting parts that may now be sent again to a replica that failed them.
 func (e *Engine) recordFirstAnswer(now time.Time, r *request) {
 	if r.replicaAnswered {
@@ -42,7 +42,7 @@
 	r.replicaAnswered = true
 	e.fingerprintAnswered(now, r.message.Fingerprint)
 	e.publish(e.quarantine.Answered(now, r.message.Fingerprint))
-	e.endIsolation(now, r)
+	e.endProbation(now, r)
 	for i := range r.parts {
 		if p := &r.parts[i]; p.state == partWaiting && p.mayRetryFailedReplica(r) {
 			e.resume(now, p.service)
@@ -50,12 +50,12 @@
 	}
 }
 
-// endIsolation ends the isolation of a request after its first answer or once the request has
-// ended. Without an answer, the isolation lasts until it is known whether the request crashed
+// endProbation ends the probation of a request after its first answer or once the request has
+// ended. Without an answer, the probation lasts until it is known whether the request crashed
 // a replica.
-func (e *Engine) endIsolation(now time.Time, r *request) {
-	if r.isolated && (r.replicaAnswered || r.unresolvedLosses == 0) {
-		r.isolated = false
+func (e *Engine) endProbation(now time.Time, r *request) {
+	if r.onProbation && (r.replicaAnswered || r.unresolvedLosses == 0) {
+		r.onProbation = false
 		e.quarantine.ProbationEnded(now, r.message.Fingerprint)
 	}
 }
--- a/core/forward/reply.go
+++ b/core/forward/reply.go
@@ -96,7 +96,7 @@
 		return
 	}
 	safe := r.route.Idempotent || !r.mayHaveRun
-	if !safe || r.isolated || !p.mayTryNewReplica(r) && !p.mayRetryFailedReplica(r) || !now.Before(r.deadline) {
+	if !safe || r.onProbation || !p.mayTryNewReplica(r) && !p.mayRetryFailedReplica(r) || !now.Before(r.deadline) {
 		e.giveUp(r, p, reason)
 		return
 	}
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -77,12 +77,12 @@
 	route   *routing.Route
 	version uint64 // of the configuration
 	start   time.Time
-	// deadline is the latest time for the final answer. target is the preferred time, at
+	// deadline is the latest time for the final answer. targetTime is the preferred time, at
 	// which an answer may be sent with parts missing.
-	deadline time.Time
-	target   time.Time
-	parts    []part
-	answered int
+	deadline   time.Time
+	targetTime time.Time
+	parts      []part
+	answered   int
 	// subset is set if the request came from another node. That node then checks the
 	// minimum coverage.
 	subset *Subset
@@ -99,10 +99,9 @@
 	// minCoverageAt is when the minimum coverage was reached.
 	minCoverageAt time.Time
 	missing       int
-	// isolated is set while the request is suspected of crashing replicas and runs in
-	// isolation, which the quarantine calls probation: one part is sent once, and the others
-	// only after it has been answered.
-	isolated bool
+	// onProbation is set while the request is suspected of crashing replicas: one part is sent
+	// once, and the others only after it has been answered.
+	onProbation bool
 	// replicaAnswered is set once a replica has answered any part.
 	replicaAnswered bool
 	// brokenAttempts is the number of attempts whose connection ended without an answer
@@ -163,12 +162,12 @@
 	if e.requests[r.id] != r || e.finishIfDue(now, r) {
 		return
 	}
-	if r.subset != nil && !r.partialSent && !now.Before(r.target) {
+	if r.subset != nil && !r.partialSent && !now.Before(r.targetTime) {
 		e.sendPartial(now, r)
 	}
 	wake := r.deadline
-	if r.target.After(now) && r.target.Before(wake) {
-		wake = r.target
+	if r.targetTime.After(now) && r.targetTime.Before(wake) {
+		wake = r.targetTime
 	}
 	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) {
 		r.hedgeAt = e.hedge(now, r)
@@ -201,7 +200,7 @@
 			continue
 		}
 		e.markOverdue(p)
-		if r.singleAttempt || !r.route.Idempotent || r.isolated || len(p.inFlight) != 1 || p.sends >= r.maxAttempts {
+		if r.singleAttempt || !r.route.Idempotent || r.onProbation || len(p.inFlight) != 1 || p.sends >= r.maxAttempts {
 			continue
 		}
 		if e.sendExtra(now, r, i, hedgeAttempt) == api.ReasonNone {
@@ -242,7 +241,7 @@
 		e.finish(now, r, r.missingReason())
 	case !now.Before(r.deadline):
 		e.finish(now, r, api.ReasonDeadline)
-	case r.subset == nil && !now.Before(r.target) && r.answered > 0 && r.hasMinCoverage(r.answered):
+	case r.subset == nil && !now.Before(r.targetTime) && r.answered > 0 && r.hasMinCoverage(r.answered):
 		e.finish(now, r, api.ReasonEarlyReturn)
 	default:
 		return false
@@ -279,7 +278,7 @@
 		return
 	}
 	delete(e.requests, id)
-	e.endIsolation(now, r)
+	e.endProbation(now, r)
 	for i := range r.parts {
 		// Another node that no longer needs the rest of a subset usually has its answer,
 		// so the attempts of a subset may finish.
--- a/core/quarantine/additional.go
+++ b/core/quarantine/additional.go
@@ -30,10 +30,10 @@
 	return out
 }
 
-// TargetsUnresponsive records that targets stopped responding with the given
+// RequestsUnanswered records that targets stopped responding with the given
 // requests in flight. This makes each request a suspect. All such reports on a
 // request count as one crash, regardless of the number of targets and nodes.
-func (r *Registry) TargetsUnresponsive(now time.Time, fps []api.Fingerprint) []gossip.Notice {
+func (r *Registry) RequestsUnanswered(now time.Time, fps []api.Fingerprint) []gossip.Notice {
 	return r.Crashed(now, "", 0, fps)
 }
 
--- a/core/quarantine/additional_test.go
+++ b/core/quarantine/additional_test.go
@@ -15,7 +15,7 @@
 	now := time.Unix(1_000_000, 0)
 	a, b := New(count.NewSet()), New(count.NewSet())
 	fps := []api.Fingerprint{7}
-	fromA, fromB := a.TargetsUnresponsive(now, fps), b.TargetsUnresponsive(now, fps)
+	fromA, fromB := a.RequestsUnanswered(now, fps), b.RequestsUnanswered(now, fps)
 	for _, r := range []*Registry{a, b} {
 		for _, n := range append(append([]gossip.Notice(nil), fromA...), fromB...) {
 			r.Learn(now, n)
