--- a/entry/relay/notify_test.go
+++ b/entry/relay/notify_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -14,15 +13,7 @@
 // Guards against a quarantine decision that reaches other nodes only through the store: a
 // node that received the notice directly refuses the request (BUDGET).
 func TestNotifiedNodeRefusesQuarantinedRequest(t *testing.T) {
-	loop := NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
-	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := NewNodeServer(loop)
-	go func() { _ = server.Serve(listener) }() // ends with Stop
-	t.Cleanup(server.Stop)
+	loop, address := serveLoop(t)
 	routes := []routing.Route{{Name: "one", Host: "h", Prefix: "/", Services: []routing.WeightedService{{Service: "s", Weight: 1}}, MaxAttempts: 1}}
 	loop.Post(forward.TableRead{Table: routing.NewTable(1, routes, []routing.Service{{Name: "s"}}, routing.Limits{})})
 	loop.Post(forward.ReplicaRegistered{Registration: forward.Registration{Replica: "r", Service: "s", Address: "127.0.0.1:1", Slots: 1}})
@@ -30,7 +21,7 @@
 	sender := NewNodes(&eventRecorder{})
 	defer sender.Close()
 	notice := gossip.Notice{Kind: gossip.NoticeConvicted, Replica: "r", Fingerprint: 5, Crashes: 2, Version: 1, TimeToLive: time.Hour}
-	sender.queueNotices(forward.SendNotices{Addresses: []string{listener.Addr().String()}, Notices: []gossip.Notice{notice}})
+	sender.queueNotices(forward.SendNotices{Addresses: []string{address}, Notices: []gossip.Notice{notice}})
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		id, answers := loop.register()
 		loop.Post(forward.Arrived{Request: id, CallerTimeout: time.Second, Message: &forward.Message{
--- a/entry/relay/permits_test.go
+++ b/entry/relay/permits_test.go
@@ -11,10 +11,10 @@
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
-// serveLoop starts the server of a node that calls of other nodes reach.
-func serveLoop(t *testing.T) (address string) {
+// serveLoop starts a node that calls of other nodes reach.
+func serveLoop(t *testing.T) (loop *Loop, address string) {
 	t.Helper()
-	loop := NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
+	loop = NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
 	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -23,7 +23,7 @@
 	server := NewNodeServer(loop)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	t.Cleanup(server.Stop)
-	return listener.Addr().String()
+	return loop, listener.Addr().String()
 }
 
 func permitsFor(limit float64, node, address string, wanted int) forward.RequestPermits {
@@ -36,7 +36,7 @@
 // Guards against permits that get lost between nodes (LIMIT): a node asks the allocator of a
 // replica over the network and gets its permits, or the time after which to ask again.
 func TestPermitsAreGrantedByAnotherNode(t *testing.T) {
-	address := serveLoop(t)
+	_, address := serveLoop(t)
 	events := &eventRecorder{}
 	nodes := NewNodes(events)
 	defer nodes.Close()
