--- a/cmd/baobab-soak/main.go
+++ b/cmd/baobab-soak/main.go
@@ -22,18 +22,19 @@
 )
 
 type arguments struct {
-	Seed      uint64        `default:"1" help:"First seed; it decides faults, load and victims."`
-	Runs      int           `default:"1" help:"Number of runs, with one seed after the other."`
-	For       time.Duration `default:"30s" help:"Time with faults in each run."`
-	Nodes     int           `default:"4" help:"Processes of baobabd."`
-	Targets   int           `default:"4" help:"Shards, each with three stand-in targets."`
-	Callers   int           `default:"12" help:"Callers beside those of fatal requests."`
-	Each      time.Duration `default:"40ms" help:"Mean time between two requests of a caller."`
-	DownLeast time.Duration `default:"1s" help:"Least time for which a target is down after a fatal request."`
-	DownMost  time.Duration `default:"5s" help:"Most time for which a target is down after a fatal request."`
-	Pause     time.Duration `default:"1200ms" help:"Mean time between two faults."`
-	Binary    string        `default:"target/baobabd" help:"Program to run."`
-	KeepLogs  string        `help:"Directory for settings and logs, which is kept; else they are removed unless a promise is broken."`
+	Seed       uint64        `default:"1" help:"First seed; it decides faults, load and victims."`
+	Runs       int           `default:"1" help:"Number of runs, with one seed after the other."`
+	For        time.Duration `default:"30s" help:"Time with faults in each run."`
+	Nodes      int           `default:"4" help:"Processes of baobabd."`
+	Targets    int           `default:"4" help:"Shards, each with three stand-in targets."`
+	Callers    int           `default:"12" help:"Callers beside those of fatal requests."`
+	Each       time.Duration `default:"40ms" help:"Mean time between two requests of a caller."`
+	DownLeast  time.Duration `default:"1s" help:"Least time for which a target is down after a fatal request."`
+	DownMost   time.Duration `default:"5s" help:"Most time for which a target is down after a fatal request."`
+	Pause      time.Duration `default:"1200ms" help:"Mean time between two faults."`
+	Statements bool          `help:"Let targets name rate limits, state their leave, ask for pauses and respond without end as well."`
+	Binary     string        `default:"target/baobabd" help:"Program to run."`
+	KeepLogs   string        `help:"Directory for settings and logs, which is kept; else they are removed unless a promise is broken."`
 }
 
 func main() {
@@ -76,7 +77,7 @@
 		return false
 	}
 	result, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: a.For, Nodes: a.Nodes, Shards: a.Targets, Callers: a.Callers, CallerPause: a.Each, DownLeast: a.DownLeast, DownMost: a.DownMost, Pause: a.Pause, Binary: a.Binary, Dir: dir,
+		Seed: seed, Duration: a.For, Nodes: a.Nodes, Shards: a.Targets, Callers: a.Callers, CallerPause: a.Each, DownLeast: a.DownLeast, DownMost: a.DownMost, Pause: a.Pause, Statements: a.Statements, Binary: a.Binary, Dir: dir,
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "seed %d: %v; logs in %s\n", seed, err, dir)
