--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -56,6 +56,8 @@
 	refusedRanges int
 	// permitRequests holds the nodes that wait for permits by the ID of their request.
 	permitRequests map[CallID]int
+	// onPermitRequest is called for each request for permits if it is set.
+	onPermitRequest func()
 	// sendTo handles Send actions in place of send if it is set.
 	sendTo func(node int, s Send)
 	// otherActions handles the actions that the fleet ignores if it is set.
@@ -215,6 +217,9 @@
 
 // requestPermits delivers a request for permits to the allocator of a replica.
 func (f *fleet) requestPermits(node int, a RequestPermits) {
+	if f.onPermitRequest != nil {
+		f.onPermitRequest()
+	}
 	if f.unreachable[a.Node] || f.unresponsive[a.Node] {
 		f.later(permitTimeout, node, PermitsFailed{Node: a.Node, Replica: a.Replica})
 		return
--- a/core/forward/ratelimit_test.go
+++ b/core/forward/ratelimit_test.go
@@ -163,6 +163,7 @@
 					t.Errorf("%s is refused after %v", id, took)
 				}
 			}
+			t.Logf("%d requests are served, the limits allow %.0f", served, 2*limit*seconds)
 			if allowed := 2 * limit * seconds; float64(served) < minUsedShare*allowed {
 				t.Errorf("%d requests are served, the limits allow %.0f", served, allowed)
 			}
@@ -242,3 +243,23 @@
 		}
 	}
 }
+
+// TestPermitRequestsAreFew guards against a storm of requests for permits while limits are used
+// up: a refused request must not cost more messages than an answered one.
+func TestPermitRequestsAreFew(t *testing.T) {
+	for _, nodes := range []int{8, 60, 295} {
+		l := newLimitedFleet(t, 1, fleetSize{nodes: nodes, shards: 4, replicas: 2, accepted: 25})
+		l.limits[replicaOf(0, 0)], l.limits[replicaOf(0, 1)] = 5, 5
+		messages := 0
+		l.onPermitRequest = func() { messages++ }
+		l.load("/one/x", time.Second)
+		messages = 0
+		requests := len(l.ids)
+		l.load("/one/x", 10*time.Second)
+		requests = len(l.ids) - requests
+		t.Logf("%d nodes: %d messages to allocators for %d requests at two limits of 5 a second", nodes, messages, requests)
+		if messages > 2*requests {
+			t.Errorf("%d nodes: %d messages for %d requests", nodes, messages, requests)
+		}
+	}
+}
