forward: a limit holds while the nodes that grant permits stop and start

Cause: a node that stops takes no calls, so that the others choose the next allocator, but it went on granting permits to itself; and each new allocator granted the full rate while some nodes still had the one before. Change: the engine is told when its process stops (Stopping) and then asks another node. A new bucket grants 0.4 of its rate for its first 2 s, the time after which nodes ask a failed allocator again.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -242,6 +242,8 @@
 		e.permitsGranted(now, ev)
 	case PermitsFailed:
 		e.permitsFailed(now, ev)
+	case Stopping:
+		e.limits.stopping = true
 	}
 	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
 		e.cleanedUpAt = now
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -361,3 +361,6 @@
 	// Error describes the cause for the log.
 	Error string
 }
+
+// Stopping reports that this process stops: other nodes can no longer call it.
+type Stopping struct{ event }
--- a/core/forward/ratelimit.go
+++ b/core/forward/ratelimit.go
@@ -38,6 +38,8 @@
 	// disconnectedUntil is the time until which this node takes itself for disconnected from
 	// the others.
 	disconnectedUntil time.Time
+	// stopping is set once this process stops, so that other nodes have another allocator.
+	stopping bool
 }
 
 func newRateLimits() rateLimits {
@@ -142,8 +144,10 @@
 	lowest := uint64(math.MaxUint64)
 	for _, peers := range e.groups.nodes {
 		for _, p := range peers {
-			failed := now.Before(e.limits.failedAllocators[p.Node])
-			if h := xxhash.Sum64String(p.Node + "/" + string(replica)); !failed && h < lowest {
+			if now.Before(e.limits.failedAllocators[p.Node]) || e.limits.stopping && p.Node == e.settings.Node {
+				continue
+			}
+			if h := xxhash.Sum64String(p.Node + "/" + string(replica)); h < lowest {
 				node, lowest = p.Node, h
 			}
 		}
--- a/core/forward/ratelimit_test.go
+++ b/core/forward/ratelimit_test.go
@@ -78,15 +78,20 @@
 	}})
 }
 
-// load sends requests of callers for a time, more of them to nodes with low numbers.
+// load sends requests of callers for a time and waits until they are answered.
 func (l *limitedFleet) load(path string, d time.Duration) {
+	l.send(path, d)
+	l.run(time.Second)
+}
+
+// send sends requests of callers for a time, more of them to nodes with low numbers.
+func (l *limitedFleet) send(path string, d time.Duration) {
 	for end := l.now.Add(d); l.now.Before(end); l.run(loadStep) {
 		node := min(l.rng.IntN(l.size.nodes), l.rng.IntN(l.size.nodes))
 		id := l.requestWith(node, path, api.Fingerprint(l.next+1))
 		l.ids = append(l.ids, id)
 		l.sentAt[id] = l.now
 	}
-	l.run(time.Second)
 }
 
 // checkLimits fails the test if more requests of informed nodes reached a replica in some
@@ -263,3 +268,40 @@
 		}
 	}
 }
+
+// TestRateLimitsHoldWhileNodesRestart guards against limits that are exceeded while the nodes
+// that grant permits stop and start again: a stopping node went on granting permits to itself
+// while the others had another allocator.
+func TestRateLimitsHoldWhileNodesRestart(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, limit := range []float64{3, 10} {
+			l := newLimitedFleet(t, seed, rateSizes[1])
+			l.limits[replicaOf(0, 0)], l.limits[replicaOf(0, 1)] = limit, limit
+			l.load("/one/x", 2*time.Second)
+			for range 12 {
+				l.restart(l.rng.IntN(l.size.nodes))
+				l.send("/one/x", 700*time.Millisecond)
+			}
+			l.checkLimits()
+		}
+	}
+}
+
+// restart stops a node: it takes no calls from other nodes but serves its callers for
+// stopTime, and is then replaced by a new process.
+func (l *limitedFleet) restart(node int) {
+	const stopTime = 2500 * time.Millisecond
+	if l.unreachable[nodeName(node)] {
+		return
+	}
+	l.unreachable[nodeName(node)] = true
+	l.step(node, Stopping{})
+	l.events = append(l.events, fleetEvent{at: l.now.Add(stopTime), do: func() {
+		l.engines[node] = l.newEngine(node, l.next)
+		l.configure(node, l.peers())
+		l.unreachable[nodeName(node)] = false
+		for replica := range l.limits {
+			delete(l.informedAt, fmt.Sprint(node, "/", replica))
+		}
+	}})
+}
--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -12,9 +12,13 @@
 	usableShare = 0.9
 	// burstTime is the time whose permits a bucket can hold; it holds at least one.
 	burstTime = 250 * time.Millisecond
+	// A new bucket grants startShare of its rate for startTime: some nodes may still get
+	// permits from the previous allocator, which they give up one after the other.
+	startShare = 0.4
+	startTime  = 2 * time.Second
 	// minRetryAfter and maxRetryAfter bound RetryAfter.
 	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Second
 	// retryMargin is added to the time until the next token, so that rounding does not make
 	// the next request come too early.
 	retryMargin = time.Millisecond
@@ -32,6 +36,7 @@
 	limited   bool
 	perSecond float64
 	statedAt  time.Time
+	createdAt time.Time
 	tokens    float64
 	// updatedAt is the time of the last request, up to which tokens has been computed.
 	updatedAt time.Time
@@ -47,13 +52,16 @@
 func (a *Allocator) Allocate(now time.Time, r Request, share float64) Grant {
 	b := a.buckets[r.Replica]
 	if b == nil {
-		b = &bucket{tokens: share, updatedAt: now}
+		b = &bucket{createdAt: now, tokens: share, updatedAt: now}
 		a.buckets[r.Replica] = b
 	}
 	if statedAt := now.Add(-r.Statement.Age); statedAt.After(b.statedAt) {
 		b.limited, b.perSecond, b.statedAt = r.Statement.Limited, r.Statement.PerSecond, statedAt
 	}
 	rate := share * usableShare * b.perSecond
+	if now.Sub(b.createdAt) < startTime {
+		rate *= startShare
+	}
 	b.refill(now, rate)
 	g := Grant{Replica: r.Replica, Statement: Statement{Limited: b.limited, PerSecond: b.perSecond, Age: now.Sub(b.statedAt)}}
 	if !b.limited {
