--- a/core/forward/modelstatus_test.go
+++ b/core/forward/modelstatus_test.go
@@ -27,7 +27,11 @@
 func (m *model) statements(name api.ReplicaName) *modelStatements {
 	s, process := m.stated[name], m.replicas[name].ProcessStart
 	if s == nil || s.processStart != process {
-		s = &modelStatements{processStart: process}
+		next := &modelStatements{processStart: process}
+		if s != nil {
+			next.backoffUntil = s.backoffUntil
+		}
+		s = next
 		m.stated[name] = s
 	}
 	return s
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -104,17 +104,19 @@
 	e.resume(now, reg.Service)
 }
 
-// earlierStatements returns what the process of a replica stated before this registration. old
-// is its current entry; nil if it has none.
+// earlierStatements returns what a replica stated before this registration and what of it is
+// still in force. old is the current entry of the same process; nil if it has none.
 func (e *Engine) earlierStatements(old *registryEntry, reg Registration) statements {
 	if old != nil {
 		return old.stated
 	}
-	if removed, ok := e.registry.removed[reg.Replica]; ok && !reg.restartedSince(removed.Registration) {
+	removed, ok := e.registry.removed[reg.Replica]
+	if ok && !reg.restartedSince(removed.Registration) {
 		return removed.stated
 	}
 	e.limits.limiter.Remove(reg.Replica)
-	return statements{}
+	// The new process may have asked for the pause, before its registration was read.
+	return statements{backoffUntil: removed.stated.backoffUntil}
 }
 
 // setBalancerSpec passes a replica to the load balancer.
--- a/core/forward/status_test.go
+++ b/core/forward/status_test.go
@@ -159,3 +159,22 @@
 		t.Errorf("%d requests are sent after the pause", len(sends))
 	}
 }
+
+// TestBackoffOutlastsARegistration guards against forgetting the pause that a new process of a
+// replica asked for before the node had read its registration.
+func TestBackoffOutlastsARegistration(t *testing.T) {
+	h := singleReplicas(t, 2)
+	name := replicaOf(0, 0)
+	h.replyWith(h.sendTo(name), Reply{Kind: ReplyRefused}, ReplicaStatus{Backoff: 3 * time.Second})
+	h.takeSends() // the retry
+	next := registration(0, 0)
+	next.ProcessStart++
+	h.step(ReplicaRegistered{Registration: next})
+	h.checkUnused(name, 100)
+	h.step(ReplicaUnregistered{Replica: name})
+	next.ProcessStart++
+	h.step(ReplicaRegistered{Registration: next})
+	h.checkUnused(name, 40)
+	h.advance(3 * time.Second)
+	h.sendTo(name)
+}
