--- a/core/forward/attribution.go
+++ b/core/forward/attribution.go
@@ -120,7 +120,7 @@
 	}
 	e.counts.Add(count.Loss, "blamed", uint64(len(confirmed)+len(byTimeout)))
 	e.log("replica_crashed", "replica", name, "born", processStart, "lost_requests", len(lostAttempts),
-		"oldest_ms", now.Sub(lostAttempts[0].at).Milliseconds(), "fingerprints", fmt.Sprint(confirmed), "by_silence", fmt.Sprint(byTimeout), "further", additional)
+		"oldest_ms", now.Sub(lostAttempts[0].at).Milliseconds(), "fingerprints", fmt.Sprint(confirmed), "by_silence", fmt.Sprint(byTimeout), "further", fmt.Sprint(additional))
 	e.publish(e.quarantine.Crashed(now, name, process, confirmed))
 	// byTimeout holds the fingerprints of the requests whose attempts timed out at the process.
 	e.publish(e.quarantine.RequestsUnanswered(now, byTimeout))
