--- a/core/forward/ratelimit.go
+++ b/core/forward/ratelimit.go
@@ -75,6 +75,7 @@
 	}
 }
 
+// rateLimitEnded counts and logs the end of a limit.
 func (e *Engine) rateLimitEnded(name api.ReplicaName, service api.ServiceName) {
 	e.counts.Inc(count.ReplicaStatus, statusRateLimitEnded)
 	e.log("replica_rate_limit_ended", "replica", name, "service", service)
@@ -134,9 +135,9 @@
 	e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node]})
 }
 
-// allocatorOf returns the node that is the allocator of a replica and the share of the limit that it
-// may grant: the reachable node with the lowest hash of both names, or this node with its own
-// share of the limit if no other node accepts calls or responds.
+// allocatorOf returns the node that is the allocator of a replica and the share of the limit
+// that it may grant: the reachable node with the lowest hash of both names, or this node with
+// its own share of the limit if no other node accepts calls or responds.
 func (e *Engine) allocatorOf(now time.Time, replica api.ReplicaName) (node string, share float64) {
 	if now.Before(e.limits.disconnectedUntil) {
 		return e.settings.Node, 1 / float64(e.nodeCount)
@@ -174,6 +175,7 @@
 	}
 }
 
+// applyGrant adds granted permits to those of this node.
 func (e *Engine) applyGrant(now time.Time, g ratelimit.Grant) {
 	entry := e.registry.entries[g.Replica]
 	if e.limits.limiter.Granted(now, g) && entry != nil {
