--- a/entry/relay/endless_test.go
+++ b/entry/relay/endless_test.go
@@ -187,3 +187,21 @@
 		t.Errorf("the next response: kind %d, %d bytes", kind, len(got))
 	}
 }
+
+// TestEndlessBytesAfterACheckAreCutOff guards against bytes without end on a connection that a
+// liveness check opened and that carries no request.
+func TestEndlessBytesAfterACheckAreCutOff(t *testing.T) {
+	sink := make(events, 16)
+	s := newEndlessSocket("", "a")
+	close(s.written)
+	c := &conn{targets: NewTargets(sink, testHeaders, testBodyMemory), replica: "r"}
+	go c.serve(s)
+	select {
+	case <-s.closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+	if read := s.read.Load(); read > readBufferSize {
+		t.Errorf("%d bytes are read", read)
+	}
+}
