--- a/core/count/count.go
+++ b/core/count/count.go
@@ -54,7 +54,7 @@
 	Loss Kind = "loss"
 	// ReplicaStatus counts what replicas state about themselves in their responses.
 	ReplicaStatus Kind = "replica_status"
-	// RateLimit counts attempts at replicas that name a rate limit.
+	// RateLimit counts attempts at replicas that name a rate limit, and the permits for them.
 	RateLimit Kind = "rate_limit"
 )
 
