core/changefeed, platform: failing tests of nodes that keep outdated data (CONFIG)

Seen: a node whose sources are paused tries one after the other and serves a configuration that is older than it may be, although the store answers it.

--- /dev/null
+++ b/core/changefeed/bound_test.go
@@ -0,0 +1,119 @@
+package changefeed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// boundModel runs a model and checks that nodes which the store answers know each change
+// within modelApplyTime.
+type boundModel struct {
+	*model
+	// disturbedAt is when a node was last paused or refused by the store.
+	disturbedAt map[string]time.Time
+	// written holds the newest position of the store after each tick.
+	written []modelWrite
+}
+
+// modelWrite is the position of the store at a time.
+type modelWrite struct {
+	at time.Time
+	to Position
+}
+
+func newBoundModel(t *rapid.T, nodes int) *boundModel {
+	b := &boundModel{model: newModel(t), disturbedAt: make(map[string]time.Time)}
+	for len(b.nodes) < nodes {
+		b.startNode()
+	}
+	b.advance(modelApplyTime)
+	return b
+}
+
+// run changes a key in each tick and checks the undisturbed nodes after it.
+func (b *boundModel) run(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.store.put("replicas/changing")
+		b.written = append(b.written, modelWrite{b.now, Position{b.store.era, b.store.revision}})
+		b.tick()
+		b.check()
+	}
+}
+
+// check fails if a node has not been disturbed for modelApplyTime and does not know a
+// change of that age.
+func (b *boundModel) check() {
+	due := b.now.Add(-modelApplyTime)
+	for len(b.written) > 1 && !b.written[1].at.After(due) {
+		b.written = b.written[1:]
+	}
+	for _, name := range b.names() {
+		n := b.nodes[name]
+		if n.paused || n.refused {
+			b.disturbedAt[name] = b.now
+		}
+		if b.disturbedAt[name].After(due) || b.written[0].at.After(due) {
+			continue
+		}
+		if p := n.log.Position(); p.Before(b.written[0].to) {
+			b.t.Fatalf("%s knows %+v, although the store held %+v %v ago; age %v, source %q, watches %v", name, p,
+				b.written[0].to, b.now.Sub(b.written[0].at), n.age(b.now), n.source, n.chooser.Watches())
+		}
+	}
+}
+
+// disturb draws for each node whether it is paused, cut off from the other nodes, or
+// refused by the store, with the given chances in percent.
+func (b *boundModel) disturb(paused, partitioned, refused int) {
+	for _, name := range b.names() {
+		n := b.nodes[name]
+		n.paused = rapid.IntRange(0, 99).Draw(b.t, "paused") < paused
+		n.partitioned = rapid.IntRange(0, 99).Draw(b.t, "partitioned") < partitioned
+		n.refused = rapid.IntRange(0, 99).Draw(b.t, "refused") < refused
+	}
+}
+
+// Guards against nodes that try one silent source after the other and serve an outdated
+// configuration meanwhile, although the store would answer them: 60 % of 60 nodes are
+// paused and 30 % are cut off from the other nodes (CONFIG).
+func TestNodesWithSilentSourcesReadTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBoundModel(t, 60)
+		b.disturb(60, 30, 0)
+		b.run(3 * modelApplyTime)
+	})
+}
+
+// Guards against nodes that keep a source which still sends and has no news: all ranked
+// nodes are refused by the store, and most others are paused.
+func TestNodesWithOutdatedSourcesReadTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBoundModel(t, 60)
+		b.disturb(60, 0, 0)
+		for _, n := range b.nodes {
+			if n.chooser.ranked {
+				n.refused, n.paused = true, false
+			}
+		}
+		b.run(3 * modelApplyTime)
+	})
+}
+
+// Guards against any series of pauses, partitions, refusals and lost nodes in which a node
+// that the store answers does not know a change in time.
+func TestAnsweredNodesKnowChangesInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBoundModel(t, rapid.IntRange(16, 90).Draw(t, "nodes"))
+		share := rapid.IntRange(0, 70)
+		for i := range 4 {
+			b.disturb(share.Draw(t, "paused share"), share.Draw(t, "partitioned share"), share.Draw(t, "refused share"))
+			if rapid.Bool().Draw(t, "lost") {
+				b.removeNode(b.anyNode().Node)
+			}
+			b.run(time.Duration(rapid.IntRange(5, 120).Draw(t, fmt.Sprint("ticks ", i))) * modelTick)
+		}
+	})
+}
--- a/core/changefeed/model_test.go
+++ b/core/changefeed/model_test.go
@@ -217,7 +217,7 @@
 	}
 	n.chooser.StoreAnswered(m.now)
 	n.confirmedAt, n.failing, n.direct = m.now, false, true
-	n.setMembers()
+	n.setMembers(p)
 }
 
 // follow receives changes from another node if it is reachable.
@@ -229,7 +229,8 @@
 		return
 	}
 	n.lastMessageAt = m.now
-	b := source.log.Since(n.log.Position())
+	before := n.log.Position()
+	b := source.log.Since(before)
 	h := Health{Age: source.age(m.now), Failing: source.failing, Direct: source.direct}
 	if b.To.Before(n.log.Position()) && b.To.Era < n.log.Position().Era {
 		n.chooser.SourceLost(m.now, n.source)
@@ -250,10 +251,14 @@
 	default:
 		n.log.Append(b)
 	}
-	n.setMembers()
+	n.setMembers(before)
 }
 
-func (n *modelNode) setMembers() {
+// setMembers tells the chooser the list of nodes if the log knows more than before.
+func (n *modelNode) setMembers(before Position) {
+	if n.log.Position() == before {
+		return
+	}
 	var members []Member
 	for _, c := range n.log.liveChanges() {
 		if parts := strings.Split(c.Key, "/"); parts[0] == "members" {
