core/changefeed, platform: a node with outdated data reads the store, whatever sources are left

Cause: a chain of fallbacks, each with a time limit of its own, under one bound that nobody checks. A node that is not ranked read the store only when no ranked node was usable. Each silent source took 0.63 s; sources that were left became usable again after 2.5 s.

Tests: TestFollowersWithSilentSourcesReadTheStore failed before (n10 not in sync after 10 s) and passes in 1.0 s; TestOutdatedNodeDoesNotWaitForItsSource fails without the limit on the wait. The model tests still fail, for another reason: an answer with more changes pending counts as confirmation.

--- a/core/changefeed/chooser.go
+++ b/core/changefeed/chooser.go
@@ -15,24 +15,39 @@
 	SourceTimeout time.Duration
 	// MaxAge is the age from which data counts as outdated; the age is the time since the
 	// store last confirmed the data, see Health.Age. A source with outdated data is not
-	// trusted. An unranked node with outdated data and no usable ranked node to follow
-	// reads the store itself.
+	// trusted, and a node with outdated data reads the store itself, whatever sources it
+	// could still try.
 	MaxAge time.Duration
+	// ReadTimeout is the timeout of such a read. From MaxAge on, two of them fit into the
+	// time in which the node must know a change.
+	ReadTimeout time.Duration
 	// AvoidTime is how long a node avoids a source that it left or does not trust, or the
 	// store after the store did not answer.
 	AvoidTime time.Duration
 }
 
-// maxSilentSources is how many sources in a row may time out within the time in which a
-// node must know a change.
-const maxSilentSources = 4
+const (
+	// sourceTimeouts is the number of source timeouts that fit into the time in which a
+	// node must know a change.
+	sourceTimeouts = 4
+	// MessagesPerTimeout is how many messages a source sends within SourceTimeout.
+	MessagesPerTimeout = 3
+	// readsWhenOutdated is how many reads of the store fit into the time that is left when
+	// data becomes outdated.
+	readsWhenOutdated = 2
+)
 
 // NewBounds derives the bounds from applyTime, the time in which a node must know a
 // change, and watchWait, the longest time that one watch call to the store waits for a
-// change.
+// change. Data becomes outdated after one such wait, one message interval and one silent
+// source; the rest of applyTime is reserved for reading the store.
 func NewBounds(applyTime, watchWait time.Duration) Bounds {
-	sourceTimeout := applyTime / maxSilentSources
-	return Bounds{SourceTimeout: sourceTimeout, MaxAge: watchWait + 2*sourceTimeout, AvoidTime: 2 * sourceTimeout}
+	sourceTimeout := applyTime / sourceTimeouts
+	maxAge := watchWait + sourceTimeout/MessagesPerTimeout + sourceTimeout
+	return Bounds{
+		SourceTimeout: sourceTimeout, MaxAge: maxAge, ReadTimeout: (applyTime - maxAge) / readsWhenOutdated,
+		AvoidTime: 2 * sourceTimeout,
+	}
 }
 
 // Chooser decides whether a node reads the store itself or follows another node. Reading
@@ -166,39 +181,54 @@
 // age is the time since the store last confirmed this node's data, see Health.Age. A
 // source is usable if it is neither avoided nor untrusted. Next decides in this order:
 //
-//  1. A ranked node that does not avoid the store reads the store. A standby does so only
+//  1. A node whose data is outdated reads the store, unless it avoids the store. How many
+//     sources are left does not matter: trying each of them takes time.
+//  2. A ranked node that does not avoid the store reads the store. A standby does so only
 //     if no usable node is ranked before it in its data centre; else it follows such a node.
-//  2. Any other node follows a usable ranked node.
-//  3. If there is none, an unranked node that does not avoid the store reads it if its
-//     data is outdated or the store answered it less than Bounds.AvoidTime ago.
-//  4. Otherwise the node follows a usable unranked node, see pickUnranked.
-//  5. As a last resort it follows a ranked node that is untrusted but not avoided. If
+//  3. Any other node follows a usable ranked node.
+//  4. If there is none, an unranked node that does not avoid the store reads it if the
+//     store answered it less than Bounds.AvoidTime ago.
+//  5. Otherwise the node follows a usable unranked node, see pickUnranked.
+//  6. As a last resort it follows a ranked node that is untrusted but not avoided. If
 //     there is none, it reads the store, even if it avoids the store.
 //
 // Next prefers the source that it chose last, and records its choice.
 func (c *Chooser) Next(now time.Time, age time.Duration) (Member, bool) {
 	usable := func(p rankedPeer) bool { return c.available(now, p) && !now.Before(c.untrusted[p.Node]) }
 	storeAvoided := now.Before(c.storeAvoidedUntil)
-	// 1. The store, or for a standby a usable node ranked before it.
+	// 1. The store, for a node with outdated data.
+	if c.Outdated(age) && !storeAvoided {
+		return Member{}, false
+	}
+	// 2. The store, or for a standby a usable node ranked before it.
 	if c.ranked && !storeAvoided {
 		return c.pickRanked(func(p rankedPeer) bool { return p.rankedBefore && !c.watches && usable(p) })
 	}
-	// 2. A usable ranked node.
+	// 3. A usable ranked node.
 	if m, ok := c.pickRanked(usable); ok {
 		return m, true
 	}
-	// 3. The store, for an unranked node.
-	if !storeAvoided && (age >= c.bounds.MaxAge || now.Sub(c.storeAnsweredAt) < c.bounds.AvoidTime) {
+	// 4. The store, for an unranked node.
+	if !storeAvoided && now.Sub(c.storeAnsweredAt) < c.bounds.AvoidTime {
 		return Member{}, false
 	}
-	// 4. A usable unranked node.
+	// 5. A usable unranked node.
 	if m, ok := c.pickUnranked(now, age); ok {
 		return m, true
 	}
-	// 5. An untrusted ranked node, or else the store.
+	// 6. An untrusted ranked node, or else the store.
 	return c.pickRanked(func(p rankedPeer) bool { return c.available(now, p) })
 }
 
+// Outdated reports whether data of the given age is outdated.
+func (c *Chooser) Outdated(age time.Duration) bool { return age >= c.bounds.MaxAge }
+
+// StoreDue returns the time until this node reads the store itself unless its data is
+// confirmed before. age is the present age of its data.
+func (c *Chooser) StoreDue(now time.Time, age time.Duration) time.Duration {
+	return max(c.bounds.MaxAge-age, c.storeAvoidedUntil.Sub(now))
+}
+
 // pickUnranked returns an unranked node: the store may answer it even if it answers no
 // ranked one. It keeps the current one while that is usable. Otherwise, once this node's
 // data is outdated, it tries another one, at most one per Bounds.SourceTimeout.
@@ -214,7 +244,7 @@
 			best = m
 		}
 	}
-	if best == nil || age < c.bounds.MaxAge || now.Before(c.nextUnrankedAt) {
+	if best == nil || !c.Outdated(age) || now.Before(c.nextUnrankedAt) {
 		return Member{}, false
 	}
 	c.nextUnrankedAt = now.Add(c.bounds.SourceTimeout)
@@ -263,7 +293,7 @@
 // sources that the store answers: otherwise they could keep confirming each other while
 // none of them reads the store.
 func (c *Chooser) trusted(h Health) bool {
-	return !h.Failing && h.Age < c.bounds.MaxAge && (h.Direct || !c.ranked)
+	return !h.Failing && !c.Outdated(h.Age) && (h.Direct || !c.ranked)
 }
 
 // SourceLost records that this node stopped following a source, for example because the
--- a/entry/changes/follow.go
+++ b/entry/changes/follow.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	// messagesPerTimeout is how many messages a source sends within Source.SilenceTimeout.
-	messagesPerTimeout = 3
 	// maxMessageBytes limits the size of a message, compressed or not. The largest one
 	// holds all keys.
 	maxMessageBytes = 64 << 20
@@ -81,7 +79,7 @@
 
 func receiveMessages(ctx context.Context, conn *grpc.ClientConn, s Source, handle func(changefeed.Batch, changefeed.Health) bool) error {
 	stream, err := nodepb.NewChangesClient(conn).Follow(ctx, &nodepb.FollowRequest{
-		Era: s.From.Era, Revision: s.From.Revision, PaceUs: (s.SilenceTimeout / messagesPerTimeout).Microseconds(),
+		Era: s.From.Era, Revision: s.From.Revision, PaceUs: (s.SilenceTimeout / changefeed.MessagesPerTimeout).Microseconds(),
 	})
 	if err != nil {
 		return err
