platform: a response after which changes are pending does not confirm the copy

Seen: the random model, once sources no longer delay the store: 'n59 knows {Era:1 Revision:101}, although the store held {Era:1 Revision:102} 6s ago; age 2s'. A node that has fallen behind reads one page, takes its data for current and goes back to its silent sources, so that it falls behind by an outdated period for each page.

Change: a backlogged response keeps the age; the next read follows at once and does not wait, until nothing is pending.

--- a/core/changefeed/model_test.go
+++ b/core/changefeed/model_test.go
@@ -204,6 +204,7 @@
 		return
 	}
 	p := n.log.Position()
+	partial := false // more changes are pending, so that the answer does not confirm the node's data
 	switch {
 	case !n.listed || n.historyLost || p.Era != m.store.era:
 		n.log.Replace(slices.Collect(maps.Values(m.store.items)), Position{m.store.era, m.store.revision})
@@ -214,9 +215,13 @@
 	default:
 		changes, to := m.store.changesAfter(p.Revision)
 		n.log.Append(Batch{Changes: changes, To: Position{p.Era, to}})
+		partial = len(changes) == modelPageSize
 	}
 	n.chooser.StoreAnswered(m.now)
-	n.confirmedAt, n.failing, n.direct = m.now, false, true
+	n.failing, n.direct = false, true
+	if !partial {
+		n.confirmedAt = m.now
+	}
 	n.setMembers(p)
 }
 
