--- a/core/changefeed/chooser.go
+++ b/core/changefeed/chooser.go
@@ -169,9 +169,12 @@
 // may still read the store while Next finds no source.
 func (c *Chooser) Watches() bool { return c.watches }
 
-// Impaired reports whether this node is ranked but avoids the store because the store
-// did not answer it.
-func (c *Chooser) Impaired(now time.Time) bool { return c.ranked && now.Before(c.storeAvoidedUntil) }
+// AvoidsStore reports whether other nodes are preferred to the store because the store did
+// not answer this node.
+func (c *Chooser) AvoidsStore(now time.Time) bool { return now.Before(c.storeAvoidedUntil) }
+
+// Impaired reports whether this node is ranked but avoids the store.
+func (c *Chooser) Impaired(now time.Time) bool { return c.ranked && c.AvoidsStore(now) }
 
 // MayHaveFollowers reports whether this node and at least one other are ranked. Other nodes
 // may then depend on what this node reads from the store.
@@ -195,7 +198,7 @@
 // Next prefers the source that it chose last, and records its choice.
 func (c *Chooser) Next(now time.Time, age time.Duration) (Member, bool) {
 	usable := func(p rankedPeer) bool { return c.available(now, p) && !now.Before(c.untrusted[p.Node]) }
-	storeAvoided := now.Before(c.storeAvoidedUntil)
+	storeAvoided := c.AvoidsStore(now)
 	// 1. The store, for a node with outdated data.
 	if c.Outdated(age) && !storeAvoided {
 		return Member{}, false
