core/changefeed: an unranked node that reads the store waits no longer than the others

A watch of a node that is not ranked waits 4 of the 5 s in which a change must be known, and a lost response is noticed 0.75 s later. Nodes that the store refuses follow such nodes when no ranked one is usable, and data of 3.3 s is outdated, so that they would leave it before each response.

Change: where nodes follow each other, all watches have the shorter wait. Fleets in which each node watches the store keep theirs.

Test: TestUnrankedNodeMayHaveFollowers failed before.

--- a/core/changefeed/bound_test.go
+++ b/core/changefeed/bound_test.go
@@ -117,3 +117,22 @@
 		}
 	})
 }
+
+// Guards against an unranked node that reads the store with the longest wait, in which its
+// data becomes outdated for the nodes that the store refuses and that follow it.
+func TestUnrankedNodeMayHaveFollowers(t *testing.T) {
+	var members []Member
+	for i := range minNodesForFollowing {
+		name := fmt.Sprintf("n%02d", i)
+		members = append(members, Member{Node: name, DataCentre: "dc-a", Address: name})
+	}
+	last := members[len(members)-1]
+	c := NewChooser(last, NewBounds(modelApplyTime, modelWatchWait))
+	if c.MayHaveFollowers() {
+		t.Error("a node that knows no others expects followers")
+	}
+	c.SetMembers(members)
+	if c.ranked || !c.MayHaveFollowers() {
+		t.Errorf("%s: ranked %v, may have followers %v", last.Node, c.ranked, c.MayHaveFollowers())
+	}
+}
--- a/core/changefeed/chooser.go
+++ b/core/changefeed/chooser.go
@@ -176,9 +176,10 @@
 // Impaired reports whether this node is ranked but avoids the store.
 func (c *Chooser) Impaired(now time.Time) bool { return c.ranked && c.AvoidsStore(now) }
 
-// MayHaveFollowers reports whether this node and at least one other are ranked. Other nodes
-// may then depend on what this node reads from the store.
-func (c *Chooser) MayHaveFollowers() bool { return c.ranked && len(c.rankedPeers) > 0 }
+// MayHaveFollowers reports whether other nodes may depend on what this node reads from the
+// store. If any other node is ranked, nodes follow each other; an unranked one is followed
+// by nodes that the store does not answer.
+func (c *Chooser) MayHaveFollowers() bool { return len(c.rankedPeers) > 0 }
 
 // Next returns the source to follow, or false if this node must read the store itself.
 // age is the time since the store last confirmed this node's data, see Health.Age. A
