--- a/cmd/baobab-soak/main.go
+++ b/cmd/baobab-soak/main.go
@@ -33,6 +33,7 @@
 	DownMost   time.Duration `default:"5s" help:"Most time for which a target is down after a fatal request."`
 	Pause      time.Duration `default:"1200ms" help:"Mean time between two faults."`
 	Statements bool          `help:"Let targets name rate limits, state their leave, ask for pauses and respond without end as well."`
+	Correlated bool          `help:"Pause most nodes, and cut others from the store, at the same time as well."`
 	Binary     string        `default:"target/baobabd" help:"Program to run."`
 	KeepLogs   string        `help:"Directory for settings and logs, which is kept; else they are removed unless a promise is broken."`
 }
@@ -77,7 +78,8 @@
 		return false
 	}
 	result, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: a.For, Nodes: a.Nodes, Shards: a.Targets, Callers: a.Callers, CallerPause: a.Each, DownLeast: a.DownLeast, DownMost: a.DownMost, Pause: a.Pause, Statements: a.Statements, Binary: a.Binary, Dir: dir,
+		Seed: seed, Duration: a.For, Nodes: a.Nodes, Shards: a.Targets, Callers: a.Callers, CallerPause: a.Each, DownLeast: a.DownLeast, DownMost: a.DownMost, Pause: a.Pause, Statements: a.Statements, Correlated: a.Correlated,
+		Binary: a.Binary, Dir: dir,
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "seed %d: %v; logs in %s\n", seed, err, dir)
