--- a/cmd/baobab-soak/main.go
+++ b/cmd/baobab-soak/main.go
@@ -78,8 +78,19 @@
 		return false
 	}
 	result, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: a.For, Nodes: a.Nodes, Shards: a.Targets, Callers: a.Callers, CallerPause: a.Each, DownLeast: a.DownLeast, DownMost: a.DownMost, Pause: a.Pause, Statements: a.Statements, Correlated: a.Correlated,
-		Binary: a.Binary, Dir: dir,
+		Seed:        seed,
+		Duration:    a.For,
+		Nodes:       a.Nodes,
+		Shards:      a.Targets,
+		Callers:     a.Callers,
+		CallerPause: a.Each,
+		DownLeast:   a.DownLeast,
+		DownMost:    a.DownMost,
+		Pause:       a.Pause,
+		Statements:  a.Statements,
+		Correlated:  a.Correlated,
+		Binary:      a.Binary,
+		Dir:         dir,
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "seed %d: %v; logs in %s\n", seed, err, dir)
