--- a/core/api/request.go
+++ b/core/api/request.go
@@ -163,6 +163,10 @@
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonMismatched       Reason = "mismatched_answer"
 	ReasonUnknownRoute     Reason = "unknown_route"
+	ReasonUnknownKey       Reason = "unknown_key"
+	ReasonOverQuota        Reason = "over_quota"
+	ReasonQuotaUnknown     Reason = "quota_unknown"
+	ReasonEvacuated        Reason = "evacuated"
 )
 
 // MissingShard is a shard that an answer does not cover, with the reason.
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -48,6 +48,10 @@
 		e.refuse(now, ev, route, api.ReasonWrongEpoch, 0)
 		return
 	}
+	if !e.identify(ev, route) {
+		e.refuse(now, ev, route, api.ReasonUnknownKey, 0)
+		return
+	}
 	r := e.newRequest(now, ev, route)
 	if !now.Before(r.deadline) {
 		e.refuse(now, ev, route, api.ReasonDeadline, 0)
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -32,6 +32,16 @@
 	CallerRequest string
 	// Fingerprint is equal for requests with the same content.
 	Fingerprint api.Fingerprint
+	// Credential is the key that the request carries; empty if it carries none. It must not
+	// appear in logs.
+	Credential []byte
+	// Identified is set by the engine if the configuration has accounts. The driver then
+	// replaces what the caller sent about its account by Account.
+	Identified bool
+	// Account is the name of the account that the request is for; empty if it is for none.
+	// AccountPriority is the account's priority.
+	Account         string
+	AccountPriority int
 	// Wire is the driver's representation of the request.
 	Wire any
 }
--- /dev/null
+++ b/core/forward/identity.go
@@ -0,0 +1,38 @@
+package forward
+
+import "github.com/baobabsail/baobabsail/core/routing"
+
+// identify determines the account of a caller's request by its key. It reports false if the
+// route needs a key and the configuration holds no such key. A request of another node was
+// identified there.
+func (e *Engine) identify(ev Arrived, route *routing.Route) bool {
+	if e.table.Accounts == nil || ev.Subset != nil {
+		return true
+	}
+	m := ev.Message
+	m.Identified = true
+	if a := e.table.Accounts.ByKey(m.Credential); a != nil {
+		m.Account, m.AccountPriority = a.Name, a.Priority
+		return true
+	}
+	return route.Public
+}
+
+// urgency orders requests that wait for capacity: the priority of the account precedes that
+// of the route. Lower values are served first.
+type urgency struct {
+	account, route int
+}
+
+// urgency returns the urgency of a request.
+func (r *request) urgency() urgency {
+	return urgency{account: r.message.AccountPriority, route: r.route.Priority}
+}
+
+// before reports whether a request of urgency u is served before one of urgency v.
+func (u urgency) before(v urgency) bool {
+	if u.account != v.account {
+		return u.account < v.account
+	}
+	return u.route < v.route
+}
--- a/core/forward/waiting.go
+++ b/core/forward/waiting.go
@@ -17,15 +17,15 @@
 	extra bool
 }
 
-// enqueue adds a part to the waiting parts of its service, ordered by the priority of
-// their routes.
+// enqueue adds a part to the waiting parts of its service, ordered by the urgency of their
+// requests.
 func (e *Engine) enqueue(r *request, i int, extra bool) {
 	p := &r.parts[i]
 	p.state, p.reason = partWaiting, api.ReasonOverloaded
 	service := p.service
 	queue := e.waiting[service]
 	at := len(queue)
-	for at > 0 && queue[at-1].request.route.Priority > r.route.Priority {
+	for at > 0 && r.urgency().before(queue[at-1].request.urgency()) {
 		at--
 	}
 	e.waiting[service] = slices.Insert(queue, at, waitingPart{request: r, part: i, extra: extra})
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabsail/baobabsail/core/account"
 	"github.com/baobabsail/baobabsail/core/api"
 )
 
@@ -55,6 +56,8 @@
 	MaxAttempts int
 	// Priority orders requests that wait for capacity; 0 is served first.
 	Priority int
+	// Public is set if a request needs no key although the configuration has accounts.
+	Public bool
 }
 
 // Sharded reports whether each request is sent to all shards.
@@ -84,6 +87,8 @@
 	Routes   []Route
 	Services map[api.ServiceName]Service
 	Limits   Limits
+	// Accounts holds the client accounts; nil if requests need no key.
+	Accounts *account.Directory
 	byHost   map[string][]*Route
 }
 
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -22,6 +22,8 @@
 	headerTimeout = 15 * time.Second
 	// maxHeaderBytes bounds the header in addition to the configured limit.
 	maxHeaderBytes = 1 << 20
+	// headReserve is the space in bytes for the header fields that are added to each attempt.
+	headReserve = 160
 	// fieldOverhead is the number of bytes that a header field has beside its name and value.
 	fieldOverhead = len(": \r\n")
 	// defaultMaxBodyBytes bounds a body if the configuration sets no limit or is not known
@@ -35,8 +37,25 @@
 	// head is the request line and the header, without the fields that differ between attempts
 	// and without the empty line at the end.
 	head []byte
-	body []byte
-	id   string
+	// identity holds the header fields in which the caller names its account or its key. They
+	// are sent to replicas only if the configuration has no accounts.
+	identity []byte
+	body     []byte
+	id       string
+}
+
+// identifiedHead returns the header of a request, completed with the account that the engine
+// determined or, if there are no accounts, with what the caller sent.
+func (r *wireRequest) identifiedHead(m *forward.Message, headers Headers) []byte {
+	head := make([]byte, 0, len(r.head)+len(r.identity)+headReserve)
+	head = append(head, r.head...)
+	switch {
+	case !m.Identified:
+		head = append(head, r.identity...)
+	case m.Account != "":
+		head = appendField(head, headers.Account, m.Account)
+	}
+	return head
 }
 
 // Observer records the time from the arrival of a request to its final answer.
@@ -188,13 +207,18 @@
 	head = append(head, " HTTP/1.1\r\nHost: "...)
 	head = append(head, r.Host...)
 	head = append(head, "\r\n"...)
+	var identity []byte
 	skipped := hopByHopHeaders(r.Header)
 	for name, values := range r.Header {
 		if skipped[name] || name == c.headers.TimeLeft || name == c.headers.ExpectReplica {
 			continue
 		}
 		for _, v := range values {
-			head = appendField(head, name, v)
+			if name == authorizationHeader || name == c.headers.Account {
+				identity = appendField(identity, name, v)
+			} else {
+				head = appendField(head, name, v)
+			}
 		}
 	}
 	if len(body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
@@ -205,10 +229,25 @@
 	_, _ = hash.Write(body)
 	return &forward.Message{
 		Host: r.Host, Path: path, CallerRequest: id, Fingerprint: api.Fingerprint(hash.Sum64()),
-		Wire: &wireRequest{method: r.Method, head: head, body: body, id: id},
+		Credential: bearerToken(r.Header[authorizationHeader]),
+		Wire:       &wireRequest{method: r.Method, head: head, identity: identity, body: body, id: id},
 	}
 }
 
+const (
+	authorizationHeader = "Authorization"
+	bearerScheme        = "Bearer "
+)
+
+// bearerToken returns the token of the only Authorization field (RFC 6750, section 2.1), or nil
+// if there is none or it has another form.
+func bearerToken(fields []string) []byte {
+	if len(fields) != 1 || len(fields[0]) <= len(bearerScheme) || !strings.EqualFold(fields[0][:len(bearerScheme)], bearerScheme) {
+		return nil
+	}
+	return []byte(strings.TrimSpace(fields[0][len(bearerScheme):]))
+}
+
 func appendField(head []byte, name, value string) []byte {
 	head = append(head, name...)
 	head = append(head, ": "...)
@@ -287,6 +326,9 @@
 	if a.Outcome == api.NotRun && a.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if a.Reason == api.ReasonUnknownKey {
+		h.Set("WWW-Authenticate", strings.TrimSpace(bearerScheme))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(localReplyStatus(a))
 	_, _ = io.WriteString(w, string(a.Reason)+"\n") // a caller that has disconnected is detected by its connection
@@ -296,6 +338,10 @@
 	switch {
 	case a.Reason == api.ReasonUnknownRoute:
 		return http.StatusNotFound
+	case a.Reason == api.ReasonUnknownKey:
+		return http.StatusUnauthorized
+	case a.Reason == api.ReasonOverQuota:
+		return http.StatusTooManyRequests
 	case a.Outcome == api.NotRun:
 		return http.StatusServiceUnavailable
 	case a.Outcome == api.Unknown && a.Reason == api.ReasonDeadline:
--- a/entry/relay/callers_test.go
+++ b/entry/relay/callers_test.go
@@ -20,7 +20,7 @@
 func newCallerServer(t *testing.T) (*CallerServer, string) {
 	t.Helper()
 	loop := NewLoop(forward.New(forward.Settings{BudgetWindow: time.Second}), discard{}, discard{})
-	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop))
+	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders))
 	c := NewCallerServer(loop, testHeaders, discard{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -41,6 +41,8 @@
 	Proofs string
 	// Missing is the number of parts that are absent from a merged answer.
 	Missing string
+	// Account is the name of the account that a request is for, as told to replicas.
+	Account string
 }
 
 // Logger writes the log lines of the engine.
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -37,7 +37,8 @@
 
 // Nodes is the pool of connections to other nodes, with the calls in progress on them.
 type Nodes struct {
-	sink EventSink
+	sink    EventSink
+	headers Headers
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
@@ -58,9 +59,9 @@
 }
 
 // NewNodes returns an empty pool of connections.
-func NewNodes(poster EventSink) *Nodes {
+func NewNodes(poster EventSink, headers Headers) *Nodes {
 	return &Nodes{
-		sink: poster, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
+		sink: poster, headers: headers, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
 		pendingNotices: make(map[string]forward.SendNotices),
 	}
 }
@@ -109,7 +110,7 @@
 	if !n.markSent(a.Call, c, stream) {
 		return nil
 	}
-	if err := stream.Send(shardsRequest(a)); err != nil {
+	if err := stream.Send(n.shardsRequest(a)); err != nil {
 		return &forward.CallLost{Call: a.Call, Error: err.Error()}
 	}
 	for first := true; ; first = false {
@@ -245,8 +246,9 @@
 	return c, nil
 }
 
-// shardsRequest converts a call to its wire form.
-func shardsRequest(a forward.CallPeer) *nodepb.ShardsRequest {
+// shardsRequest converts a call to its wire form. The header names the account, so that a node
+// which does not know accounts passes it on.
+func (n *Nodes) shardsRequest(a forward.CallPeer) *nodepb.ShardsRequest {
 	wire, ok := a.Message.Wire.(*wireRequest)
 	if !ok {
 		// A ping carries no request.
@@ -254,9 +256,10 @@
 	}
 	return &nodepb.ShardsRequest{
 		Host: a.Message.Host, Path: a.Message.Path, CallerRequest: a.Message.CallerRequest,
-		Fingerprint: uint64(a.Message.Fingerprint), Method: wire.method, Head: wire.head, Body: wire.body,
+		Fingerprint: uint64(a.Message.Fingerprint), Method: wire.method, Head: wire.identifiedHead(a.Message, n.headers), Body: wire.body,
 		Shards: shardNames(a.Subset.Shards), MaxAttempts: uint32(a.Subset.MaxAttempts), Used: uint32(a.Subset.PriorAttempts),
 		LeftUs: a.Remaining.Microseconds(), TargetUs: a.Target.Microseconds(),
+		Account: a.Message.Account, AccountPriority: int32(a.Message.AccountPriority),
 	}
 }
 
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -103,7 +103,7 @@
 		return s.Send(&nodepb.ShardsReply{Proofs: []string{"p2"}, Records: []byte("bb"), Last: true, Ran: true, Reason: "no_replica"})
 	})
 	events := &eventRecorder{}
-	n := NewNodes(events)
+	n := NewNodes(events, testHeaders)
 	defer n.Close()
 	n.call(testCall(4, address))
 	if ev, ok := events.wait(t, 0).(forward.CallAccepted); !ok || ev.Call != 4 {
@@ -134,7 +134,7 @@
 		return s.Context().Err()
 	})
 	events := &eventRecorder{}
-	n := NewNodes(events)
+	n := NewNodes(events, testHeaders)
 	defer n.Close()
 	n.call(testCall(1, silent))
 	<-received
@@ -165,7 +165,7 @@
 	address := listener.Addr().String()
 	_ = listener.Close() // frees the port
 	events := &eventRecorder{}
-	n := NewNodes(events)
+	n := NewNodes(events, testHeaders)
 	defer n.Close()
 	n.call(testCall(1, address))
 	if ev, ok := events.wait(t, 0).(forward.CallLost); !ok || !ev.Unsent {
@@ -182,12 +182,12 @@
 		t.Fatal(err)
 	}
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2"}), discardLog{}, nil)
-	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop))
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders))
 	server := NewNodeServer(loop)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	defer server.Stop()
 	events := &eventRecorder{}
-	n := NewNodes(events)
+	n := NewNodes(events, testHeaders)
 	defer n.Close()
 	n.call(forward.CallPeer{Call: 1, Address: listener.Addr().String(), Message: &forward.Message{}, Remaining: 5 * time.Second})
 	reply, ok := events.wait(t, 1).(forward.CallReplied)
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -83,7 +83,8 @@
 		Message: &forward.Message{
 			Host: q.GetHost(), Path: q.GetPath(), CallerRequest: q.GetCallerRequest(),
 			Fingerprint: api.Fingerprint(q.GetFingerprint()),
-			Wire:        &wireRequest{method: q.GetMethod(), head: q.GetHead(), body: q.GetBody(), id: q.GetCallerRequest()},
+			Account:     q.GetAccount(), AccountPriority: int(q.GetAccountPriority()),
+			Wire: &wireRequest{method: q.GetMethod(), head: q.GetHead(), body: q.GetBody(), id: q.GetCallerRequest()},
 		},
 	}
 }
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -108,8 +108,7 @@
 // head returns the header of a request, completed with the fields that differ between
 // attempts.
 func (t *Targets) head(wire *wireRequest, a forward.Send) []byte {
-	head := make([]byte, 0, len(wire.head)+128)
-	head = append(head, wire.head...)
+	head := wire.identifiedHead(a.Message, t.headers)
 	head = appendField(head, t.headers.TimeLeft, strconv.FormatInt(max(a.Remaining.Milliseconds(), 1), 10))
 	head = appendField(head, t.headers.ExpectReplica, string(a.Replica))
 	return append(head, "\r\n"...)
