--- a/core/changefeed/bound_test.go
+++ b/core/changefeed/bound_test.go
@@ -136,3 +136,34 @@
 		t.Errorf("%s: ranked %v, may have followers %v", last.Node, c.ranked, c.MayHaveFollowers())
 	}
 }
+
+// Guards against a node that takes the store for lost although it answers other nodes, whose
+// data is outdated while they read a backlog, and against one that never does (a third of the
+// nodes refused while 600 changes arrive).
+func TestStoreIsLostOnlyIfItAnswersNobody(t *testing.T) {
+	bounds := NewBounds(1200*time.Millisecond, 400*time.Millisecond)
+	fresh, old := bounds.MaxAge/2, 2*bounds.MaxAge
+	for _, tc := range []struct {
+		name   string
+		before Health // reported by another source, elapsed ago
+		ago    time.Duration
+		last   Health
+		age    time.Duration
+		lost   bool
+	}{
+		{"another source reads a backlog", Health{Age: old, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old}, old, false},
+		{"another source reads a backlog, the last one fails", Health{Age: old, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old, Failing: true}, old, false},
+		{"the last source reads a backlog itself", Health{}, time.Hour, Health{Age: old, Direct: true}, old, false},
+		{"own data is confirmed", Health{}, time.Hour, Health{Age: old}, fresh, false},
+		{"nobody has heard of the store", Health{Age: old, Direct: true}, bounds.SourceTimeout, Health{Age: old}, old, true},
+		{"the source fails", Health{}, time.Hour, Health{Failing: true}, fresh, true},
+	} {
+		c := NewChooser(Member{Node: "n"}, bounds)
+		now := time.Unix(1_000_000, 0)
+		c.ReportHealth(now.Add(-tc.ago), "other", tc.before)
+		c.ReportHealth(now, "last", tc.last)
+		if lost := c.StoreLost(now, tc.last, tc.age); lost != tc.lost {
+			t.Errorf("%s: lost is %v", tc.name, lost)
+		}
+	}
+}
--- a/core/changefeed/chooser.go
+++ b/core/changefeed/chooser.go
@@ -76,6 +76,8 @@
 	// storeAvoidedUntil is the time until which other nodes are preferred to the store
 	// because it did not answer; storeAnsweredAt is when it last answered.
 	storeAvoidedUntil, storeAnsweredAt time.Time
+	// answersOthersAt is when another node last reported that the store answers it.
+	answersOthersAt time.Time
 }
 
 // rankedPeer is a ranked node other than this one.
@@ -279,6 +281,9 @@
 // followed at all in that time. An unranked source is trusted only if the store itself
 // answers it.
 func (c *Chooser) ReportHealth(now time.Time, source string, h Health) bool {
+	if h.Direct && !h.Failing {
+		c.answersOthersAt = now
+	}
 	trusted := c.trusted(h) && (h.Direct || c.isRankedPeer(source))
 	if !trusted {
 		markUntil(c.untrusted, now, source, c.bounds.AvoidTime)
@@ -300,6 +305,18 @@
 	return !h.Failing && !c.Outdated(h.Age) && (h.Direct || !c.ranked)
 }
 
+// StoreLost reports whether the store is to be taken for lost by a node that it does not answer
+// and that has no trusted source. h is what the last source reported, and age that of this
+// node's own data. The store is not lost while it answers another node, whose data may be
+// outdated because it reads a long backlog, or while this node's data is confirmed by other
+// means.
+func (c *Chooser) StoreLost(now time.Time, h Health, age time.Duration) bool {
+	if now.Sub(c.answersOthersAt) < c.bounds.SourceTimeout {
+		return false
+	}
+	return h.Failing || c.Outdated(age)
+}
+
 // SourceLost records that this node stopped following a source, for example because the
 // source sent nothing for too long. The source is avoided for Bounds.AvoidTime.
 func (c *Chooser) SourceLost(now time.Time, node string) {
