--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -160,6 +160,14 @@
 	}
 }
 
+// StartRampUp lets the traffic share of a replica grow from its start again, as that of a cold
+// one.
+func (r *Replicas) StartRampUp(now time.Time, name api.ReplicaName) {
+	if s, ok := r.replicas[name]; ok {
+		s.coldUntil = now.Add(RampUpDuration)
+	}
+}
+
 // Remove deletes a replica and its state.
 func (r *Replicas) Remove(name api.ReplicaName) { delete(r.replicas, name) }
 
--- a/core/count/count.go
+++ b/core/count/count.go
@@ -56,6 +56,8 @@
 	ReplicaStatus Kind = "replica_status"
 	// RateLimit counts attempts at replicas that name a rate limit, and the permits for them.
 	RateLimit Kind = "rate_limit"
+	// Evacuation counts evacuations of data centres that began, ended or were held.
+	Evacuation Kind = "evacuation"
 )
 
 // Key identifies a counter: a kind and a reason or other detail within it.
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -162,27 +162,41 @@
 // shards of a route share one key because they do the same work.
 func delayKey(route *routing.Route) api.ServiceName { return api.ServiceName(route.Name) }
 
-// unservableReason returns ReasonNoReplica if too few services of a request have a
-// replica, or ReasonNone.
+// unservableReason returns why too few services of a request have a replica that may get it, or
+// ReasonNone. The reason is ReasonEvacuated if there would be enough without evacuations.
 func (e *Engine) unservableReason(r *request) api.Reason {
-	available := 0
+	available, evacuated := 0, 0
 	for i := range r.parts {
-		if e.hasReplica(r.parts[i].service) {
+		switch e.unavailableReason(r.parts[i].service) {
+		case api.ReasonNone:
 			available++
+		case api.ReasonEvacuated:
+			evacuated++
 		}
 	}
-	if available == 0 || !r.hasMinCoverage(available) {
-		return api.ReasonNoReplica
+	enough := func(parts int) bool { return parts > 0 && r.hasMinCoverage(parts) }
+	switch {
+	case enough(available):
+		return api.ReasonNone
+	case enough(available + evacuated):
+		return api.ReasonEvacuated
 	}
-	return api.ReasonNone
+	return api.ReasonNoReplica
 }
 
-// hasReplica reports whether a service has a replica that is not draining.
-func (e *Engine) hasReplica(service api.ServiceName) bool {
+// unavailableReason returns ReasonNone if a service has a replica that is not draining and may
+// get requests, and otherwise why it has none.
+func (e *Engine) unavailableReason(service api.ServiceName) api.Reason {
+	reason := api.ReasonNoReplica
 	for _, name := range e.registry.byService[service] {
-		if !e.registry.entries[name].draining() {
-			return true
+		entry := e.registry.entries[name]
+		switch {
+		case entry.draining():
+		case e.evacuated(entry):
+			reason = api.ReasonEvacuated
+		default:
+			return api.ReasonNone
 		}
 	}
-	return false
+	return reason
 }
--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -36,7 +36,7 @@
 	}
 	c.acceptDeadline, c.responseDeadline = time.Time{}, time.Time{}
 	d.peerResponded = d.peerResponded || c.node != ""
-	if ev.Last && ev.configurationDiffers() {
+	if ev.Last && (ev.configurationDiffers() || e.evacuationsDiffer(c, ev)) {
 		e.callRefused(now, c, ev.Reason)
 		return
 	}
@@ -71,11 +71,30 @@
 	return false
 }
 
+// evacuationsDiffer reports whether another node did not run a range because of evacuations that
+// this node does not know, so that the range can run elsewhere.
+func (e *Engine) evacuationsDiffer(c *call, ev *CallReplied) bool {
+	if c.node == "" || ev.Reason != api.ReasonEvacuated || ev.MayHaveRun || len(ev.Proofs) > 0 {
+		return false
+	}
+	s := &c.divided.ranges[c.index]
+	for _, service := range c.divided.request.route.Shards[s.from:s.to] {
+		if e.unavailableReason(service) == api.ReasonNone {
+			return true
+		}
+	}
+	return false
+}
+
 // callRefused sends a range to another node after one refused it.
 func (e *Engine) callRefused(now time.Time, c *call, reason api.Reason) {
 	d := c.divided
 	d.reason = reason
-	if c.node != "" {
+	switch {
+	case c.node == "":
+	case reason == api.ReasonEvacuated:
+		e.groups.balancer.Unsent(api.ReplicaName(c.node)) // the node can run other ranges
+	default:
 		e.groups.balancer.Lost(now, api.ReplicaName(c.node))
 		e.groups.balancer.MarkSuspect(now, api.ReplicaName(c.node))
 	}
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -85,7 +85,8 @@
 			c.notPreferred = append(c.notPreferred, name)
 		default:
 			c.preferred = append(c.preferred, name)
-			c.slow = c.slow && e.replicas.ExpectedLatency(now, name) > slowLatencyFactor*r.hedgeAfter
+			// While the preferred replicas return from an evacuation, the others keep their share.
+			c.slow = c.slow && (e.returning(now, entry) || e.replicas.ExpectedLatency(now, name) > slowLatencyFactor*r.hedgeAfter)
 		}
 	}
 	e.candidates = c.preferred
@@ -97,6 +98,8 @@
 func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
 	name := entry.Replica
 	switch {
+	case !entry.draining() && e.evacuated(entry):
+		return api.ReasonEvacuated
 	case entry.draining() || !e.mayUseReplica(r, p, name, why):
 		return api.ReasonNoReplica
 	case now.Before(entry.stated.backoffUntil):
@@ -116,11 +119,24 @@
 // exclude records why a replica may not get the attempt. A reason that will pass, and soonest,
 // takes precedence.
 func (c *candidates) exclude(reason api.Reason) {
-	if reason == api.ReasonOverloaded || c.reason == api.ReasonNoReplica {
+	if exclusionRank(reason) < exclusionRank(c.reason) {
 		c.reason = reason
 	}
 }
 
+// exclusionRank orders the reasons of an exclusion by how soon they pass.
+func exclusionRank(reason api.Reason) int {
+	switch reason {
+	case api.ReasonOverloaded:
+		return 0
+	case api.ReasonBackoff:
+		return 1
+	case api.ReasonEvacuated:
+		return 2
+	}
+	return 3
+}
+
 // best returns the candidates of the highest preference.
 func (c *candidates) best() []api.ReplicaName {
 	best := c.preferred
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -85,7 +85,7 @@
 	}
 	lowest := 1.0
 	for _, name := range e.registry.byService[service] {
-		if entry := e.registry.entries[name]; !entry.draining() {
+		if entry := e.registry.entries[name]; !entry.draining() && !e.evacuated(entry) {
 			lowest = min(lowest, entry.rank)
 		}
 	}
@@ -124,6 +124,8 @@
 	e.connections(ev.Replica).open++
 	if a := e.attempts[ev.Attempt]; a != nil {
 		a.dialing = false
+	} else {
+		e.closeIfEvacuated(ev.Replica) // opened by a check, or for an attempt that was cancelled
 	}
 }
 
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -210,7 +210,8 @@
 }
 
 // knowsShards reports whether this node knows replicas of at least half of the shards of a
-// range that another node requests.
+// range that another node requests. Replicas of evacuated data centres count: the node has the
+// same configuration as the other one, and refuses the range with ReasonEvacuated.
 func (e *Engine) knowsShards(s *Subset) bool {
 	known := 0
 	for _, service := range s.Shards {
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -32,6 +32,9 @@
 	// LapseGrace is how long after the store returns a registration that disappeared
 	// during the outage may take to reappear.
 	LapseGrace time.Duration
+	// EvacuationHold is how long an evacuation that is missing after the store was restored
+	// from an older copy stays in force, unless it is written again.
+	EvacuationHold time.Duration
 }
 
 const (
@@ -70,7 +73,9 @@
 	splitter *routing.Splitter
 	replicas *balance.Replicas
 	registry registry
-	delays   *retry.Delay
+	// evacuations holds the data centres whose replicas get no requests.
+	evacuations evacuations
+	delays      *retry.Delay
 	// sendDelay estimates how long after the target time an answer that is due then reaches
 	// the caller's connection.
 	sendDelay quantile.Estimator
@@ -131,14 +136,15 @@
 }
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
-// a replica's registration, the waiting parts of a service, or the liveness check of a
-// replica. Only the field of that item is set.
+// a replica's registration, the waiting parts of a service, the liveness check of a replica, or
+// the end of a held evacuation. Only the field of that item is set.
 type timer struct {
 	request       api.RequestID
 	attempt       AttemptID
 	registration  api.ReplicaName
 	service       api.ServiceName
 	livenessCheck api.ReplicaName
+	dataCentre    api.DataCentre
 }
 
 // New returns an Engine that has no configuration yet.
@@ -152,6 +158,7 @@
 		splitter:        routing.NewSplitter(),
 		replicas:        balance.New(rng, s.DataCentre),
 		registry:        newRegistry(),
+		evacuations:     newEvacuations(),
 		delays:          retry.NewDelay(hedgeQuantile, 0),
 		budgets:         make(map[api.ServiceName]*retry.Window),
 		maxConnections:  make(map[api.ServiceName]int),
@@ -212,7 +219,13 @@
 	case ReplicasUnregistered:
 		e.replicasUnregistered(now, ev.Count)
 	case RegistryRead:
+		// Evacuations first: no waiting part is sent to a replica that this list adds.
+		e.evacuationsRead(now, ev.Evacuations, ev.Restored)
 		e.registryRead(now, ev.Registrations, ev.Restored)
+	case DataCentreEvacuated:
+		e.evacuate(now, ev.Evacuation)
+	case DataCentreRestored:
+		e.evacuationRemoved(now, ev)
 	case StoreLost:
 		e.registry.storeLost = true
 	case StoreBack:
@@ -287,6 +300,8 @@
 			e.registrationRemovalDue(now, t.registration)
 		case t.livenessCheck != "":
 			e.livenessCheckDue(now, t.livenessCheck)
+		case t.dataCentre != "":
+			e.evacuationHoldDue(now, t.dataCentre)
 		case t.service != "":
 			e.resume(now, t.service)
 		case t.attempt != 0:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -299,15 +299,30 @@
 	Count int
 }
 
-// RegistryRead holds the complete list of registrations.
+// RegistryRead holds the complete lists of registrations and of evacuated data centres.
 type RegistryRead struct {
 	event
 	Registrations []Registration
-	// Restored is set if the store was restored from an older copy: registrations may be
-	// older than those already known, or missing.
+	Evacuations   []Evacuation
+	// Restored is set if the store was restored from an older copy: registrations and
+	// evacuations may be older than those already known, or missing.
 	Restored bool
 }
 
+// DataCentreEvacuated reports that an operator has evacuated a data centre.
+type DataCentreEvacuated struct {
+	event
+	Evacuation
+}
+
+// DataCentreRestored reports that an operator has ended the evacuation of a data centre.
+type DataCentreRestored struct {
+	event
+	DataCentre api.DataCentre
+	// Revision is the store's revision at which the evacuation was removed.
+	Revision int64
+}
+
 // StoreLost reports that the store does not respond.
 type StoreLost struct{ event }
 
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -25,6 +25,11 @@
 	accepted int
 	// published holds the notices published for other nodes.
 	published []gossip.Notice
+	// closed and checked hold the replicas whose idle connections were closed, and those that
+	// were checked.
+	closed, checked []api.ReplicaName
+	// calls holds the calls to other nodes.
+	calls []CallPeer
 }
 
 func newHarness(t *testing.T, change func(*Settings)) *harness {
@@ -48,6 +53,12 @@
 			h.sends = append(h.sends, a)
 		case Publish:
 			h.published = append(h.published, a.Notices...)
+		case CloseIdle:
+			h.closed = append(h.closed, a.Replica)
+		case CheckReplica:
+			h.checked = append(h.checked, a.Replica)
+		case CallPeer:
+			h.calls = append(h.calls, a)
 		case Cancel:
 			h.cancels = append(h.cancels, a.Attempt)
 		case Answer:
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -64,6 +64,7 @@
 // suggest it.
 type possibleCrash struct {
 	address      string
+	dataCentre   api.DataCentre
 	processStart int64
 	lostAttempts []lostAttempt
 	// checkedAt is when the pending liveness check was sent; zero if none is pending.
@@ -96,7 +97,7 @@
 	r.unresolvedLosses++
 	p := e.possibleCrashes[a.replica]
 	if p == nil {
-		p = &possibleCrash{address: entry.Address, processStart: entry.ProcessStart}
+		p = &possibleCrash{address: entry.Address, dataCentre: entry.DataCentre, processStart: entry.ProcessStart}
 		e.possibleCrashes[a.replica] = p
 	}
 	p.lostAttempts = append(p.lostAttempts, l)
@@ -141,10 +142,24 @@
 	if !slices.ContainsFunc(p.lostAttempts, func(l lostAttempt) bool { return !l.ambiguous }) {
 		return
 	}
+	if e.Evacuated(p.dataCentre) {
+		// No connection may be opened. The next registration may still tell of a restart.
+		e.timers.Add(p.nextExpiry(), timer{livenessCheck: name})
+		return
+	}
 	p.checkedAt = now
 	e.startLivenessCheck(name, p.address)
 }
 
+// nextExpiry returns when the first of the lost attempts is dropped.
+func (p *possibleCrash) nextExpiry() time.Time {
+	var next time.Time
+	for i := range p.lostAttempts {
+		next = earliest(next, p.lostAttempts[i].expiresAt)
+	}
+	return next
+}
+
 // dropLostAttempts removes and counts the lost attempts at a replica for which why returns a
 // reason.
 func (e *Engine) dropLostAttempts(now time.Time, name api.ReplicaName, why func(*lostAttempt) api.Reason) {
@@ -241,7 +256,9 @@
 		return
 	}
 	names := slices.Sorted(maps.Keys(e.registry.entries))
-	names = slices.DeleteFunc(names, func(name api.ReplicaName) bool { return e.possibleCrashes[name] != nil })
+	names = slices.DeleteFunc(names, func(name api.ReplicaName) bool {
+		return e.possibleCrashes[name] != nil || e.evacuated(e.registry.entries[name])
+	})
 	if len(names) == 0 {
 		e.recheckUnreachable(now)
 		return
--- a/core/forward/reply.go
+++ b/core/forward/reply.go
@@ -19,6 +19,7 @@
 		e.observeStatus(now, a.replica, a.sentAt, &ev.Status)
 	}
 	e.connections(a.replica).backoff = 0
+	e.closeIfEvacuated(a.replica)
 	e.observeReply(now, a, ev.Reply.Kind)
 	if !a.detached {
 		e.applyReply(now, a, &ev.Reply)
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -79,6 +79,8 @@
 	limits   atomic.Pointer[routing.Limits]
 	ready    atomic.Bool
 	inFlight atomic.Int64
+	// evacuated is the number of evacuated data centres.
+	evacuated atomic.Int64
 }
 
 // NewLoop returns a Loop that drives engine. Connect must be called before Post.
@@ -133,6 +135,7 @@
 	}
 	l.ready.Store(l.engine.Ready())
 	l.inFlight.Store(int64(l.engine.InFlight()))
+	l.evacuated.Store(int64(l.engine.EvacuatedDataCentres()))
 }
 
 // endProcessOnPanic terminates the process if the engine panics, which happens when an
@@ -216,6 +219,9 @@
 // InFlight returns the number of requests that wait for an answer.
 func (l *Loop) InFlight() int { return int(l.inFlight.Load()) }
 
+// EvacuatedDataCentres returns the number of data centres whose replicas get no requests.
+func (l *Loop) EvacuatedDataCentres() int { return int(l.evacuated.Load()) }
+
 // Limits returns the limits of the current configuration, or nil before the first one has
 // been read.
 func (l *Loop) Limits() *routing.Limits { return l.limits.Load() }
