--- a/core/account/account.go
+++ b/core/account/account.go
@@ -5,6 +5,8 @@
 import (
 	"crypto/subtle"
 	"hash/maphash"
+
+	"github.com/baobabsail/baobabsail/core/api"
 )
 
 // Account is a client account: a customer whose requests share a priority and a quota.
@@ -18,6 +20,8 @@
 	Burst     float64
 	// Keys authenticate the requests of the account.
 	Keys []string
+	// HomeRegions are the only regions that requests may reach; empty for all regions.
+	HomeRegions []api.Region
 }
 
 // Limited reports whether the account has a quota.
--- a/core/api/identity.go
+++ b/core/api/identity.go
@@ -21,6 +21,9 @@
 // DataCentre names a data centre.
 type DataCentre string
 
+// Region names a group of data centres that data may be bound to.
+type Region string
+
 // CallerID identifies the caller that sent a request.
 type CallerID string
 
--- a/core/api/request.go
+++ b/core/api/request.go
@@ -167,6 +167,7 @@
 	ReasonOverQuota        Reason = "over_quota"
 	ReasonQuotaUnknown     Reason = "quota_unknown"
 	ReasonEvacuated        Reason = "evacuated"
+	ReasonOutsideRegion    Reason = "outside_home_region"
 )
 
 // MissingShard is a shard that an answer does not cover, with the reason.
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -101,7 +101,7 @@
 func (e *Engine) newRequest(now time.Time, ev Arrived, route *routing.Route) *request {
 	r := &request{
 		id: ev.Request, message: ev.Message, route: route, version: e.table.Version, start: now, subset: ev.Subset,
-		maxAttempts: route.MaxAttempts,
+		maxAttempts: route.MaxAttempts, homes: e.homesOf(ev, route),
 	}
 	if ev.Subset != nil {
 		r.maxAttempts = ev.Subset.MaxAttempts
@@ -163,15 +163,18 @@
 func delayKey(route *routing.Route) api.ServiceName { return api.ServiceName(route.Name) }
 
 // unservableReason returns why too few services of a request have a replica that may get it, or
-// ReasonNone. The reason is ReasonEvacuated if there would be enough without evacuations.
+// ReasonNone. The reason is ReasonEvacuated if there would be enough without evacuations, and
+// ReasonOutsideRegion if there would be without home regions.
 func (e *Engine) unservableReason(r *request) api.Reason {
-	available, evacuated := 0, 0
+	available, evacuated, outside := 0, 0, 0
 	for i := range r.parts {
-		switch e.unavailableReason(r.parts[i].service) {
+		switch e.unavailableReason(r.homes, r.parts[i].service) {
 		case api.ReasonNone:
 			available++
 		case api.ReasonEvacuated:
 			evacuated++
+		case api.ReasonOutsideRegion:
+			outside++
 		}
 	}
 	enough := func(parts int) bool { return parts > 0 && r.hasMinCoverage(parts) }
@@ -180,18 +183,24 @@
 		return api.ReasonNone
 	case enough(available + evacuated):
 		return api.ReasonEvacuated
+	case enough(available + evacuated + outside):
+		return api.ReasonOutsideRegion
 	}
 	return api.ReasonNoReplica
 }
 
 // unavailableReason returns ReasonNone if a service has a replica that is not draining and may
-// get requests, and otherwise why it has none.
-func (e *Engine) unavailableReason(service api.ServiceName) api.Reason {
+// get requests with the given home regions, and otherwise why it has none.
+func (e *Engine) unavailableReason(homes homeRegions, service api.ServiceName) api.Reason {
 	reason := api.ReasonNoReplica
 	for _, name := range e.registry.byService[service] {
 		entry := e.registry.entries[name]
 		switch {
 		case entry.draining():
+		case !e.reaches(homes, entry.DataCentre):
+			if reason == api.ReasonNoReplica {
+				reason = api.ReasonOutsideRegion
+			}
 		case e.evacuated(entry):
 			reason = api.ReasonEvacuated
 		default:
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -98,6 +98,8 @@
 func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
 	name := entry.Replica
 	switch {
+	case !e.reaches(r.homes, entry.DataCentre):
+		return api.ReasonOutsideRegion
 	case !entry.draining() && e.evacuated(entry):
 		return api.ReasonEvacuated
 	case entry.draining() || !e.mayUseReplica(r, p, name, why):
@@ -133,8 +135,10 @@
 		return 1
 	case api.ReasonEvacuated:
 		return 2
+	case api.ReasonOutsideRegion:
+		return 3
 	}
-	return 3
+	return 4
 }
 
 // best returns the candidates of the highest preference.
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -19,7 +19,9 @@
 	// Node is the name of this node, unique among all nodes.
 	Node       string
 	DataCentre api.DataCentre
-	Seed       uint64
+	// Regions holds the region of each data centre, for requests with home regions.
+	Regions map[api.DataCentre]api.Region
+	Seed    uint64
 	// BudgetWindow, BudgetShare and BudgetConstant limit the extra attempts (retries and
 	// hedges) for a service, summed over all nodes: within any span of BudgetWindow, at
 	// most BudgetShare times the number of requests plus BudgetConstant.
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -87,6 +87,9 @@
 	// shard of the range. If it is not 0, every attempt is an extra one and is charged
 	// to the budget.
 	PriorAttempts int
+	// HomeRegions are the only regions that the request may reach, according to the node that
+	// asks; empty for all regions.
+	HomeRegions []api.Region
 }
 
 // ExtraAttemptsAllowed reports that no other node will be asked for a range, so that each shard may
--- a/core/forward/nodechoice.go
+++ b/core/forward/nodechoice.go
@@ -15,7 +15,7 @@
 	}
 	var suspects []api.ReplicaName
 	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
-		if p.Node != e.settings.Node && !slices.Contains(d.ranges[i].tried, p.Node) {
+		if p.Node != e.settings.Node && e.reaches(d.request.homes, p.DataCentre) && !slices.Contains(d.ranges[i].tried, p.Node) {
 			suspects = append(suspects, api.ReplicaName(p.Node))
 		}
 	}
@@ -41,8 +41,8 @@
 	return e.pickNode(now, d, i, e.groups.remoteMembers(e.settings.DataCentre, i, len(d.ranges)))
 }
 
-// pickNode returns one of the given nodes that has not been tried for the range and is not
-// suspect. Suspect nodes are pinged instead.
+// pickNode returns one of the given nodes that is in the request's home regions, has not been
+// tried for the range and is not suspect. Suspect nodes are pinged instead.
 func (e *Engine) pickNode(now time.Time, d *dividedRequest, i int, nodes []Peer) (node string, ok bool) {
 	e.candidates = e.candidates[:0]
 	for _, p := range nodes {
@@ -50,6 +50,8 @@
 		switch {
 		case p.Node == e.settings.Node || slices.Contains(d.ranges[i].tried, p.Node):
 			// This node, or one that was already tried.
+		case !e.reaches(d.request.homes, p.DataCentre):
+			// The request's body must not leave its home regions.
 		case e.groups.balancer.Suspect(name):
 			e.pingIfDue(now, name, d, i)
 		default:
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -58,6 +58,8 @@
 	Priority int
 	// Public is set if a request needs no key although the configuration has accounts.
 	Public bool
+	// HomeRegions are the only regions that requests may reach; empty for all regions.
+	HomeRegions []api.Region
 }
 
 // Sharded reports whether each request is sent to all shards.
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -260,6 +260,7 @@
 		Shards: shardNames(a.Subset.Shards), MaxAttempts: uint32(a.Subset.MaxAttempts), Used: uint32(a.Subset.PriorAttempts),
 		LeftUs: a.Remaining.Microseconds(), TargetUs: a.Target.Microseconds(),
 		Account: a.Message.Account, AccountPriority: int32(a.Message.AccountPriority),
+		HomeRegions: regionNames(a.Subset.HomeRegions),
 	}
 }
 
@@ -272,6 +273,18 @@
 	return out
 }
 
+// regionNames converts regions to their wire form.
+func regionNames(regions []api.Region) []string {
+	if len(regions) == 0 {
+		return nil
+	}
+	out := make([]string, len(regions))
+	for i, r := range regions {
+		out[i] = string(r)
+	}
+	return out
+}
+
 // callRepliedEvent converts a reply to a call to an event.
 func callRepliedEvent(id forward.CallID, r *nodepb.ShardsReply) forward.CallReplied {
 	return forward.CallReplied{
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -79,6 +79,7 @@
 		Target:        time.Duration(q.GetTargetUs()) * time.Microsecond,
 		Subset: &forward.Subset{
 			Shards: serviceNames(q.GetShards()), MaxAttempts: int(q.GetMaxAttempts()), PriorAttempts: int(q.GetUsed()),
+			HomeRegions: regionsFrom(q.GetHomeRegions()),
 		},
 		Message: &forward.Message{
 			Host: q.GetHost(), Path: q.GetPath(), CallerRequest: q.GetCallerRequest(),
@@ -99,6 +100,18 @@
 	return r
 }
 
+// regionsFrom converts the region names in a call to regions.
+func regionsFrom(names []string) []api.Region {
+	if len(names) == 0 {
+		return nil
+	}
+	out := make([]api.Region, len(names))
+	for i, n := range names {
+		out[i] = api.Region(n)
+	}
+	return out
+}
+
 // serviceNames converts the shard names in a call to service names.
 func serviceNames(names []string) []api.ServiceName {
 	out := make([]api.ServiceName, len(names))
