--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -86,8 +86,13 @@
 	tailLatency  quantile.Estimator
 	reportedLoad float64
 	// reportedAt is when reportedLoad was received.
-	reportedAt  time.Time
-	failureRate float64
+	reportedAt time.Time
+	// reportedWait is the expected wait that follows from the last Report, without the attempts
+	// of this node, in units of the usual duration of a request. reportedWaitAt is when it was
+	// received.
+	reportedWait   float64
+	reportedWaitAt time.Time
+	failureRate    float64
 	// failureAt is when failureRate was last updated.
 	failureAt           time.Time
 	consecutiveFailures int
@@ -106,6 +111,8 @@
 	// remoteSurcharge is the fraction by which the score of a replica in another
 	// data centre is increased.
 	remoteSurcharge float64
+	// reportsObserved is set once a Report was observed.
+	reportsObserved bool
 }
 
 // New returns a Replicas without replicas. local is the data centre of this node.
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -30,6 +30,9 @@
 	eligible
 	// probeDue marks a suspect replica whose next probe is due; it is picked at once.
 	probeDue
+	// reportedBusy candidates do not take part in this pick because of the load that they
+	// report. They are picked only if no candidate is eligible.
+	reportedBusy
 	// lastResort marks a suspect or cold replica that is picked only if no candidate
 	// is eligible.
 	lastResort
@@ -52,12 +55,13 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	var best, fallback *replica
-	bestScore, fallbackScore := math.Inf(1), math.Inf(1)
+	var best, busy, fallback *replica
+	bestScore, busyScore, fallbackScore := math.Inf(1), math.Inf(1), math.Inf(1)
+	meanWait := r.meanReportedWait(now, candidates)
 	compared := 0
 	i := r.rng.IntN(len(candidates))
 	for range candidates {
-		s, class := r.classify(now, candidates[i], exclude)
+		s, class := r.classify(now, candidates[i], exclude, meanWait)
 		if i++; i == len(candidates) {
 			i = 0
 		}
@@ -71,6 +75,10 @@
 			if compared++; compared == limit {
 				return best
 			}
+		case reportedBusy:
+			if score := s.score(now); score < busyScore {
+				busy, busyScore = s, score
+			}
 		case lastResort:
 			if best != nil {
 				continue
@@ -80,16 +88,20 @@
 			}
 		}
 	}
-	if best != nil {
+	switch {
+	case best != nil:
 		return best
+	case busy != nil:
+		return busy
 	}
 	return fallback
 }
 
 // classify returns a replica and its eligibility. A cold replica is eligible in a
 // growing fraction of the calls, so that its traffic ramps up whatever the scores of
-// the other replicas are.
-func (r *Replicas) classify(now time.Time, name api.ReplicaName, exclude []api.ReplicaName) (*replica, eligibility) {
+// the other replicas are. One that reports a longer wait than the mean of the candidates is
+// eligible in a smaller fraction.
+func (r *Replicas) classify(now time.Time, name api.ReplicaName, exclude []api.ReplicaName, meanWait float64) (*replica, eligibility) {
 	s, ok := r.replicas[name]
 	if !ok || s.isDrained() || slices.Contains(exclude, name) {
 		return nil, ineligible
@@ -106,6 +118,9 @@
 			return s, lastResort
 		}
 	}
+	if share := s.reportedShare(now, meanWait); share < 1 && r.rng.Float64() >= share {
+		return s, reportedBusy
+	}
 	return s, eligible
 }
 
--- a/core/forward/status.go
+++ b/core/forward/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/count"
 )
 
@@ -17,8 +18,12 @@
 	Leaving bool
 	// Backoff is how long the replica wants no requests from this node; 0 if it accepts them.
 	Backoff time.Duration
+	// HasLoad is set if the replica reports its load.
+	HasLoad bool
+	Load    balance.Report
 	// Invalid names the fields whose values could not be parsed; empty if there are none.
-	Invalid string
+	// InvalidLoad names that of the load, which comes with every response.
+	Invalid, InvalidLoad string
 }
 
 // Details of the replica status counter.
@@ -28,6 +33,7 @@
 	statusLeaving        api.Reason = "leaving"
 	statusBackoff        api.Reason = "backoff"
 	statusInvalid        api.Reason = "invalid"
+	statusLoadInvalid    api.Reason = "load_invalid"
 )
 
 // statements are what a process of a replica stated about itself that stays in force.
@@ -37,6 +43,8 @@
 	leaving bool
 	// backoffUntil is the time until which the replica wants no requests from this node.
 	backoffUntil time.Time
+	// loadInvalid is set while the last report of the load could not be parsed.
+	loadInvalid bool
 }
 
 // observeStatus applies what a replica states about itself in the response to a request sent
@@ -50,6 +58,7 @@
 		e.counts.Inc(count.ReplicaStatus, statusInvalid)
 		e.log("replica_status_invalid", "replica", name, "service", entry.Service, "fields", s.Invalid)
 	}
+	e.observeLoadReport(now, entry, s)
 	e.observeRateLimit(now, entry, sentAt, s)
 	if s.Leaving && !entry.stated.leaving {
 		e.replicaLeaving(now, entry)
@@ -59,6 +68,22 @@
 	}
 }
 
+// observeLoadReport passes the load that a replica reports to the load balancer. Reports come with
+// every response, so that invalid ones are logged only once in a row.
+func (e *Engine) observeLoadReport(now time.Time, entry *registryEntry, s *ReplicaStatus) {
+	switch {
+	case s.InvalidLoad != "":
+		e.counts.Inc(count.ReplicaStatus, statusLoadInvalid)
+		if !entry.stated.loadInvalid {
+			entry.stated.loadInvalid = true
+			e.log("replica_status_invalid", "replica", entry.Replica, "service", entry.Service, "fields", s.InvalidLoad)
+		}
+	case s.HasLoad:
+		entry.stated.loadInvalid = false
+		e.replicas.ObserveReport(now, entry.Replica, s.Load)
+	}
+}
+
 // statusReported applies a statement that came without a Replied event.
 func (e *Engine) statusReported(now time.Time, ev StatusReported) {
 	entry := e.registry.entries[ev.Replica]
--- a/entry/relay/status.go
+++ b/entry/relay/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/forward"
 )
 
@@ -14,6 +15,10 @@
 	retryAfterHeader = "Retry-After"
 	// maxBackoff bounds the time that a replica may ask for in a Retry-After field.
 	maxBackoff = 24 * time.Hour
+	// maxLoadFigure is the largest figure in a report of the load that is taken for a real one.
+	maxLoadFigure = 1e6
+	// normalPace is the pace of a replica that reports none.
+	normalPace = 100
 )
 
 // replicaStatus returns what a replica states about itself in a response. A value that cannot
@@ -38,10 +43,42 @@
 			invalid = append(invalid, retryAfterHeader)
 		}
 	}
+	if values := h.Values(names.Load); names.Load != "" && len(values) > 0 {
+		s.Load, s.HasLoad = parseLoad(values)
+		if !s.HasLoad {
+			s.InvalidLoad = names.Load
+		}
+	}
 	s.Invalid = strings.Join(invalid, ",")
 	return s
 }
 
+// parseLoad parses a report of a replica's load: the requests that it runs, those that wait, its
+// slots and its pace, which older replicas omit. It reports false unless the field is there once and
+// all figures are plausible.
+func parseLoad(values []string) (balance.Report, bool) {
+	if len(values) != 1 {
+		return balance.Report{}, false
+	}
+	figures := [4]float64{3: normalPace}
+	fields := strings.Split(values[0], ",")
+	if len(fields) != len(figures) && len(fields) != len(figures)-1 {
+		return balance.Report{}, false
+	}
+	for i, field := range fields {
+		v, ok := parseNonNegative(field)
+		if !ok || v > maxLoadFigure {
+			return balance.Report{}, false
+		}
+		figures[i] = v
+	}
+	report := balance.Report{Running: figures[0], Waiting: figures[1], Slots: figures[2], Pace: figures[3]}
+	if report.Slots < 1 || report.Pace == 0 {
+		return balance.Report{}, false
+	}
+	return report, true
+}
+
 // parseNonNegative parses a finite decimal number that is not negative.
 func parseNonNegative(text string) (float64, bool) {
 	v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
--- a/entry/relay/status_test.go
+++ b/entry/relay/status_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/forward"
 )
 
@@ -29,6 +30,19 @@
 		"fraction of backoff": {503, map[string]string{"Retry-After": "0.25"}, forward.ReplicaStatus{Backoff: 250 * time.Millisecond}},
 		"endless backoff":     {503, map[string]string{"Retry-After": "1e300"}, forward.ReplicaStatus{Backoff: maxBackoff}},
 		"backoff as a date":   {503, map[string]string{"Retry-After": "Fri, 04 Dec 2026 10:00:00 GMT"}, forward.ReplicaStatus{Invalid: "Retry-After"}},
+		"load":                {200, map[string]string{"X-Load": "2,3,4,150"}, forward.ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 2, Waiting: 3, Slots: 4, Pace: 150}}},
+		"load without pace":   {503, map[string]string{"X-Load": " 2, 0,4"}, forward.ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 2, Slots: 4, Pace: 100}}},
+		"load and bad limit":  {200, map[string]string{"X-Load": "0,0,1,100", "X-Rate": "x"}, forward.ReplicaStatus{HasLoad: true, Load: balance.Report{Slots: 1, Pace: 100}, Invalid: "X-Rate"}},
+		"empty load":          {200, map[string]string{"X-Load": ""}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"two figures":         {200, map[string]string{"X-Load": "1,2"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"five figures":        {200, map[string]string{"X-Load": "1,2,3,100,5"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"missing figure":      {200, map[string]string{"X-Load": "1,,2,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"load not a number":   {200, map[string]string{"X-Load": "1,idle,2,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"load NaN":            {200, map[string]string{"X-Load": "NaN,0,2,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"negative load":       {200, map[string]string{"X-Load": "1,-1,2,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"absurd load":         {200, map[string]string{"X-Load": "1e9,0,2,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"load without slots":  {200, map[string]string{"X-Load": "1,0,0,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"pace of zero":        {200, map[string]string{"X-Load": "1,0,2,0"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
 		"other status":        {429, map[string]string{"Retry-After": "2"}, forward.ReplicaStatus{}},
 	} {
 		h := http.Header{}
