--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -87,6 +87,9 @@
 	// shard of the range. If it is not 0, every attempt is an extra one and is charged
 	// to the budget.
 	PriorAttempts int
+	// HomeRegions are the only regions that the request may reach, according to the node that
+	// asks; empty for all regions.
+	HomeRegions []api.Region
 }
 
 // ExtraAttemptsAllowed reports that no other node will be asked for a range, so that each shard may
@@ -299,15 +302,30 @@
 	Count int
 }
 
-// RegistryRead holds the complete list of registrations.
+// RegistryRead holds the complete lists of registrations and of evacuated data centres.
 type RegistryRead struct {
 	event
 	Registrations []Registration
-	// Restored is set if the store was restored from an older copy: registrations may be
-	// older than those already known, or missing.
+	Evacuations   []Evacuation
+	// Restored is set if the store was restored from an older copy: registrations and
+	// evacuations may be older than those already known, or missing.
 	Restored bool
 }
 
+// DataCentreEvacuated reports that an operator has evacuated a data centre.
+type DataCentreEvacuated struct {
+	event
+	Evacuation
+}
+
+// DataCentreRestored reports that an operator has ended the evacuation of a data centre.
+type DataCentreRestored struct {
+	event
+	DataCentre api.DataCentre
+	// Revision is the store's revision at which the evacuation was removed.
+	Revision int64
+}
+
 // StoreLost reports that the store does not respond.
 type StoreLost struct{ event }
 
