--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -96,6 +96,7 @@
 // means that it lacks only a permit.
 func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
 	name := entry.Replica
+	e.suspectUnconfirmed(now, name)
 	switch {
 	case entry.draining() || !e.mayUseReplica(r, p, name, why):
 		return api.ReasonNoReplica
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -127,10 +127,13 @@
 	}
 }
 
-func (e *Engine) connEnded(name api.ReplicaName) {
-	c := e.connections(name)
+func (e *Engine) connEnded(now time.Time, ev ConnEnded) {
+	c := e.connections(ev.Replica)
 	c.open = max(c.open-1, 0)
-	e.dropConnections(name)
+	if ev.ByReplica {
+		e.suspectCold(now, ev.Replica)
+	}
+	e.dropConnections(ev.Replica)
 }
 
 // dropConnections removes the record of a replica that is no longer registered and has
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 )
 
 // These tests simulate more nodes than a replica accepts connections from, so that the nodes
@@ -115,6 +116,7 @@
 	return New(Settings{
 		Node: nodeName(node), DataCentre: f.dataCentre(node), Seed: seed, BudgetWindow: 10 * time.Second,
 		BudgetShare: 0.2, BudgetConstant: 200, FirstStart: true, LapseGrace: 2 * time.Second,
+		ColdBounds: ratelimit.ColdBounds{Overage: 1.5, Slack: 5},
 	})
 }
 
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -9,6 +9,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/core/timerqueue"
@@ -32,6 +33,10 @@
 	// LapseGrace is how long after the store returns a registration that disappeared
 	// during the outage may take to reappear.
 	LapseGrace time.Duration
+	// ColdBounds limits the requests that all nodes together send to a cold replica.
+	ColdBounds ratelimit.ColdBounds
+	// ListAge is the greatest age of the list of nodes while the store is not lost.
+	ListAge time.Duration
 }
 
 const (
@@ -131,18 +136,22 @@
 }
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
-// a replica's registration, the waiting parts of a service, or the liveness check of a
-// replica. Only the field of that item is set.
+// a replica's registration, the waiting parts of a service, the liveness check of a replica, or
+// the end of the time in which a replica is cold. Only the field of that item is set.
 type timer struct {
 	request       api.RequestID
 	attempt       AttemptID
 	registration  api.ReplicaName
 	service       api.ServiceName
 	livenessCheck api.ReplicaName
+	coldReplica   api.ReplicaName
 }
 
 // New returns an Engine that has no configuration yet.
 func New(s Settings) *Engine {
+	if s.ListAge == 0 {
+		s.ListAge = defaultListAge
+	}
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
 	counts := count.NewSet()
 	e := &Engine{
@@ -163,7 +172,7 @@
 		stalledReplicas: make(map[api.ReplicaName]bool),
 		lastReplyAt:     make(map[api.ReplicaName]time.Time),
 		quarantine:      quarantine.New(counts),
-		limits:          newRateLimits(),
+		limits:          newRateLimits(s.Node, s.ListAge),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
@@ -202,7 +211,7 @@
 	case ConnOpened:
 		e.connOpened(ev)
 	case ConnEnded:
-		e.connEnded(ev.Replica)
+		e.connEnded(now, ev)
 	case TableRead:
 		e.adoptTable(now, ev.Table)
 	case ReplicaRegistered:
@@ -215,6 +224,7 @@
 		e.registryRead(now, ev.Registrations, ev.Restored)
 	case StoreLost:
 		e.registry.storeLost = true
+		e.limits.ranks.StoreLost(now)
 	case StoreBack:
 		e.storeBack(now)
 	case BudgetChanged:
@@ -226,6 +236,7 @@
 	case Members:
 		e.membersChanged(now, ev.Nodes)
 		e.adoptPeers(now, ev.Peers)
+		e.limits.ranks.SetNodes(now, e.allocators())
 	case ExtraAttemptsAllowed:
 		e.extraAttemptsAllowed(now, ev.Request)
 	case CallAccepted:
@@ -287,6 +298,8 @@
 			e.registrationRemovalDue(now, t.registration)
 		case t.livenessCheck != "":
 			e.livenessCheckDue(now, t.livenessCheck)
+		case t.coldReplica != "":
+			e.coldEndDue(now, t.coldReplica)
 		case t.service != "":
 			e.resume(now, t.service)
 		case t.attempt != 0:
@@ -316,6 +329,7 @@
 		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
 	e.dropUnusedAdmissionControls()
 	e.adoptLimits(t)
+	e.applyColdLimits(now)
 	e.regroup()
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -254,6 +254,9 @@
 type ConnEnded struct {
 	event
 	Replica api.ReplicaName
+	// ByReplica is set if this node did not close the connection: the process of the replica
+	// may have ended.
+	ByReplica bool
 }
 
 // TableRead reports a configuration that was read from the store.
--- a/core/forward/lost.go
+++ b/core/forward/lost.go
@@ -31,16 +31,19 @@
 	}
 	switch ev.Loss {
 	case LostStale:
-		e.replicas.Unsent(a.replica) // says nothing about the replica
+		e.replicas.Unsent(a.replica) // says nothing about the replica's health
+		e.suspectCold(now, a.replica)
 		e.recordLostAttempt(now, a, false)
 	case LostLimited:
 		e.replicas.Unsent(a.replica)
 		e.connectionLimitReached(now, a)
 	case LostBroken:
 		e.replicas.Lost(now, a.replica)
+		e.suspectCold(now, a.replica)
 		e.recordLostAttempt(now, a, false)
 	case LostRefused:
 		e.replicas.Lost(now, a.replica)
+		e.suspectCold(now, a.replica)
 		e.replicaCrashed(now, a.replica)
 	default:
 		e.replicas.Lost(now, a.replica)
--- a/core/forward/ratelimit.go
+++ b/core/forward/ratelimit.go
@@ -2,10 +2,9 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
@@ -31,6 +30,8 @@
 	// grants permits for the replicas that this node is the allocator of.
 	limiter   *ratelimit.Limiter
 	allocator *ratelimit.Allocator
+	// ranks says what this node may grant for cold replicas.
+	ranks *ratelimit.Ranks
 	// failedAllocators holds the nodes that did not respond to a request for permits, and
 	// until when other nodes are asked. failures counts such requests in a row.
 	failedAllocators map[string]time.Time
@@ -42,9 +43,10 @@
 	stopping bool
 }
 
-func newRateLimits() rateLimits {
+func newRateLimits(node string, listAge time.Duration) rateLimits {
 	return rateLimits{
 		limiter: ratelimit.NewLimiter(), allocator: ratelimit.NewAllocator(), failedAllocators: make(map[string]time.Time),
+		ranks: ratelimit.NewRanks(node, listAge),
 	}
 }
 
@@ -129,7 +131,7 @@
 func (e *Engine) requestPermits(now time.Time, r ratelimit.Request) {
 	node, share := e.allocatorOf(now, r.Replica)
 	if node == e.settings.Node {
-		e.applyGrant(now, e.limits.allocator.Allocate(now, r, share))
+		e.applyGrant(now, e.allocate(now, r, share))
 		return
 	}
 	e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node]})
@@ -148,7 +150,7 @@
 			if now.Before(e.limits.failedAllocators[p.Node]) || e.limits.stopping && p.Node == e.settings.Node {
 				continue
 			}
-			if h := xxhash.Sum64String(p.Node + "/" + string(replica)); h < lowest {
+			if h := ratelimit.AllocatorHash(p.Node, replica); h < lowest {
 				node, lowest = p.Node, h
 			}
 		}
@@ -159,9 +161,39 @@
 	return node, 1
 }
 
+// allocate grants permits as the allocator of a replica. Of a named limit, it grants at most the
+// given share; of a cold limit, what no other node can grant at the same time.
+func (e *Engine) allocate(now time.Time, r ratelimit.Request, share float64) ratelimit.Grant {
+	if entry := e.registry.entries[r.Replica]; entry != nil && (r.ColdPerSecond > 0 || e.limits.limiter.Cold(r.Replica)) {
+		if own := e.coldPerSecond(entry.Service); own > 0 {
+			r.ColdPerSecond = own
+		}
+	}
+	var cold ratelimit.ColdShare
+	if r.ColdPerSecond > 0 && !e.limits.stopping {
+		cold = e.settings.ColdBounds.Share(r.ColdPerSecond, e.limits.ranks.Of(now, r.Replica))
+	}
+	return e.limits.allocator.Allocate(now, r, share, cold)
+}
+
+// allocators returns the nodes that can be the allocator of a replica, sorted by name.
+func (e *Engine) allocators() []string {
+	var nodes []string
+	for _, peers := range e.groups.nodes {
+		for _, p := range peers {
+			nodes = append(nodes, p.Node)
+		}
+	}
+	if len(nodes) == 0 && e.nodeCount == 1 {
+		nodes = append(nodes, e.settings.Node) // the only node accepts no calls
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
 // permitsRequested grants permits to another node.
 func (e *Engine) permitsRequested(now time.Time, ev PermitsRequested) {
-	g := e.limits.allocator.Allocate(now, ev.Request, 1)
+	g := e.allocate(now, ev.Request, 1)
 	e.counts.Add(count.RateLimit, "permits_granted", uint64(g.Permits))
 	e.emit(GrantPermits{Grant: g, Call: ev.Call})
 }
--- a/core/forward/registry.go
+++ b/core/forward/registry.go
@@ -17,6 +17,8 @@
 	storeLost bool
 	// reading is set while a complete list of registrations is being applied.
 	reading bool
+	// complete is set once a complete list of registrations has been applied.
+	complete bool
 	// graceUntil is the end of the grace period after an outage of the store, in which
 	// registrations that disappeared are not removed yet.
 	graceUntil time.Time
@@ -98,25 +100,28 @@
 	case old.Draining != reg.Draining:
 		e.log("replica_changed", "replica", reg.Replica, "service", reg.Service, "draining", reg.Draining)
 	}
-	entry := &registryEntry{Registration: reg, rank: e.rank(reg.Replica), stated: e.earlierStatements(old, reg)}
+	stated, newProcess := e.earlierStatements(old, reg)
+	entry := &registryEntry{Registration: reg, rank: e.rank(reg.Replica), stated: stated}
 	e.registry.entries[reg.Replica] = entry
+	e.observeColdRegistration(now, entry, newProcess)
 	e.setBalancerSpec(now, entry)
 	e.resume(now, reg.Service)
 }
 
 // earlierStatements returns what a replica stated before this registration and what of it is
-// still in force. old is the current entry of the same process; nil if it has none.
-func (e *Engine) earlierStatements(old *registryEntry, reg Registration) statements {
+// still in force, and whether the process is a new one. old is the current entry of the same
+// process; nil if it has none.
+func (e *Engine) earlierStatements(old *registryEntry, reg Registration) (s statements, newProcess bool) {
 	if old != nil {
-		return old.stated
+		return old.stated, false
 	}
 	removed, ok := e.registry.removed[reg.Replica]
 	if ok && !reg.restartedSince(removed.Registration) {
-		return removed.stated
+		return removed.stated, false
 	}
 	e.limits.limiter.Remove(reg.Replica)
 	// The new process may have asked for the pause, before its registration was read.
-	return statements{backoffUntil: removed.stated.backoffUntil}
+	return statements{backoffUntil: removed.stated.backoffUntil}, true
 }
 
 // setBalancerSpec passes a replica to the load balancer.
@@ -248,6 +253,7 @@
 		e.replicaRegistered(now, reg)
 	}
 	e.registry.reading = false
+	e.registry.complete = true
 	e.log("replicas_read", "listed", len(listed), "before", before, "now", len(e.registry.entries))
 	var missing []api.ReplicaName
 	for name := range e.registry.entries {
@@ -263,5 +269,6 @@
 
 func (e *Engine) storeBack(now time.Time) {
 	e.registry.storeLost = false
+	e.limits.ranks.StoreBack(now)
 	e.registry.graceUntil = now.Add(e.settings.LapseGrace)
 }
--- a/core/forward/status.go
+++ b/core/forward/status.go
@@ -17,6 +17,10 @@
 	Leaving bool
 	// Backoff is how long the replica wants no requests from this node; 0 if it accepts them.
 	Backoff time.Duration
+	// HasCold is set if the replica states whether it is cold. ColdFor is then how much longer
+	// it is; 0 if it is not.
+	HasCold bool
+	ColdFor time.Duration
 	// Invalid names the fields whose values could not be parsed; empty if there are none.
 	Invalid string
 }
@@ -28,6 +32,8 @@
 	statusLeaving        api.Reason = "leaving"
 	statusBackoff        api.Reason = "backoff"
 	statusInvalid        api.Reason = "invalid"
+	statusCold           api.Reason = "cold"
+	statusColdEnded      api.Reason = "cold_ended"
 )
 
 // statements are what a process of a replica stated about itself that stays in force.
@@ -37,6 +43,7 @@
 	leaving bool
 	// backoffUntil is the time until which the replica wants no requests from this node.
 	backoffUntil time.Time
+	cold         coldState
 }
 
 // observeStatus applies what a replica states about itself in the response to a request sent
@@ -51,6 +58,9 @@
 		e.log("replica_status_invalid", "replica", name, "service", entry.Service, "fields", s.Invalid)
 	}
 	e.observeRateLimit(now, entry, sentAt, s)
+	if s.HasCold {
+		e.observeColdResponse(now, entry, sentAt, s.ColdFor)
+	}
 	if s.Leaving && !entry.stated.leaving {
 		e.replicaLeaving(now, entry)
 	}
--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -40,6 +40,8 @@
 	tokens    float64
 	// updatedAt is the time of the last request, up to which tokens has been computed.
 	updatedAt time.Time
+	// cold holds the grants for the replica while it is cold.
+	cold coldBucket
 }
 
 // NewAllocator returns an Allocator without buckets.
@@ -48,11 +50,11 @@
 }
 
 // Allocate handles a request for permits. The allocator grants at most the given share, from
-// 0 to 1, of the limit.
-func (a *Allocator) Allocate(now time.Time, r Request, share float64) Grant {
+// 0 to 1, of the limit that the replica names, and the given share of its cold limit.
+func (a *Allocator) Allocate(now time.Time, r Request, share float64, cold ColdShare) Grant {
 	b := a.buckets[r.Replica]
 	if b == nil {
-		b = &bucket{createdAt: now, tokens: share, updatedAt: now}
+		b = &bucket{createdAt: now, tokens: share, updatedAt: now, cold: coldBucket{updatedAt: now}}
 		a.buckets[r.Replica] = b
 	}
 	if statedAt := now.Add(-r.Statement.Age); statedAt.After(b.statedAt) {
@@ -64,13 +66,22 @@
 	}
 	b.refill(now, rate)
 	g := Grant{Replica: r.Replica, Statement: Statement{Limited: b.limited, PerSecond: b.perSecond, Age: now.Sub(b.statedAt)}}
-	if !b.limited {
+	if !b.limited && r.ColdPerSecond <= 0 {
 		return g
 	}
-	g.Permits = min(r.Wanted, int(b.tokens))
-	b.tokens -= float64(g.Permits)
-	if g.Permits == 0 {
-		g.RetryAfter = b.timeToToken(rate)
+	g.Permits, g.Cold = r.Wanted, r.ColdPerSecond > 0
+	if b.limited {
+		if g.Permits = min(g.Permits, int(b.tokens)); g.Permits == 0 {
+			g.RetryAfter = b.timeToToken(rate)
+		}
+	}
+	if g.Cold {
+		permits, retryAfter := b.cold.available(now, r.Wanted, cold)
+		g.Permits, g.RetryAfter = min(g.Permits, permits), max(g.RetryAfter, retryAfter)
+		b.cold.take(now, g.Permits)
+	}
+	if b.limited {
+		b.tokens -= float64(g.Permits)
 	}
 	return g
 }
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -34,11 +34,15 @@
 	replicas map[api.ReplicaName]*limitedReplica
 }
 
-// limitedReplica is a replica that names a rate limit.
+// limitedReplica is a replica that names a rate limit, is cold, or both.
 type limitedReplica struct {
+	// named is set if the replica names a rate limit, of perSecond.
+	named     bool
 	perSecond float64
-	// statedAt is when the limit was last named.
+	// statedAt is when the limit was last named; zero if it never was.
 	statedAt time.Time
+	// coldPerSecond is the limit of a cold replica; 0 if it is not cold.
+	coldPerSecond float64
 	// permits holds the expiry of each unused permit, in ascending order.
 	permits []time.Time
 	// missed counts the requests that were not sent to the replica for lack of a permit since
@@ -63,25 +67,58 @@
 	r := l.replicas[name]
 	switch {
 	case limited && r == nil:
-		l.replicas[name] = &limitedReplica{perSecond: perSecond, statedAt: now}
+		l.replicas[name] = &limitedReplica{named: true, perSecond: perSecond, statedAt: now}
 		return Named
 	case limited:
-		changed := r.perSecond != perSecond
-		r.perSecond, r.statedAt = perSecond, now
+		changed := !r.named || r.perSecond != perSecond
+		r.named, r.perSecond, r.statedAt = true, perSecond, now
 		if changed {
 			return Named
 		}
-	case r != nil && sentAt.After(r.statedAt):
-		delete(l.replicas, name)
+	case r != nil && r.named && sentAt.After(r.statedAt):
+		l.endNamed(name, r)
 		return Ended
 	}
 	return Unchanged
 }
 
+// endNamed handles the end of the limit that a replica named.
+func (l *Limiter) endNamed(name api.ReplicaName, r *limitedReplica) {
+	if r.coldPerSecond <= 0 {
+		delete(l.replicas, name)
+		return
+	}
+	r.named = false
+}
+
+// SetCold records the limit of a replica that is cold; 0 means that it is not cold. Permits
+// from before it was cold are dropped.
+func (l *Limiter) SetCold(name api.ReplicaName, perSecond float64) {
+	r := l.replicas[name]
+	switch {
+	case r == nil && perSecond > 0:
+		l.replicas[name] = &limitedReplica{coldPerSecond: perSecond}
+	case r == nil:
+	case perSecond <= 0 && !r.named:
+		delete(l.replicas, name)
+	default:
+		if r.coldPerSecond <= 0 && perSecond > 0 {
+			r.permits = nil
+		}
+		r.coldPerSecond = max(perSecond, 0)
+	}
+}
+
+// Cold reports whether a replica has the limit of a cold one.
+func (l *Limiter) Cold(name api.ReplicaName) bool {
+	r := l.replicas[name]
+	return r != nil && r.coldPerSecond > 0
+}
+
 // Remove forgets a replica.
 func (l *Limiter) Remove(name api.ReplicaName) { delete(l.replicas, name) }
 
-// Limited reports whether a replica names a rate limit.
+// Limited reports whether requests to a replica need permits.
 func (l *Limiter) Limited(name api.ReplicaName) bool { return l.replicas[name] != nil }
 
 // Permitted reports whether a request may be sent to a replica: it names no limit, or there is
@@ -118,7 +155,15 @@
 	}
 	wanted := min(max(r.missed, waiting), maxWanted)
 	r.requesting, r.requestedAt, r.missed = true, now, 0
-	return Request{Replica: name, Wanted: wanted, Statement: Statement{Limited: true, PerSecond: r.perSecond, Age: now.Sub(r.statedAt)}}, true
+	return Request{Replica: name, Wanted: wanted, Statement: r.statement(now), ColdPerSecond: r.coldPerSecond}, true
+}
+
+// statement returns what the replica last stated about its rate limit.
+func (r *limitedReplica) statement(now time.Time) Statement {
+	if r.statedAt.IsZero() {
+		return Statement{Age: unstatedAge}
+	}
+	return Statement{Limited: r.named, PerSecond: r.perSecond, Age: now.Sub(r.statedAt)}
 }
 
 // Requesting reports whether a request for permits for a replica is unanswered.
@@ -134,22 +179,36 @@
 	if r == nil {
 		return false // the limit has ended in the meantime
 	}
+	asked := r.requesting
 	r.requesting = false
 	if statedAt := now.Add(-g.Statement.Age); statedAt.After(r.statedAt) {
-		if !g.Statement.Limited {
-			delete(l.replicas, g.Replica)
-			return true
+		switch {
+		case g.Statement.Limited:
+			r.named, r.perSecond, r.statedAt = true, g.Statement.PerSecond, statedAt
+		case r.named:
+			l.endNamed(g.Replica, r)
+			if ended = true; r.coldPerSecond <= 0 {
+				return true
+			}
+		}
+	}
+	expiresAt := now.Add(permitTTL)
+	if r.coldPerSecond > 0 {
+		expiresAt = r.requestedAt.Add(coldPermitTTL)
+		if !g.Cold || !asked {
+			// The request was sent before the replica was cold or is no longer awaited, or the
+			// allocator is of an older version that knows no cold limits.
+			g.Permits, g.RetryAfter = 0, max(g.RetryAfter, minRetryAfter)
 		}
-		r.perSecond, r.statedAt = g.Statement.PerSecond, statedAt
 	}
 	r.dropExpired(now)
 	for range g.Permits {
-		r.permits = append(r.permits, now.Add(permitTTL))
+		r.permits = append(r.permits, expiresAt)
 	}
 	if g.Permits == 0 {
 		r.retryAt = now.Add(g.RetryAfter)
 	}
-	return false
+	return ended
 }
 
 // Failed handles a request for permits that got no response.
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -6,6 +6,9 @@
 // node runs a token bucket for each limited replica (Allocator) and grants permits to the nodes
 // that ask for them (Limiter). A permit allows one request and expires soon. Any node can be
 // the allocator of a replica; it keeps no state that the next one needs.
+//
+// The limit of a cold replica (cold.go) uses the same permits. It must never be exceeded, so
+// that a node grants it only if no other node can do so at the same time.
 package ratelimit
 
 import (
@@ -30,6 +33,9 @@
 	Replica   api.ReplicaName
 	Statement Statement
 	Wanted    int
+	// ColdPerSecond is the number of requests per second that the replica can take from all
+	// nodes together because it is cold; 0 if it is not cold.
+	ColdPerSecond float64
 }
 
 // Grant is the allocator's response to a Request.
@@ -38,6 +44,8 @@
 	// Statement is the newest statement of the replica that the allocator knows.
 	Statement Statement
 	Permits   int
+	// Cold is set if the permits are within the limit of a cold replica.
+	Cold bool
 	// RetryAfter is how long to wait before the next Request if Permits is 0.
 	RetryAfter time.Duration
 }
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -23,7 +23,7 @@
 		total := 0
 		for now.Sub(start) < 30*time.Second {
 			now = now.Add(time.Duration(rng.Int64N(int64(40 * time.Millisecond))))
-			g := a.Allocate(now, Request{Replica: "r", Statement: limited(rate), Wanted: 1 + rng.IntN(20)}, 1)
+			g := a.Allocate(now, Request{Replica: "r", Statement: limited(rate), Wanted: 1 + rng.IntN(20)}, 1, ColdShare{})
 			grants = append(grants, grant{now, g.Permits})
 			total += g.Permits
 		}
@@ -50,12 +50,12 @@
 	for _, rate := range []float64{2, 5.9, 17.3} {
 		a, now := NewAllocator(), start
 		for range 50 {
-			g := a.Allocate(now, Request{Replica: "r", Statement: limited(rate), Wanted: 1}, 1)
+			g := a.Allocate(now, Request{Replica: "r", Statement: limited(rate), Wanted: 1}, 1, ColdShare{})
 			if g.Permits > 0 {
 				continue
 			}
 			now = now.Add(g.RetryAfter)
-			if g := a.Allocate(now, Request{Replica: "r", Statement: limited(rate), Wanted: 1}, 1); g.Permits != 1 {
+			if g := a.Allocate(now, Request{Replica: "r", Statement: limited(rate), Wanted: 1}, 1, ColdShare{}); g.Permits != 1 {
 				t.Fatalf("rate %v: no permit after the named time", rate)
 			}
 		}
@@ -66,7 +66,7 @@
 func TestLimitOfZeroGrantsNothing(t *testing.T) {
 	a := NewAllocator()
 	for s := range 10 {
-		if g := a.Allocate(start.Add(time.Duration(s)*time.Second), Request{Replica: "r", Statement: limited(0), Wanted: 1}, 1); g.Permits != 0 || g.RetryAfter <= 0 {
+		if g := a.Allocate(start.Add(time.Duration(s)*time.Second), Request{Replica: "r", Statement: limited(0), Wanted: 1}, 1, ColdShare{}); g.Permits != 0 || g.RetryAfter <= 0 {
 			t.Fatalf("%+v", g)
 		}
 	}
@@ -78,21 +78,21 @@
 	a, l := NewAllocator(), NewLimiter()
 	l.Observe(start, "r", true, 5, start)
 	now := start.Add(time.Second)
-	a.Allocate(now, Request{Replica: "r", Statement: limited(8)}, 1)
+	a.Allocate(now, Request{Replica: "r", Statement: limited(8)}, 1, ColdShare{})
 	r, ok := l.Miss(now, "r", 1)
 	if !ok || r.Statement.Age != time.Second {
 		t.Fatalf("request %+v", r)
 	}
-	g := a.Allocate(now, r, 1)
+	g := a.Allocate(now, r, 1, ColdShare{})
 	if g.Statement.PerSecond != 8 {
 		t.Fatalf("the allocator replaced 8 by the older statement: %+v", g)
 	}
 	if l.Granted(now, g); l.replicas["r"].perSecond != 8 {
 		t.Errorf("the node kept the older statement")
 	}
-	a.Allocate(now.Add(time.Second), Request{Replica: "r"}, 1) // the limit has ended
+	a.Allocate(now.Add(time.Second), Request{Replica: "r"}, 1, ColdShare{}) // the limit has ended
 	r, _ = l.Miss(now.Add(2*time.Second), "r", 1)
-	if !l.Granted(now.Add(2*time.Second), a.Allocate(now.Add(2*time.Second), r, 1)) || l.Limited("r") {
+	if !l.Granted(now.Add(2*time.Second), a.Allocate(now.Add(2*time.Second), r, 1, ColdShare{})) || l.Limited("r") {
 		t.Error("the node does not learn that the limit has ended")
 	}
 }
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -71,6 +71,10 @@
 	MaxConnections int
 	// HealthPath is the path for health checks.
 	HealthPath string
+	// ColdStart is how long a started replica is cold. ColdPerSecond is the number of requests
+	// per second that a cold replica can take from all nodes together; 0 means no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits restrict what a caller may send. A zero value means no limit.
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -174,12 +174,13 @@
 		delete(t.idle, c.replica)
 	}
 	opened := c.socket != nil
+	byReplica := !c.closed && loss != forward.LostLimited
 	if opened {
 		c.close()
 	}
 	t.mu.Unlock()
 	if opened {
-		t.sink.Post(forward.ConnEnded{Replica: c.replica})
+		t.sink.Post(forward.ConnEnded{Replica: c.replica, ByReplica: byReplica})
 	}
 	if x != nil {
 		t.sink.Post(forward.Lost{Attempt: x.attempt, Loss: loss})
--- a/entry/relay/conn_test.go
+++ b/entry/relay/conn_test.go
@@ -14,7 +14,7 @@
 
 var testHeaders = Headers{
 	RequestID: "X-Request-Id", TimeLeft: "X-Time-Left", Proof: "X-Proof", ExpectReplica: "X-Expect",
-	NotRun: "X-Not-Run", RateLimit: "X-Rate", Leaving: "X-Leaving", Proofs: "X-Proofs", Missing: "X-Missing", Account: "X-Account",
+	NotRun: "X-Not-Run", RateLimit: "X-Rate", Leaving: "X-Leaving", Cold: "X-Cold", Proofs: "X-Proofs", Missing: "X-Missing", Account: "X-Account",
 }
 
 // testBodyMemory is enough for the responses of all tests but those of the bound itself.
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -37,6 +37,8 @@
 	RateLimit string
 	// Leaving marks the responses of a replica that will stop soon.
 	Leaving string
+	// Cold is how many milliseconds longer a replica is cold.
+	Cold string
 	// Proofs lists the proofs of the parts of a merged answer.
 	Proofs string
 	// Missing is the number of parts that are absent from a merged answer.
--- a/entry/relay/permits.go
+++ b/entry/relay/permits.go
@@ -39,6 +39,7 @@
 	defer cancel()
 	reply, err := nodepb.NewNodeClient(conn).RequestPermits(ctx, &nodepb.PermitRequest{
 		Replica: string(a.Replica), RateLimit: rateLimitToProto(a.Statement), Wanted: uint32(a.Wanted),
+		ColdPerSecond: a.ColdPerSecond,
 	})
 	if err != nil {
 		return ratelimit.Grant{}, err
@@ -49,7 +50,7 @@
 	}
 	return ratelimit.Grant{
 		Replica: a.Replica, Statement: statement, Permits: min(int(reply.GetPermits()), a.Wanted),
-		RetryAfter: time.Duration(reply.GetRetryAfterUs()) * time.Microsecond,
+		Cold: reply.GetCold(), RetryAfter: time.Duration(reply.GetRetryAfterUs()) * time.Microsecond,
 	}, nil
 }
 
@@ -59,15 +60,21 @@
 	if err != nil {
 		return nil, err
 	}
+	cold := m.GetColdPerSecond()
+	if math.IsNaN(cold) || math.IsInf(cold, 0) || cold < 0 {
+		return nil, status.Errorf(codes.InvalidArgument, "invalid cold limit %v", m)
+	}
 	id, grants := s.loop.grants.register()
 	s.loop.Post(forward.PermitsRequested{
-		Call:    forward.CallID(id),
-		Request: ratelimit.Request{Replica: api.ReplicaName(m.GetReplica()), Statement: statement, Wanted: int(m.GetWanted())},
+		Call: forward.CallID(id),
+		Request: ratelimit.Request{
+			Replica: api.ReplicaName(m.GetReplica()), Statement: statement, Wanted: int(m.GetWanted()), ColdPerSecond: cold,
+		},
 	})
 	select {
 	case g := <-grants:
 		return &nodepb.PermitGrant{
-			RateLimit: rateLimitToProto(g.Statement), Permits: uint32(g.Permits), RetryAfterUs: g.RetryAfter.Microseconds(),
+			RateLimit: rateLimitToProto(g.Statement), Permits: uint32(g.Permits), RetryAfterUs: g.RetryAfter.Microseconds(), Cold: g.Cold,
 		}, nil
 	case <-ctx.Done():
 		s.loop.grants.unregister(id)
--- a/entry/relay/permits_test.go
+++ b/entry/relay/permits_test.go
@@ -72,3 +72,20 @@
 		}
 	}
 }
+
+// Guards against cold limits that get lost between nodes: a node that does not know that it
+// alone grants the rate of a replica grants nothing, and says that the limit applies.
+func TestColdLimitReachesTheAllocator(t *testing.T) {
+	_, address := serveLoop(t)
+	events := &eventRecorder{}
+	nodes := NewNodes(events, testHeaders)
+	defer nodes.Close()
+	nodes.requestPermits(forward.RequestPermits{
+		Node: "n2", Address: address,
+		Request: ratelimit.Request{Replica: "r", Wanted: 3, Statement: ratelimit.Statement{Age: time.Hour}, ColdPerSecond: 5},
+	})
+	g, ok := events.wait(t, 0).(forward.PermitsGranted)
+	if !ok || !g.Cold || g.Permits != 0 || g.RetryAfter <= 0 {
+		t.Fatalf("%+v, want no permit under a cold limit", events.events[0])
+	}
+}
--- a/entry/relay/status.go
+++ b/entry/relay/status.go
@@ -14,6 +14,8 @@
 	retryAfterHeader = "Retry-After"
 	// maxBackoff bounds the time that a replica may ask for in a Retry-After field.
 	maxBackoff = 24 * time.Hour
+	// maxCold bounds the time for which a replica may say that it is cold.
+	maxCold = 24 * time.Hour
 )
 
 // replicaStatus returns what a replica states about itself in a response. A value that cannot
@@ -29,6 +31,13 @@
 			invalid = append(invalid, names.RateLimit)
 		}
 	}
+	if text := h.Get(names.Cold); text != "" {
+		ms, ok := parseNonNegative(text)
+		s.HasCold, s.ColdFor = ok, secondsUpTo(ms/1000, maxCold)
+		if !ok {
+			invalid = append(invalid, names.Cold)
+		}
+	}
 	s.Leaving = h.Get(names.Leaving) == "1"
 	if text := h.Get(retryAfterHeader); text != "" && response.StatusCode == http.StatusServiceUnavailable {
 		seconds, ok := parseNonNegative(text)
--- a/entry/relay/status_test.go
+++ b/entry/relay/status_test.go
@@ -29,6 +29,10 @@
 		"fraction of backoff": {503, map[string]string{"Retry-After": "0.25"}, forward.ReplicaStatus{Backoff: 250 * time.Millisecond}},
 		"endless backoff":     {503, map[string]string{"Retry-After": "1e300"}, forward.ReplicaStatus{Backoff: maxBackoff}},
 		"backoff as a date":   {503, map[string]string{"Retry-After": "Fri, 04 Dec 2026 10:00:00 GMT"}, forward.ReplicaStatus{Invalid: "Retry-After"}},
+		"cold":                {200, map[string]string{"X-Cold": "1500"}, forward.ReplicaStatus{HasCold: true, ColdFor: 1500 * time.Millisecond}},
+		"not cold":            {200, map[string]string{"X-Cold": "0"}, forward.ReplicaStatus{HasCold: true}},
+		"endless cold":        {200, map[string]string{"X-Cold": "1e300"}, forward.ReplicaStatus{HasCold: true, ColdFor: maxCold}},
+		"cold not a number":   {200, map[string]string{"X-Cold": "very"}, forward.ReplicaStatus{Invalid: "X-Cold"}},
 		"other status":        {429, map[string]string{"Retry-After": "2"}, forward.ReplicaStatus{}},
 	} {
 		h := http.Header{}
