--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -10,16 +10,11 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/config"
+	"github.com/baobabsail/baobabsail/core/pace"
 	"github.com/baobabsail/baobabsail/core/quantile"
 )
 
 const (
-	// RampUpDuration is the time over which the traffic share of a cold replica
-	// grows to its full share.
-	RampUpDuration = 10 * time.Second
-	// rampStartShare is the fraction of the full share at the start of the ramp-up.
-	// It is above 0 because a replica needs some traffic to warm up.
-	rampStartShare = 0.1
 	// latencyWeight is the weight of a new sample in the smoothed latency.
 	latencyWeight = 0.125
 	// failureWeight is the weight of a new outcome in the smoothed failure rate.
@@ -72,7 +67,12 @@
 	// previousIncarnation is the incarnation before the current one. Load reports
 	// that arrive late from it are ignored.
 	previousIncarnation api.Incarnation
-	coldUntil           time.Time
+	// ramp is the share of the traffic after a start or a recovery. peerLatency is the mean
+	// latency of the other candidates at the last choice, in nanoseconds; 0 if unknown.
+	ramp        pace.Ramp
+	peerLatency float64
+	// coldFor is that of the last Spec.
+	coldFor time.Duration
 	// drainedIncarnations is a ring buffer of drained incarnations. drainPending
 	// means that the next incarnation observed is drained.
 	drainedIncarnations [maxDrainedIncarnations]api.Incarnation
@@ -106,11 +106,13 @@
 	// remoteSurcharge is the fraction by which the score of a replica in another
 	// data centre is increased.
 	remoteSurcharge float64
+	// pace says how the share of a replica that has started or recovered grows.
+	pace pace.Settings
 }
 
 // New returns a Replicas without replicas. local is the data centre of this node.
 func New(rng *rand.Rand, local api.DataCentre) *Replicas {
-	return &Replicas{rng: rng, local: local, replicas: make(map[api.ReplicaName]*replica)}
+	return &Replicas{rng: rng, local: local, replicas: make(map[api.ReplicaName]*replica), pace: pace.Default()}
 }
 
 // Configure applies the replicas of a configuration document. The state of a
@@ -125,7 +127,7 @@
 	for name, c := range doc.Replicas {
 		spec := Spec{Address: c.Address, DataCentre: c.DataCentre, Slots: c.Slots, Drained: c.Drained}
 		if old, ok := r.replicas[name]; r.configured && (!ok || old.address != c.Address) {
-			spec.ColdFor = RampUpDuration
+			spec.ColdFor = r.pace.Duration
 		}
 		r.Set(now, name, spec)
 	}
@@ -149,9 +151,12 @@
 		s = &replica{name: name, address: spec.Address}
 		r.replicas[name] = s
 	}
-	if spec.ColdFor > 0 {
-		s.coldUntil = now.Add(min(spec.ColdFor, RampUpDuration))
+	if spec.ColdFor > s.coldFor {
+		// The replica is new or cold again. A shorter time is the rest of the time that is
+		// known.
+		s.ramp.Start(now, r.pace, spec.ColdFor)
 	}
+	s.coldFor = spec.ColdFor
 	s.slots = float64(max(spec.Slots, 1))
 	s.operatorDrained = spec.Drained
 	s.priorLatency, s.costFactor = float64(remotePriorLatency), 1+r.remoteSurcharge
@@ -175,12 +180,22 @@
 	return ok && s.consecutiveFailures >= suspectAfter
 }
 
+// SlowAfterStart reports whether the share of a replica that has started or recovered was reduced
+// because its answers are slow, and the share.
+func (r *Replicas) SlowAfterStart(now time.Time, name api.ReplicaName) (share float64, slow bool) {
+	s, ok := r.replicas[name]
+	if !ok {
+		return 1, false
+	}
+	return s.ramp.Share(now, r.pace), s.ramp.Slow()
+}
+
 // ObserveLoad records a load report that did not come with an answer, such as one
 // from a new connection or a probe. It reports whether the incarnation was marked
 // as draining by this report and had not been before.
 func (r *Replicas) ObserveLoad(now time.Time, name api.ReplicaName, load api.TargetLoad) (drained bool) {
 	s, ok := r.replicas[name]
-	return ok && s.observeLoad(now, load)
+	return ok && s.observeLoad(now, r.pace, load)
 }
 
 // SetDraining marks one incarnation as drained, so that it gets no new work.
@@ -284,12 +299,12 @@
 
 // observeLoad applies a load report. Incarnation 0 means that the answer carried
 // no report. The result is that of ObserveLoad.
-func (s *replica) observeLoad(now time.Time, load api.TargetLoad) (drained bool) {
+func (s *replica) observeLoad(now time.Time, settings pace.Settings, load api.TargetLoad) (drained bool) {
 	if load.Incarnation == 0 || load.Incarnation == s.previousIncarnation {
 		return false
 	}
 	if load.Incarnation != s.incarnation {
-		s.startIncarnation(now, load.Incarnation)
+		s.startIncarnation(now, settings, load.Incarnation)
 	}
 	if s.drainPending {
 		s.drainPending = false
@@ -308,9 +323,9 @@
 
 // startIncarnation resets the state for a new incarnation. The first incarnation
 // observed is not treated as cold, because it may have been running for long.
-func (s *replica) startIncarnation(now time.Time, incarnation api.Incarnation) {
+func (s *replica) startIncarnation(now time.Time, settings pace.Settings, incarnation api.Incarnation) {
 	if s.incarnation != 0 {
-		s.coldUntil = now.Add(RampUpDuration)
+		s.ramp.Start(now, settings, settings.Duration)
 		s.heldVersions = nil
 		s.consecutiveFailures, s.failureRate = 0, 0
 	}
--- a/core/balance/outcome.go
+++ b/core/balance/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/pace"
 )
 
 // Sent records that an attempt was sent to a replica.
@@ -28,9 +29,10 @@
 		return false
 	}
 	s.inFlight = max(s.inFlight-1, 0)
-	drained = s.observeLoad(now, load)
+	drained = s.observeLoad(now, r.pace, load)
 	switch outcome {
 	case api.TargetOK:
+		s.pace(now, r.pace, latency)
 		s.addLatency(now, latency)
 		s.tailLatency.Add(now, latency)
 		s.addOutcome(now, 0)
@@ -38,7 +40,7 @@
 			// The probe was answered: the share of the replica ramps up like that of
 			// a cold one.
 			s.failureRate = 0
-			s.coldUntil = now.Add(RampUpDuration)
+			s.ramp.Start(now, r.pace, r.pace.Duration)
 		}
 		s.consecutiveFailures = 0
 	case api.TargetError:
@@ -47,6 +49,7 @@
 		// Overload is not a failure of the replica: it lowers the share, but a
 		// replica that answers does not become suspect.
 		s.addOutcome(now, 1)
+		s.ramp.Failed(now, r.pace)
 		s.consecutiveFailures = 0
 	}
 	return drained
@@ -79,6 +82,9 @@
 		return
 	}
 	s.inFlight = max(s.inFlight-1, 0)
+	if s.peerLatency > 0 && float64(waited) > r.pace.SlowLatency*s.peerLatency {
+		s.pace(now, r.pace, waited)
+	}
 	if float64(waited) > s.latency {
 		s.addLatency(now, waited)
 	}
@@ -92,6 +98,14 @@
 	}
 }
 
+// pace adapts the share of a replica that has started or recovered to the latency of an
+// answer.
+func (s *replica) pace(now time.Time, settings pace.Settings, latency time.Duration) {
+	if s.peerLatency > 0 {
+		s.ramp.Answered(now, settings, float64(latency)/s.peerLatency)
+	}
+}
+
 func (s *replica) addLatency(now time.Time, latency time.Duration) {
 	if s.latency == 0 {
 		s.latency = float64(latency)
@@ -114,6 +128,7 @@
 // one failure.
 func (r *Replicas) recordFailure(now time.Time, s *replica) {
 	s.addOutcome(now, 1)
+	s.ramp.Failed(now, r.pace)
 	if s.consecutiveFailures >= suspectAfter && !s.probing {
 		return
 	}
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -58,6 +58,9 @@
 	i := r.rng.IntN(len(candidates))
 	for range candidates {
 		s, class := r.classify(now, candidates[i], exclude)
+		if s != nil && r.pace.GoodLatency > 0 && s.ramp.Active(now, r.pace) {
+			s.peerLatency = r.peerLatency(now, candidates)
+		}
 		if i++; i == len(candidates) {
 			i = 0
 		}
@@ -86,6 +89,26 @@
 	return fallback
 }
 
+// peerLatency returns the mean expected latency of the candidates that have neither started nor
+// recovered recently, in nanoseconds; 0 if none of them has answered yet.
+func (r *Replicas) peerLatency(now time.Time, candidates []api.ReplicaName) float64 {
+	sum, n := 0.0, 0
+	for _, name := range candidates {
+		s, ok := r.replicas[name]
+		if !ok || s.latency == 0 || s.consecutiveFailures >= suspectAfter || s.ramp.Active(now, r.pace) {
+			continue
+		}
+		sum += s.expectedLatency(now)
+		if n++; n == maxCompared {
+			break
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
 // classify returns a replica and its eligibility. A cold replica is eligible in a
 // growing fraction of the calls, so that its traffic ramps up whatever the scores of
 // the other replicas are.
@@ -100,11 +123,8 @@
 		}
 		return s, lastResort
 	}
-	if remaining := s.coldUntil.Sub(now); remaining > 0 {
-		ramp := 1 - (1-rampStartShare)*float64(remaining)/float64(RampUpDuration)
-		if r.rng.Float64() >= ramp {
-			return s, lastResort
-		}
+	if share := s.ramp.Share(now, r.pace); share < 1 && r.rng.Float64() >= share {
+		return s, lastResort
 	}
 	return s, eligible
 }
@@ -132,7 +152,7 @@
 // the prior as it gets old.
 func (s *replica) expectedLatency(now time.Time) float64 {
 	if s.latency == 0 {
-		return s.priorLatency
+		return max(s.priorLatency, s.peerLatency)
 	}
 	if s.latency <= s.priorLatency {
 		return s.latency
--- a/core/forward/reply.go
+++ b/core/forward/reply.go
@@ -49,7 +49,12 @@
 		}
 		return
 	}
+	_, wasSlow := e.replicas.SlowAfterStart(now, a.replica)
 	e.replicas.Done(now, a.replica, outcome, latency, api.TargetLoad{})
+	if share, slow := e.replicas.SlowAfterStart(now, a.replica); slow && !wasSlow {
+		e.counts.Inc(count.Connection, "slow_start")
+		e.log("replica_slow_start", "replica", a.replica, "service", a.service, "latency_ms", latency.Milliseconds(), "share", share)
+	}
 }
 
 // applyReply applies a reply to the part that it belongs to.
