--- a/core/forward/cold.go
+++ b/core/forward/cold.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/gossip"
 )
 
 // This file keeps track of which replicas are cold, for services that state how many requests
@@ -17,6 +18,8 @@
 	suspectedColdTime = 6 * time.Second
 	// maxColdTime bounds the time that a replica may state.
 	maxColdTime = 10 * time.Minute
+	// toldInterval is the time between two notices of this node about the same replica.
+	toldInterval = 2 * time.Second
 	// defaultListAge is used if the settings give no ListAge.
 	defaultListAge = 3 * time.Second
 )
@@ -39,6 +42,8 @@
 	suspectedUntil time.Time
 	// sequence is that of the registration that until comes from.
 	sequence int64
+	// toldAt is when this node last told the others that the process has ended.
+	toldAt time.Time
 }
 
 // coldPerSecond returns the number of requests per second that a cold replica of a service can
@@ -94,6 +99,30 @@
 	e.applyCold(now, entry, coldSuspected)
 }
 
+// replicaRefused handles a replica at whose address no process listens. The other nodes are told:
+// those without a connection to it have no other sign that its next process may be cold.
+func (e *Engine) replicaRefused(now time.Time, name api.ReplicaName) {
+	entry := e.registry.entries[name]
+	if entry == nil || e.coldPerSecond(entry.Service) == 0 {
+		return
+	}
+	e.suspectCold(now, name)
+	if c := &entry.stated.cold; now.Sub(c.toldAt) >= toldInterval {
+		c.toldAt = now
+		e.sendDirectly([]gossip.Notice{{
+			Kind: gossip.NoticeReplicaEnded, Replica: name, Incarnation: api.Incarnation(entry.ProcessStart), TimeToLive: suspectedColdTime,
+		}})
+	}
+}
+
+// learnReplicaEnded applies a notice that the process of a replica has ended, unless this node
+// knows the next process already.
+func (e *Engine) learnReplicaEnded(now time.Time, n gossip.Notice) {
+	if entry := e.registry.entries[n.Replica]; entry != nil && api.Incarnation(entry.ProcessStart) == n.Incarnation {
+		e.suspectCold(now, n.Replica)
+	}
+}
+
 // suspectUnconfirmed suspects a replica while the store is lost and this node has no connection
 // to it: nothing shows that its process is still the one that was registered.
 func (e *Engine) suspectUnconfirmed(now time.Time, name api.ReplicaName) {
--- a/core/forward/cold_test.go
+++ b/core/forward/cold_test.go
@@ -53,7 +53,7 @@
 		connected: map[api.ReplicaName]map[int]bool{}, isolated: map[int]bool{},
 	}
 	c.noSlowReplies = true
-	c.sendTo = c.sendCold
+	c.sendTo, c.otherActions = c.sendCold, c.sendNotices
 	for node := range size.nodes {
 		c.step(node, withColdLimit(&harness{accepted: size.accepted}, 2, size.shards, coldPerSecond))
 		c.step(node, RegistryRead{Registrations: allRegistrations(size)})
@@ -61,6 +61,23 @@
 	return c
 }
 
+// sendNotices delivers notices that nodes send to each other.
+func (c *coldFleet) sendNotices(node int, a Action) {
+	s, ok := a.(SendNotices)
+	if !ok || c.isolated[node] {
+		return
+	}
+	for _, address := range s.Addresses {
+		var to int
+		if _, err := fmt.Sscanf(address, "n%d:1", &to); err != nil {
+			c.t.Fatalf("%s sends notices to %q", nodeName(node), address)
+		}
+		if !c.isolated[to] {
+			c.later(time.Millisecond, to, NoticesRead{Notices: s.Notices, PassOn: s.PassOn})
+		}
+	}
+}
+
 func allRegistrations(size fleetSize) []Registration {
 	var list []Registration
 	for s := range size.shards {
@@ -287,6 +304,22 @@
 	}
 }
 
+// Guards against a cold replica that gets too many requests from nodes that had no connection to
+// it when its process ended, while others have met that it did not listen.
+func TestNodesAreToldThatAReplicaEnded(t *testing.T) {
+	for _, size := range rateSizes {
+		c := newColdFleet(t, 1, size)
+		c.load("/one/x", 8*time.Second)
+		for node := range c.connected[replicaOf(0, 0)] {
+			c.step(node, ConnEnded{Replica: replicaOf(0, 0)}) // closed by the node, since it was idle
+		}
+		delete(c.connected, replicaOf(0, 0))
+		c.restartReplica(0, 0, 3*time.Second)
+		c.load("/one/x", coldDowntime+coldTime+time.Second)
+		c.checkCold()
+	}
+}
+
 // Guards against a cold replica that gets too many requests from nodes that had no connection to
 // it when its process ended and have not read the registration of the new process: nothing
 // tells them that it is cold.
@@ -298,7 +331,37 @@
 	}
 	delete(c.connected, replicaOf(0, 0))
 	c.restartReplica(0, 0, 3*time.Second)
-	c.run(coldDowntime)
+	c.run(coldDowntime + time.Millisecond) // nobody meets that nothing listens
 	c.load("/one/x", coldTime+time.Second)
 	c.checkCold()
 }
+
+// Guards against a replica that is slow after its start without a line in the log.
+func TestSlowStartIsLogged(t *testing.T) {
+	h := newHarness(t, nil)
+	h.table(1, 1)
+	h.step(ReplicaRegistered{Registration: registration(0, 1)})
+	for range 5 {
+		h.request("/one/x")
+		for _, s := range h.takeSends() {
+			h.advance(5 * time.Millisecond)
+			h.ok(s, "ab")
+		}
+	}
+	reg := registration(0, 0)
+	reg.ColdFor = 5 * time.Second
+	h.step(ReplicaRegistered{Registration: reg})
+	for range 60 {
+		h.request("/one/x")
+		h.advance(5 * time.Millisecond)
+		for _, s := range h.takeSends() {
+			if s.Replica == reg.Replica {
+				h.advance(60 * time.Millisecond)
+			}
+			h.ok(s, "ab")
+		}
+	}
+	if got := h.e.Counts().Get(count.Connection, "slow_start"); got != 1 {
+		t.Errorf("%d slow starts are counted, want 1", got)
+	}
+}
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -191,6 +191,9 @@
 	if ev.Replica == e.controlReplica {
 		e.controlChecked(now, ev.Result)
 	}
+	if ev.Result == CheckRefused {
+		e.replicaRefused(now, ev.Replica)
+	}
 	p := e.possibleCrashes[ev.Replica]
 	if p == nil || p.checkedAt.IsZero() {
 		return
--- a/core/forward/lost.go
+++ b/core/forward/lost.go
@@ -43,7 +43,7 @@
 		e.recordLostAttempt(now, a, false)
 	case LostRefused:
 		e.replicas.Lost(now, a.replica)
-		e.suspectCold(now, a.replica)
+		e.replicaRefused(now, a.replica)
 		e.replicaCrashed(now, a.replica)
 	default:
 		e.replicas.Lost(now, a.replica)
--- a/core/forward/notices.go
+++ b/core/forward/notices.go
@@ -29,6 +29,11 @@
 		return
 	}
 	e.emit(Publish{Notices: notices})
+	e.sendDirectly(notices)
+}
+
+// sendDirectly sends notices to the other nodes, not through the store.
+func (e *Engine) sendDirectly(notices []gossip.Notice) {
 	if len(e.groups.addresses) <= maxDirectRecipients {
 		e.sendNotices(slices.Sorted(maps.Values(e.groups.addresses)), notices, false)
 		return
@@ -77,6 +82,10 @@
 		e.sendToDataCentre(ev.Notices)
 	}
 	for _, n := range ev.Notices {
+		if n.Kind == gossip.NoticeReplicaEnded {
+			e.learnReplicaEnded(now, n)
+			continue
+		}
 		if e.quarantine.Learn(now, n) {
 			e.log("notice_learned", "kind", n.Kind, "fingerprint", n.Fingerprint, "crashes", n.Crashes,
 				"replica", n.Replica, "version", n.Version)
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -40,6 +40,9 @@
 	// NoticeFurtherCrash names a further target that ended while it ran a suspected
 	// request, in addition to the one in the NoticeSuspect of that request.
 	NoticeFurtherCrash
+	// NoticeReplicaEnded reports that no process listens at the address of a replica whose
+	// service limits the requests to cold replicas.
+	NoticeReplicaEnded
 )
 
 // Notice is a fact that every node should learn soon. A notice replaces one of the same
@@ -47,11 +50,12 @@
 type Notice struct {
 	Kind NoticeKind
 	// Replica and Incarnation identify the draining replica in NoticeDraining and the
-	// crashed target in NoticeSuspect, NoticeConvicted and NoticeFurtherCrash.
+	// crashed target in NoticeSuspect, NoticeConvicted and NoticeFurtherCrash. In
+	// NoticeReplicaEnded, Incarnation is the start time of the process that has ended.
 	Replica     api.ReplicaName
 	Incarnation api.Incarnation
 	// Fingerprint identifies the request. It is set for all kinds except
-	// NoticeDraining.
+	// NoticeDraining and NoticeReplicaEnded.
 	Fingerprint api.Fingerprint
 	// Crashes is the number of distinct target incarnations that crashed.
 	Crashes int
--- a/wire/convert/peer.go
+++ b/wire/convert/peer.go
@@ -73,7 +73,7 @@
 	if kind == 0 {
 		return gossip.Notice{}, false, malformed("notice.kind", "is missing")
 	}
-	if kind > uint32(gossip.NoticeFurtherCrash) {
+	if kind > uint32(gossip.NoticeReplicaEnded) {
 		return gossip.Notice{}, false, nil
 	}
 	if gossip.NoticeKind(kind) == gossip.NoticeDraining || m.Replica != "" {
