--- a/core/forward/cold_test.go
+++ b/core/forward/cold_test.go
@@ -365,3 +365,26 @@
 		t.Errorf("%d slow starts are counted, want 1", got)
 	}
 }
+
+// Guards against a storm of requests for permits while a whole data centre is cold: the permits
+// would expire before the nodes have another request for the same replica.
+func TestPermitRequestsForColdReplicasAreFew(t *testing.T) {
+	// The budget for messages is 4 KB/s for each node; a request with its grant has some 300
+	// bytes with the headers of HTTP/2.
+	const messagesPerSecond = 4096 / 300
+	c := newColdFleet(t, 2, rateSizes[2])
+	messages := 0
+	c.onPermitRequest = func() { messages++ }
+	c.load("/all/x", 8*time.Second)
+	for s := range c.size.shards {
+		c.restartReplica(s, 0, time.Second)
+	}
+	before, requests := messages, len(c.ids)
+	c.load("/all/x", coldDowntime+coldTime)
+	messages, requests = messages-before, len(c.ids)-requests
+	perSecond := float64(messages) / (coldDowntime + coldTime).Seconds() / float64(c.size.nodes)
+	t.Logf("%d messages to allocators for %d requests to %d shards, %.1f/s for each node", messages, requests, c.size.shards, perSecond)
+	if perSecond > messagesPerSecond {
+		t.Errorf("%.1f messages/s for each node, allowed %d", perSecond, messagesPerSecond)
+	}
+}
--- a/core/ratelimit/cold_test.go
+++ b/core/ratelimit/cold_test.go
@@ -395,3 +395,23 @@
 		t.Errorf("%v, cold %v", c, l.Cold("r"))
 	}
 }
+
+// Guards against messages for permits that would expire unused: the node has a request for the
+// replica now and then, and each can go elsewhere.
+func TestRareRequestsAskForNoColdPermits(t *testing.T) {
+	l := NewLimiter()
+	l.SetCold("r", 5)
+	for s := range 5 {
+		if _, ok := l.Miss(start.Add(time.Duration(s)*time.Second), "r", 0); ok {
+			t.Error("a permit is requested for a request that goes elsewhere")
+		}
+	}
+	if _, ok := l.Miss(start.Add(4*time.Second+coldPermitTTL/2), "r", 0); !ok {
+		t.Error("no permit is requested although the next request followed soon")
+	}
+	if l.Failed("r"); true {
+		if _, ok := l.Miss(start.Add(9*time.Second), "r", 1); !ok {
+			t.Error("no permit is requested for a request that can go nowhere else")
+		}
+	}
+}
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -48,6 +48,8 @@
 	// missed counts the requests that were not sent to the replica for lack of a permit since
 	// the last request for permits.
 	missed int
+	// missedAt is when the last of them was not sent.
+	missedAt time.Time
 	// requesting is set while a request for permits is unanswered.
 	requesting  bool
 	requestedAt time.Time
@@ -150,6 +152,10 @@
 	r := l.replicas[name]
 	r.missed++
 	tooSoon := waiting == 0 && now.Sub(r.requestedAt) < requestInterval
+	if r.coldPerSecond > 0 && waiting == 0 && now.Sub(r.missedAt) >= coldPermitTTL {
+		tooSoon = true // the permit would expire before the next request for this replica
+	}
+	r.missedAt = now
 	if r.requesting || tooSoon || now.Before(r.retryAt) {
 		return Request{}, false
 	}
