--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -97,6 +97,7 @@
 // means that it lacks only a permit.
 func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
 	name := entry.Replica
+	e.suspectUnconfirmed(now, name)
 	switch {
 	case !e.reaches(r.homes, entry.DataCentre):
 		return api.ReasonOutsideRegion
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -9,6 +9,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/core/timerqueue"
@@ -37,6 +38,10 @@
 	// EvacuationHold is how long an evacuation that is missing after the store was restored
 	// from an older copy stays in force, unless it is written again.
 	EvacuationHold time.Duration
+	// ColdBounds limits the requests that all nodes together send to a cold replica.
+	ColdBounds ratelimit.ColdBounds
+	// ListAge is the greatest age of the list of nodes while the store is not lost.
+	ListAge time.Duration
 }
 
 const (
@@ -139,7 +144,8 @@
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
 // a replica's registration, the waiting parts of a service, the liveness check of a replica, or
-// the end of a held evacuation. Only the field of that item is set.
+// the end of a held evacuation, or the end of the time in which a replica is cold. Only the
+// field of that item is set.
 type timer struct {
 	request       api.RequestID
 	attempt       AttemptID
@@ -147,10 +153,14 @@
 	service       api.ServiceName
 	livenessCheck api.ReplicaName
 	dataCentre    api.DataCentre
+	coldReplica   api.ReplicaName
 }
 
 // New returns an Engine that has no configuration yet.
 func New(s Settings) *Engine {
+	if s.ListAge == 0 {
+		s.ListAge = defaultListAge
+	}
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
 	counts := count.NewSet()
 	e := &Engine{
@@ -172,7 +182,7 @@
 		stalledReplicas: make(map[api.ReplicaName]bool),
 		lastReplyAt:     make(map[api.ReplicaName]time.Time),
 		quarantine:      quarantine.New(counts),
-		limits:          newRateLimits(),
+		limits:          newRateLimits(s.Node, s.ListAge),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
@@ -211,7 +221,7 @@
 	case ConnOpened:
 		e.connOpened(ev)
 	case ConnEnded:
-		e.connEnded(ev.Replica)
+		e.connEnded(now, ev)
 	case TableRead:
 		e.adoptTable(now, ev.Table)
 	case ReplicaRegistered:
@@ -230,6 +240,7 @@
 		e.evacuationRemoved(now, ev)
 	case StoreLost:
 		e.registry.storeLost = true
+		e.limits.ranks.StoreLost(now)
 	case StoreBack:
 		e.storeBack(now)
 	case BudgetChanged:
@@ -241,6 +252,7 @@
 	case Members:
 		e.membersChanged(now, ev.Nodes)
 		e.adoptPeers(now, ev.Peers)
+		e.limits.ranks.SetNodes(now, e.allocators())
 	case ExtraAttemptsAllowed:
 		e.extraAttemptsAllowed(now, ev.Request)
 	case CallAccepted:
@@ -304,6 +316,8 @@
 			e.livenessCheckDue(now, t.livenessCheck)
 		case t.dataCentre != "":
 			e.evacuationHoldDue(now, t.dataCentre)
+		case t.coldReplica != "":
+			e.coldEndDue(now, t.coldReplica)
 		case t.service != "":
 			e.resume(now, t.service)
 		case t.attempt != 0:
@@ -333,6 +347,7 @@
 		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
 	e.dropUnusedAdmissionControls()
 	e.adoptLimits(t)
+	e.applyColdLimits(now)
 	e.regroup()
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
--- a/core/forward/evacuation.go
+++ b/core/forward/evacuation.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
-	"github.com/baobabsail/baobabsail/core/balance"
 	"github.com/baobabsail/baobabsail/core/count"
 )
 
@@ -103,7 +102,7 @@
 	names := e.replicasIn(dc)
 	since := e.evacuations.current[dc].since
 	delete(e.evacuations.current, dc)
-	e.evacuations.returningUntil[dc] = now.Add(balance.RampUpDuration)
+	e.evacuations.returningUntil[dc] = now.Add(e.replicas.RampUpDuration())
 	for _, name := range names {
 		e.replicas.StartRampUp(now, name)
 	}
--- a/core/forward/status.go
+++ b/core/forward/status.go
@@ -21,6 +21,10 @@
 	// HasLoad is set if the replica reports its load.
 	HasLoad bool
 	Load    balance.Report
+	// HasCold is set if the replica states whether it is cold. ColdFor is then how much longer
+	// it is; 0 if it is not.
+	HasCold bool
+	ColdFor time.Duration
 	// Invalid names the fields whose values could not be parsed; empty if there are none.
 	// InvalidLoad names that of the load, which comes with every response.
 	Invalid, InvalidLoad string
@@ -34,6 +38,8 @@
 	statusBackoff        api.Reason = "backoff"
 	statusInvalid        api.Reason = "invalid"
 	statusLoadInvalid    api.Reason = "load_invalid"
+	statusCold           api.Reason = "cold"
+	statusColdEnded      api.Reason = "cold_ended"
 )
 
 // statements are what a process of a replica stated about itself that stays in force.
@@ -45,6 +51,7 @@
 	backoffUntil time.Time
 	// loadInvalid is set while the last report of the load could not be parsed.
 	loadInvalid bool
+	cold        coldState
 }
 
 // observeStatus applies what a replica states about itself in the response to a request sent
@@ -60,6 +67,9 @@
 	}
 	e.observeLoadReport(now, entry, s)
 	e.observeRateLimit(now, entry, sentAt, s)
+	if s.HasCold {
+		e.observeColdResponse(now, entry, sentAt, s.ColdFor)
+	}
 	if s.Leaving && !entry.stated.leaving {
 		e.replicaLeaving(now, entry)
 	}
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -39,6 +39,8 @@
 	Leaving string
 	// Load is the load that a replica reports of itself.
 	Load string
+	// Cold is how many milliseconds longer a replica is cold.
+	Cold string
 	// Proofs lists the proofs of the parts of a merged answer.
 	Proofs string
 	// Missing is the number of parts that are absent from a merged answer.
--- a/entry/relay/status.go
+++ b/entry/relay/status.go
@@ -19,6 +19,8 @@
 	maxLoadFigure = 1e6
 	// normalPace is the pace of a replica that reports none.
 	normalPace = 100
+	// maxCold bounds the time for which a replica may say that it is cold.
+	maxCold = 24 * time.Hour
 )
 
 // replicaStatus returns what a replica states about itself in a response. A value that cannot
@@ -34,6 +36,13 @@
 			invalid = append(invalid, names.RateLimit)
 		}
 	}
+	if text := h.Get(names.Cold); text != "" {
+		ms, ok := parseNonNegative(text)
+		s.HasCold, s.ColdFor = ok, secondsUpTo(ms/1000, maxCold)
+		if !ok {
+			invalid = append(invalid, names.Cold)
+		}
+	}
 	s.Leaving = h.Get(names.Leaving) == "1"
 	if text := h.Get(retryAfterHeader); text != "" && response.StatusCode == http.StatusServiceUnavailable {
 		seconds, ok := parseNonNegative(text)
--- a/entry/relay/status_test.go
+++ b/entry/relay/status_test.go
@@ -43,6 +43,10 @@
 		"absurd load":         {200, map[string]string{"X-Load": "1e9,0,2,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
 		"load without slots":  {200, map[string]string{"X-Load": "1,0,0,100"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
 		"pace of zero":        {200, map[string]string{"X-Load": "1,0,2,0"}, forward.ReplicaStatus{InvalidLoad: "X-Load"}},
+		"cold":                {200, map[string]string{"X-Cold": "1500"}, forward.ReplicaStatus{HasCold: true, ColdFor: 1500 * time.Millisecond}},
+		"not cold":            {200, map[string]string{"X-Cold": "0"}, forward.ReplicaStatus{HasCold: true}},
+		"endless cold":        {200, map[string]string{"X-Cold": "1e300"}, forward.ReplicaStatus{HasCold: true, ColdFor: maxCold}},
+		"cold not a number":   {200, map[string]string{"X-Cold": "very"}, forward.ReplicaStatus{Invalid: "X-Cold"}},
 		"other status":        {429, map[string]string{"Retry-After": "2"}, forward.ReplicaStatus{}},
 	} {
 		h := http.Header{}
