--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -35,7 +35,8 @@
 	LapseGrace time.Duration
 	// ColdBounds limits the requests that all nodes together send to a cold replica.
 	ColdBounds ratelimit.ColdBounds
-	// ListAge is the greatest age of the list of nodes while the store is not lost.
+	// ListAge is the greatest age of the list of nodes with which this node may grant the rate
+	// of a cold replica.
 	ListAge time.Duration
 }
 
@@ -225,6 +226,8 @@
 	case StoreLost:
 		e.registry.storeLost = true
 		e.limits.ranks.StoreLost(now)
+	case StoreConfirmed:
+		e.limits.ranks.Confirmed(now, now.Add(-ev.Age))
 	case StoreBack:
 		e.storeBack(now)
 	case BudgetChanged:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -314,6 +314,12 @@
 // StoreLost reports that the store does not respond.
 type StoreLost struct{ event }
 
+// StoreConfirmed reports how long ago the store last confirmed what this node knows of it.
+type StoreConfirmed struct {
+	event
+	Age time.Duration
+}
+
 // StoreBack reports that the store responds again.
 type StoreBack struct{ event }
 
--- a/core/ratelimit/cold.go
+++ b/core/ratelimit/cold.go
@@ -105,6 +105,9 @@
 	lists []nodeList
 	// lostAt is when this node lost the store; zero if it has not.
 	lostAt time.Time
+	// confirmedAt is when the store last confirmed the list of nodes; zero if that is not
+	// reported.
+	confirmedAt time.Time
 }
 
 // nodeList is a list of nodes and when it was adopted.
@@ -149,6 +152,22 @@
 		return
 	}
 	r.lostAt = time.Time{}
+	r.forgetLists(now)
+}
+
+// Confirmed records that the store confirmed the list of nodes at a time in the past. A list that
+// was older than maxAge in between has the same effect as a loss of the store.
+func (r *Ranks) Confirmed(now, at time.Time) {
+	if !r.confirmedAt.IsZero() && at.Sub(r.confirmedAt) > r.maxAge {
+		r.forgetLists(now)
+	}
+	if at.After(r.confirmedAt) {
+		r.confirmedAt = at
+	}
+}
+
+// forgetLists drops all lists but the last one, which counts from now on.
+func (r *Ranks) forgetLists(now time.Time) {
 	if n := len(r.lists); n > 0 {
 		r.lists = []nodeList{{at: now, nodes: r.lists[n-1].nodes}}
 	}
@@ -165,11 +184,25 @@
 		return rank
 	}
 	held := now.Sub(r.heldSince(replica, current))
-	rank.GrantsRate = current == 0 && r.lostAt.IsZero() && held >= r.rateHold()
-	rank.GrantsSlack = held >= r.slackHold() && (r.lostAt.IsZero() || now.Sub(r.lostAt) < slackHoldTime)
+	outdated := r.outdatedFor(now)
+	rank.GrantsRate = current == 0 && outdated <= 0 && held >= r.rateHold()
+	rank.GrantsSlack = held >= r.slackHold() && outdated < slackHoldTime
 	return rank
 }
 
+// outdatedFor returns for how long the list of nodes may have been older than maxAge; at most 0
+// if it is not.
+func (r *Ranks) outdatedFor(now time.Time) time.Duration {
+	var d time.Duration
+	if !r.lostAt.IsZero() {
+		d = max(now.Sub(r.lostAt), 1)
+	}
+	if !r.confirmedAt.IsZero() {
+		d = max(d, now.Sub(r.confirmedAt)-r.maxAge)
+	}
+	return d
+}
+
 // heldSince returns since when all lists give this node a position, which is that of the last
 // one.
 func (r *Ranks) heldSince(replica api.ReplicaName, position int) time.Time {
--- a/core/ratelimit/cold_test.go
+++ b/core/ratelimit/cold_test.go
@@ -415,3 +415,31 @@
 		}
 	}
 }
+
+// Guards against a node that grants the rate with a list that is older than it may be, before it
+// takes the store for lost, or right after such a time.
+func TestOutdatedListGrantsNoRate(t *testing.T) {
+	r := NewRanks("n1", simListAge)
+	r.SetNodes(start, []string{"n1"})
+	now := start
+	for ; now.Sub(start) < 10*time.Second; now = now.Add(time.Second) {
+		r.Confirmed(now, now)
+	}
+	if !r.Of(now, "r").GrantsRate {
+		t.Fatal("the only node does not grant the rate")
+	}
+	now = now.Add(simListAge)
+	if r.Of(now, "r").GrantsRate {
+		t.Error("the rate is granted with an outdated list")
+	}
+	r.Confirmed(now, now)
+	if r.Of(now, "r").GrantsRate {
+		t.Error("the rate is granted right after the list was outdated")
+	}
+	for end := now.Add(r.rateHold()); now.Before(end); now = now.Add(time.Second) {
+		r.Confirmed(now, now)
+	}
+	if !r.Of(now, "r").GrantsRate {
+		t.Error("the rate is never granted again")
+	}
+}
