--- a/core/forward/groups.go
+++ b/core/forward/groups.go
@@ -130,12 +130,15 @@
 	if e.table == nil {
 		return
 	}
+	// grouped holds the last grouped shards by the first one: many routes have the same shards.
+	grouped := make(map[api.ServiceName][]api.ServiceName)
 	for i := range e.table.Routes {
 		route := &e.table.Routes[i]
 		n := e.groupCount(route)
-		if n == 1 {
+		if n == 1 || slices.Equal(grouped[route.Shards[0]], route.Shards) {
 			continue
 		}
+		grouped[route.Shards[0]] = route.Shards
 		index := e.groups.ownIndex(e.settings.DataCentre)
 		for shard, service := range route.Shards {
 			own := index >= 0 && groupOf(shard, len(route.Shards), n) == index%n
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -89,7 +89,7 @@
 	Limits   Limits
 	// Accounts holds the client accounts; nil if requests need no key.
 	Accounts *account.Directory
-	byHost   map[string][]*Route
+	byHost   map[string]prefixIndex
 }
 
 // NewTable returns a table and builds its index by host.
@@ -97,15 +97,19 @@
 	t := &Table{
 		Version: version, Routes: routes, Limits: limits,
 		Services: make(map[api.ServiceName]Service, len(services)),
-		byHost:   make(map[string][]*Route),
+		byHost:   make(map[string]prefixIndex),
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
+	byHost := make(map[string][]*Route)
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := NormalHost(r.Host)
-		t.byHost[host] = append(t.byHost[host], r)
+		byHost[host] = append(byHost[host], r)
+	}
+	for host, routes := range byHost {
+		t.byHost[host] = newPrefixIndex(routes)
 	}
 	return t
 }
@@ -121,11 +125,6 @@
 // Match returns the route of the host with the longest prefix of the path, or
 // nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	var best *Route
-	for _, r := range t.byHost[NormalHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
-			best = r
-		}
-	}
-	return best
+	route, _ := t.byHost[NormalHost(host)].find(path)
+	return route
 }
