--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -92,7 +92,7 @@
 	}
 	e.emit(Send{
 		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
-		ShortLived: entry.rank > e.preferredRank(p.service), NewConnection: r.onProbation, Remaining: r.deadline.Sub(now),
+		ShortLived: !e.prefers(entry, e.preferredRank(p.service)), NewConnection: r.onProbation, Remaining: r.deadline.Sub(now),
 	})
 }
 
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -93,7 +93,7 @@
 			c.failed = append(c.failed, name)
 		case e.overdueReplicas[name] && !e.worthWaiting(now, r, name):
 			c.overdue = append(c.overdue, name)
-		case entry.rank > preferredRank:
+		case !e.prefers(entry, preferredRank):
 			c.notPreferred = append(c.notPreferred, name)
 		default:
 			c.preferred = append(c.preferred, name)
--- a/core/forward/locality.go
+++ b/core/forward/locality.go
@@ -32,6 +32,18 @@
 	return local && remote
 }
 
+// prefers reports whether this node prefers a replica: by rank, or because it is local, there
+// are remote ones as well, and it has connections for all nodes of this data centre. The nodes
+// of other data centres rarely use it then.
+func (e *Engine) prefers(entry *registryEntry, preferredRank float64) bool {
+	if entry.rank <= preferredRank {
+		return true
+	}
+	nodes := len(e.groups.nodes[e.settings.DataCentre])
+	return entry.DataCentre == e.settings.DataCentre && nodes > 0 && e.hasLocalAndRemote(entry.Service) &&
+		preferredShare*float64(e.maxConnections[entry.Service]) >= float64(nodes)
+}
+
 // pick returns one of the candidates of the highest preference. If there are local and remote
 // ones, a remote one is used if no local one is ready for an ordinary request, and for the share
 // of the attempts that the local ones are too slow for.
--- a/core/forward/locality_test.go
+++ b/core/forward/locality_test.go
@@ -213,3 +213,27 @@
 		t.Errorf("an attempt goes to %s although the local replica drains", got)
 	}
 }
+
+// Guards against nodes that prefer remote replicas by rank although each replica of their data
+// centre has connections for all nodes there: 50 connections, 64 nodes, 20 of them local.
+func TestLocalReplicaIsPreferredToRank(t *testing.T) {
+	for node := range 20 {
+		h := newHarness(t, func(s *Settings) { s.Node = nodeName(node) })
+		h.accepted = 50
+		h.table(1, 1)
+		var peers []Peer
+		for i := range 64 {
+			peers = append(peers, Peer{Node: nodeName(i), DataCentre: regionDC(i / 20), Address: "a:1"})
+		}
+		h.step(Members{Nodes: 64, Peers: peers})
+		local, remote := registration(0, 0), registration(0, 1)
+		remote.DataCentre = "dc-b"
+		h.step(ReplicaRegistered{Registration: remote})
+		h.step(ReplicaRegistered{Registration: local})
+		h.request("/all/x")
+		sends := h.takeSends()
+		if len(sends) != 1 || sends[0].Replica != local.Replica || sends[0].ShortLived {
+			t.Errorf("node %d: %+v", node, sends)
+		}
+	}
+}
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -178,7 +178,7 @@
 // other nodes prefer it: the nodes divide the replicas among them (see preferredRank).
 func (e *Engine) startLivenessCheck(name api.ReplicaName, address string) {
 	entry := e.registry.entries[name]
-	shortLived := entry == nil || entry.rank > e.preferredRank(entry.Service)
+	shortLived := entry == nil || !e.prefers(entry, e.preferredRank(entry.Service))
 	e.counts.Inc(count.Connection, "checked")
 	e.emit(CheckReplica{Replica: name, Address: address, ShortLived: shortLived})
 }
