--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -114,17 +114,19 @@
 	if c.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	// The limits for header and body are part of the configuration.
+	waited := c.loop.awaitStartup(r.Context(), c.timeLeft(r))
 	body, status := c.readRequest(r)
 	if status != 0 {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(status)
 		return
 	}
-	start := time.Now()
+	start := time.Now().Add(-waited)
 	message := c.buildMessage(r, body)
 	id, answers := c.loop.register()
 	c.loop.Post(forward.Arrived{
-		Request: id, Message: message, CallerTimeout: c.timeLeft(r), Transit: conn.transitTime(),
+		Request: id, Message: message, CallerTimeout: c.timeLeft(r), Transit: conn.transitTime() + waited,
 	})
 	select {
 	case a := <-answers:
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -76,6 +76,11 @@
 	answers *pending[forward.Answer]
 	grants  *pending[ratelimit.Grant]
 
+	// startup is closed once the engine can serve requests or the store is lost, which means
+	// that it will not be able to soon.
+	startup      chan struct{}
+	startupEnded bool // read and written only by the goroutine that runs step
+
 	limits   atomic.Pointer[routing.Limits]
 	ready    atomic.Bool
 	inFlight atomic.Int64
@@ -86,6 +91,7 @@
 	l := &Loop{
 		engine: engine, log: log, notices: notices, started: time.Now(),
 		answers: newPending[forward.Answer](maxAnswers), grants: newPending[ratelimit.Grant](1),
+		startup: make(chan struct{}),
 	}
 	l.timer = time.AfterFunc(time.Hour, func() { l.Post(forward.Timer{}) })
 	l.timer.Stop()
@@ -131,6 +137,11 @@
 		limits := l.engine.Table().Limits
 		l.limits.Store(&limits)
 	}
+	_, storeLost := ev.(forward.StoreLost)
+	if !l.startupEnded && (storeLost || l.engine.Ready()) {
+		l.startupEnded = true
+		close(l.startup)
+	}
 	l.ready.Store(l.engine.Ready())
 	l.inFlight.Store(int64(l.engine.InFlight()))
 }
