--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -175,6 +175,12 @@
 	return ok && s.consecutiveFailures >= suspectAfter
 }
 
+// Cold reports whether the share of a replica still grows after a start or a recovery.
+func (r *Replicas) Cold(now time.Time, name api.ReplicaName) bool {
+	s, ok := r.replicas[name]
+	return ok && now.Before(s.coldUntil)
+}
+
 // ObserveLoad records a load report that did not come with an answer, such as one
 // from a new connection or a probe. It reports whether the incarnation was marked
 // as draining by this report and had not been before.
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -139,8 +139,21 @@
 			load += others / (1 + age)
 		}
 	}
-	failureRate := decay(s.failureRate, now.Sub(s.failureAt))
-	return s.expectedLatency(now) * load * (1 + failurePenalty*failureRate) * s.costFactor / s.slots
+	return s.expectedLatency(now) * load * s.failureFactor(now) * s.costFactor / s.slots
+}
+
+// failureFactor is the factor by which recent failures raise the score.
+func (s *replica) failureFactor(now time.Time) float64 {
+	return 1 + failurePenalty*decay(s.failureRate, now.Sub(s.failureAt))
+}
+
+// FailureFactor returns the factor by which recent failures of a replica raise its score; 1
+// without failures.
+func (r *Replicas) FailureFactor(now time.Time, name api.ReplicaName) float64 {
+	if s, ok := r.replicas[name]; ok {
+		return s.failureFactor(now)
+	}
+	return 1
 }
 
 // expectedLatency is the smoothed latency. If it is above the prior, it decays towards
--- a/core/count/count.go
+++ b/core/count/count.go
@@ -57,8 +57,8 @@
 	// Attempt counts attempts at replicas by purpose (first, retry, hedge) and by whether
 	// the replica is in the data centre of the node (local) or not (remote).
 	Attempt Kind = "attempt"
-	// Crossing counts attempts that left the data centre although a local replica was
-	// usable, by reason.
+	// Crossing counts first attempts that left the data centre, by the reason why no local
+	// replica got them.
 	Crossing Kind = "crossing"
 	// RateLimit counts attempts at replicas that name a rate limit, and the permits for them.
 	RateLimit Kind = "rate_limit"
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -81,6 +81,9 @@
 	// A request on probation is written only once the replica has accepted a new connection
 	// for it.
 	a.replicaUnresponsive = !r.onProbation && e.unresponsive(name)
+	if why == firstAttempt && entry.DataCentre != e.settings.DataCentre {
+		e.countCrossing(now, r, p)
+	}
 	c := e.connections(name)
 	a.dialing = r.onProbation || c.used >= c.open
 	c.used++
--- a/core/forward/locality.go
+++ b/core/forward/locality.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
@@ -70,15 +71,60 @@
 	typical := e.typicalLatency(r.route)
 	share := locality.RemoteShare(e.expected(now, near, typical), e.expected(now, far, typical), typical)
 	if share > 0 && e.rng.Float64() < share {
-		e.counts.Inc(count.Crossing, "slow")
 		return far, true
 	}
 	return near, true
 }
 
+// countCrossing counts a first attempt that leaves the data centre by the reason why no local
+// replica got it. Services without a local replica count as absent.
+func (e *Engine) countCrossing(now time.Time, r *request, p *part) {
+	reason := api.Reason("absent")
+	for _, name := range e.registry.byService[p.service] {
+		entry := e.registry.entries[name]
+		if entry.DataCentre != e.settings.DataCentre {
+			continue
+		}
+		reason = e.unusedReason(now, r, p, entry)
+		if reason == "slow" {
+			break
+		}
+	}
+	e.counts.Inc(count.Crossing, reason)
+}
+
+// unusedReason returns why a local replica did not get a first attempt.
+func (e *Engine) unusedReason(now time.Time, r *request, p *part, entry *registryEntry) api.Reason {
+	name := entry.Replica
+	switch {
+	case entry.draining():
+		return "draining"
+	case now.Before(entry.stated.backoffUntil):
+		return "backoff"
+	case e.stalledReplicas[name]:
+		return "stalled"
+	case !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)):
+		return "full"
+	case !e.limits.limiter.Permitted(now, name):
+		return "rate_limited"
+	case e.overdueReplicas[name] && !e.worthWaiting(now, r, name):
+		return "overdue"
+	case slices.Contains(p.tried, name):
+		return "tried"
+	case e.replicas.Suspect(name):
+		return "suspect"
+	case !e.prefers(entry, e.preferredRank(p.service)):
+		return "rank"
+	case e.replicas.Cold(now, name):
+		return "cold"
+	}
+	return "slow"
+}
+
 func (e *Engine) expected(now time.Time, name api.ReplicaName, typical time.Duration) locality.Expected {
 	return locality.Expected{
 		Latency: e.latencies[name].Value(now, typical), InFlight: e.replicas.InFlight(name), Slots: e.registry.entries[name].Slots,
+		FailureFactor: e.replicas.FailureFactor(now, name),
 	}
 }
 
--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -99,12 +99,14 @@
 	Latency time.Duration
 	// InFlight is the number of attempts that this node has in flight there.
 	InFlight, Slots int
+	// FailureFactor is above 1 if attempts failed recently; 0 means 1.
+	FailureFactor float64
 }
 
 // wait returns the expected time of one more attempt. An attempt that finds a free slot does
 // not wait for those in the other slots.
 func (x Expected) wait() float64 {
-	return float64(x.Latency) * max(1, float64(x.InFlight+1)/float64(max(x.Slots, 1)))
+	return float64(x.Latency) * max(1, float64(x.InFlight+1)/float64(max(x.Slots, 1))) * max(1, x.FailureFactor)
 }
 
 // RemoteShare returns the share of the attempts that should go to the remote replica although
