--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -209,6 +209,12 @@
 	return s.ramp.Share(now, r.pace), s.ramp.Slow()
 }
 
+// Cold reports whether the share of a replica still grows after a start or a recovery.
+func (r *Replicas) Cold(now time.Time, name api.ReplicaName) bool {
+	s, ok := r.replicas[name]
+	return ok && s.ramp.Active(now, r.pace)
+}
+
 // ObserveLoad records a load report that did not come with an answer, such as one
 // from a new connection or a probe. It reports whether the incarnation was marked
 // as draining by this report and had not been before.
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -48,35 +48,55 @@
 	return "", false
 }
 
+// PickReady is like Pick, but never returns a replica that Pick would only use as a last
+// resort. The latency and the reported load of the candidates are compared with those of peers,
+// which include them.
+func (r *Replicas) PickReady(now time.Time, candidates, peers []api.ReplicaName) (api.ReplicaName, bool) {
+	if best, _ := r.compare(now, candidates, peers, nil, maxCompared); best != nil {
+		return best.name, true
+	}
+	return "", false
+}
+
 // lowestScore returns the candidate with the lowest score among the first limit
-// eligible ones. It starts at a random candidate, so that replicas with equal scores
-// share the work.
+// eligible ones, or else the best last resort.
 func (r *Replicas) lowestScore(now time.Time, candidates, exclude []api.ReplicaName, limit int) *replica {
+	best, fallback := r.compare(now, candidates, candidates, exclude, limit)
+	if best != nil {
+		return best
+	}
+	return fallback
+}
+
+// compare returns the candidate with the lowest score among the first limit eligible
+// ones, or nil, and the best last resort seen. It starts at a random candidate, so that
+// replicas with equal scores share the work.
+func (r *Replicas) compare(now time.Time, candidates, peers, exclude []api.ReplicaName, limit int) (best, fallback *replica) {
 	if len(candidates) == 0 {
-		return nil
+		return nil, nil
 	}
-	var best, busy, fallback *replica
+	var busy *replica
 	bestScore, busyScore, fallbackScore := math.Inf(1), math.Inf(1), math.Inf(1)
-	meanWait := r.meanReportedWait(now, candidates)
+	meanWait := r.meanReportedWait(now, peers)
 	compared := 0
 	i := r.rng.IntN(len(candidates))
 	for range candidates {
 		s, class := r.classify(now, candidates[i], exclude, meanWait)
 		if s != nil && r.pace.GoodLatency > 0 && s.ramp.Active(now, r.pace) {
-			s.peerLatency = r.peerLatency(now, candidates)
+			s.peerLatency = r.peerLatency(now, peers)
 		}
 		if i++; i == len(candidates) {
 			i = 0
 		}
 		switch class {
 		case probeDue:
-			return s
+			return s, nil
 		case eligible:
 			if score := s.score(now); score < scoreMargin*bestScore {
 				best, bestScore = s, score
 			}
 			if compared++; compared == limit {
-				return best
+				return best, nil
 			}
 		case reportedBusy:
 			if score := s.score(now); score < busyScore {
@@ -91,13 +111,10 @@
 			}
 		}
 	}
-	switch {
-	case best != nil:
-		return best
-	case busy != nil:
-		return busy
+	if best == nil {
+		best = busy
 	}
-	return fallback
+	return best, fallback
 }
 
 // peerLatency returns the mean expected latency of the candidates that have neither started nor
@@ -159,8 +176,21 @@
 			load += others / (1 + age)
 		}
 	}
-	failureRate := decay(s.failureRate, now.Sub(s.failureAt))
-	return s.expectedLatency(now) * load * (1 + failurePenalty*failureRate) * s.costFactor / s.slots
+	return s.expectedLatency(now) * load * s.failureFactor(now) * s.costFactor / s.slots
+}
+
+// failureFactor is the factor by which recent failures raise the score.
+func (s *replica) failureFactor(now time.Time) float64 {
+	return 1 + failurePenalty*decay(s.failureRate, now.Sub(s.failureAt))
+}
+
+// FailureFactor returns the factor by which recent failures of a replica raise its score; 1
+// without failures.
+func (r *Replicas) FailureFactor(now time.Time, name api.ReplicaName) float64 {
+	if s, ok := r.replicas[name]; ok {
+		return s.failureFactor(now)
+	}
+	return 1
 }
 
 // expectedLatency is the smoothed latency. If it is above the prior, it decays towards
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -81,17 +81,21 @@
 	// A request on probation is written only once the replica has accepted a new connection
 	// for it.
 	a.replicaUnresponsive = !r.onProbation && e.unresponsive(name)
+	if why == firstAttempt && entry.DataCentre != e.settings.DataCentre {
+		e.countCrossing(now, r, p)
+	}
 	c := e.connections(name)
 	a.dialing = r.onProbation || c.used >= c.open
 	c.used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
+	e.countAttempt(why, name)
 	if r.onProbation {
 		e.quarantine.ProbationStarted(now, r.message.Fingerprint, name)
 	}
 	e.emit(Send{
 		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
-		ShortLived: entry.rank > e.preferredRank(p.service), NewConnection: r.onProbation, Remaining: r.deadline.Sub(now),
+		ShortLived: !e.prefers(entry, e.preferredRank(p.service)), NewConnection: r.onProbation, Remaining: r.deadline.Sub(now),
 	})
 }
 
