--- a/core/forward/locality_test.go
+++ b/core/forward/locality_test.go
@@ -262,3 +262,56 @@
 		}
 	}
 }
+
+// Guards against a local replica that keeps all attempts while they fail, and against crossings
+// that are counted under another reason.
+func TestFailingLocalReplicaLosesAttempts(t *testing.T) {
+	h := newHarness(t, nil)
+	h.table(1, 1)
+	local, remote := registration(0, 0), registration(0, 1)
+	remote.DataCentre = "dc-b"
+	h.step(ReplicaRegistered{Registration: remote})
+	// run sends requests, answers all attempts, those at the local replica with the given kind,
+	// and returns how many first attempts went to the remote one.
+	run := func(requests int, kind ReplyKind) int {
+		before := h.e.counts.Get("attempt", "first_remote")
+		for range requests {
+			h.request("/one/x")
+			for sends := h.takeSends(); len(sends) > 0; sends = h.takeSends() {
+				h.advance(5 * time.Millisecond)
+				for _, s := range sends {
+					if s.Replica == local.Replica && kind == ReplyError {
+						h.reply(s, Reply{Kind: kind})
+					} else {
+						h.ok(s, "aa")
+					}
+				}
+			}
+		}
+		return int(h.e.counts.Get("attempt", "first_remote") - before)
+	}
+	if n := run(40, ReplyOK); n != 40 || h.e.counts.Get("crossing", "absent") != 40 {
+		t.Errorf("without a local replica, %d attempts leave, %d are counted as absent", n, h.e.counts.Get("crossing", "absent"))
+	}
+	h.step(ReplicaRegistered{Registration: local})
+	if n := run(40, ReplyOK); n != 0 {
+		t.Errorf("%d of 40 attempts leave although the local replica answers", n)
+	}
+	if n := run(40, ReplyError); n < 30 {
+		t.Errorf("only %d of 40 attempts leave while those at the local replica fail", n)
+	}
+	if slow, suspect := h.e.counts.Get("crossing", "slow"), h.e.counts.Get("crossing", "suspect"); slow+suspect < 30 {
+		t.Errorf("%d and %d attempts are counted as slow and suspect", slow, suspect)
+	}
+	h.advance(40 * time.Second) // past the failures and the ramp-up after a probe
+	run(200, ReplyOK)
+	h.advance(40 * time.Second)
+	if n := run(40, ReplyOK); n > 2 {
+		t.Errorf("%d of 40 attempts leave 40 s after the last failure", n)
+	}
+	local.Sequence, local.Draining = 2, true
+	h.step(ReplicaRegistered{Registration: local})
+	if n := run(10, ReplyOK); n != 10 || h.e.counts.Get("crossing", "draining") != 10 {
+		t.Errorf("%d attempts leave a draining replica, %d are counted", n, h.e.counts.Get("crossing", "draining"))
+	}
+}
