--- a/core/forward/evacuation.go
+++ b/core/forward/evacuation.go
@@ -69,7 +69,7 @@
 // up at once.
 func (e *Engine) evacuate(now time.Time, ev Evacuation) {
 	before, ok := e.evacuations.current[ev.DataCentre]
-	if ok && before.since == ev.Revision {
+	if ok && before.liftAt.IsZero() && before.since == ev.Revision {
 		return
 	}
 	e.evacuations.current[ev.DataCentre] = evacuation{since: ev.Revision}
--- a/core/forward/evacuation_test.go
+++ b/core/forward/evacuation_test.go
@@ -454,3 +454,31 @@
 		}
 	}
 }
+
+// Guards against connections that are closed after each request although they go to the replica that
+// the node prefers of those that are left: where few connections are accepted, it is the one of
+// lowest rank, and an evacuated one must not take its place.
+func TestNodePrefersAReplicaThatIsNotEvacuated(t *testing.T) {
+	h := newHarness(t, func(s *Settings) { s.Node = "n1" })
+	h.accepted = 1
+	h.step(Members{Nodes: 3})
+	h.table(1, 1)
+	lowest := replicaOf(0, 0)
+	for i := range 3 {
+		if h.e.rank(replicaOf(0, i)) < h.e.rank(lowest) {
+			lowest = replicaOf(0, i)
+		}
+	}
+	for i := range 3 {
+		dc := api.DataCentre("dc-a")
+		if replicaOf(0, i) == lowest {
+			dc = "dc-b"
+		}
+		h.step(ReplicaRegistered{Registration: registration(0, i).in(dc)})
+	}
+	h.evacuate("dc-b", 1)
+	h.request("/one/x")
+	if s := h.takeSends(); len(s) != 1 || s[0].ShortLived {
+		t.Errorf("sends %+v", s)
+	}
+}
