--- a/cmd/baobab-soak/main.go
+++ b/cmd/baobab-soak/main.go
@@ -34,7 +34,10 @@
 	Pause      time.Duration `default:"1200ms" help:"Mean time between two faults."`
 	Statements bool          `help:"Let targets name rate limits, state their leave, ask for pauses and respond without end as well."`
 	Correlated bool          `help:"Pause most nodes, and cut others from the store, at the same time as well."`
+	Halves     bool          `help:"Let shards of a route change with each configuration, and check that no node goes back to an older one."`
+	Conns      int           `default:"50" help:"Connections that each target accepts. Few, compared with the nodes, make nodes run requests for each other."`
 	Binary     string        `default:"target/baobabd" help:"Program to run."`
+	Old        string        `help:"Another version of the program. Every second node starts with it, and each restart of a node changes its version."`
 	KeepLogs   string        `help:"Directory for settings and logs, which is kept; else they are removed unless a promise is broken."`
 }
 
@@ -90,7 +93,11 @@
 		Statements:  a.Statements,
 		Correlated:  a.Correlated,
 		Binary:      a.Binary,
-		Dir:         dir,
+		OldBinary:   a.Old,
+
+		MaxConnections:    a.Conns,
+		AlternatingShards: a.Halves,
+		Dir:               dir,
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "seed %d: %v; logs in %s\n", seed, err, dir)
