--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -19,18 +19,6 @@
 	hedgeAttempt
 )
 
-// String returns the name of the purpose in counters.
-func (p purpose) String() string {
-	switch p {
-	case retryAttempt:
-		return "retry"
-	case hedgeAttempt:
-		return "hedge"
-	default:
-		return "first"
-	}
-}
-
 // budgetShare returns the fraction of the budget that an extra attempt may use.
 func (p purpose) budgetShare() float64 {
 	if p == hedgeAttempt {
--- a/core/forward/locality.go
+++ b/core/forward/locality.go
@@ -11,6 +11,39 @@
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
+// Details of count.Attempt.
+const (
+	firstLocal  api.Reason = "first_local"
+	firstRemote api.Reason = "first_remote"
+	retryLocal  api.Reason = "retry_local"
+	retryRemote api.Reason = "retry_remote"
+	hedgeLocal  api.Reason = "hedge_local"
+	hedgeRemote api.Reason = "hedge_remote"
+)
+
+// attemptDetails holds the details for a local and a remote replica by purpose.
+var attemptDetails = [...]struct{ local, remote api.Reason }{
+	firstAttempt: {firstLocal, firstRemote},
+	retryAttempt: {retryLocal, retryRemote},
+	hedgeAttempt: {hedgeLocal, hedgeRemote},
+}
+
+// Details of count.Crossing: why no local replica got a first attempt.
+const (
+	localAbsent      api.Reason = "absent"
+	localDraining    api.Reason = "draining"
+	localBackoff     api.Reason = "backoff"
+	localStalled     api.Reason = "stalled"
+	localFull        api.Reason = "full"
+	localRateLimited api.Reason = "rate_limited"
+	localOverdue     api.Reason = "overdue"
+	localTried       api.Reason = "tried"
+	localSuspect     api.Reason = "suspect"
+	localRank        api.Reason = "rank"
+	localCold        api.Reason = "cold"
+	localSlow        api.Reason = "slow"
+)
+
 // minTypicalSamples is the number of latencies of a route after which their median is used.
 const minTypicalSamples = 20
 
@@ -79,14 +112,14 @@
 // countCrossing counts a first attempt that leaves the data centre by the reason why no local
 // replica got it. Services without a local replica count as absent.
 func (e *Engine) countCrossing(now time.Time, r *request, p *part) {
-	reason := api.Reason("absent")
+	reason := localAbsent
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
 		if entry.DataCentre != e.settings.DataCentre {
 			continue
 		}
 		reason = e.unusedReason(now, r, p, entry)
-		if reason == "slow" {
+		if reason == localSlow {
 			break
 		}
 	}
@@ -98,27 +131,27 @@
 	name := entry.Replica
 	switch {
 	case entry.draining():
-		return "draining"
+		return localDraining
 	case now.Before(entry.stated.backoffUntil):
-		return "backoff"
+		return localBackoff
 	case e.stalledReplicas[name]:
-		return "stalled"
+		return localStalled
 	case !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)):
-		return "full"
+		return localFull
 	case !e.limits.limiter.Permitted(now, name):
-		return "rate_limited"
+		return localRateLimited
 	case e.overdueReplicas[name] && !e.worthWaiting(now, r, name):
-		return "overdue"
+		return localOverdue
 	case slices.Contains(p.tried, name):
-		return "tried"
+		return localTried
 	case e.replicas.Suspect(name):
-		return "suspect"
+		return localSuspect
 	case !e.prefers(entry, e.preferredRank(p.service)):
-		return "rank"
+		return localRank
 	case e.replicas.Cold(now, name):
-		return "cold"
+		return localCold
 	}
-	return "slow"
+	return localSlow
 }
 
 func (e *Engine) expected(now time.Time, name api.ReplicaName, typical time.Duration) locality.Expected {
@@ -206,9 +239,9 @@
 
 // countAttempt counts an attempt by its purpose and by whether it leaves the data centre.
 func (e *Engine) countAttempt(why purpose, name api.ReplicaName) {
-	detail := api.Reason(why.String() + "_local")
+	detail := attemptDetails[why].local
 	if !e.isLocal(name) {
-		detail = api.Reason(why.String() + "_remote")
+		detail = attemptDetails[why].remote
 	}
 	e.counts.Inc(count.Attempt, detail)
 }
