--- a/core/forward/identity.go
+++ b/core/forward/identity.go
@@ -2,14 +2,15 @@
 
 import "github.com/baobabsail/baobabsail/core/routing"
 
-// identify determines the account of a caller's request by its key. It reports false if the
-// route needs a key and the configuration holds no such key. A request of another node was
-// identified there.
+// identify determines the account of a request by its key. It reports false if the route needs a
+// key and the configuration holds no such key. A request of another node that names its account
+// was identified there; a node of an older version, or with a configuration that has no accounts
+// yet, passes on what the caller sent.
 func (e *Engine) identify(ev Arrived, route *routing.Route) bool {
-	if e.table.Accounts == nil || ev.Subset != nil {
+	m := ev.Message
+	if e.table.Accounts == nil || ev.Subset != nil && m.Account != "" {
 		return true
 	}
-	m := ev.Message
 	m.Identified = true
 	if a := e.table.Accounts.ByKey(m.Credential); a != nil {
 		m.Account, m.AccountPriority = a.Name, a.Priority
--- a/core/forward/identity_test.go
+++ b/core/forward/identity_test.go
@@ -59,3 +59,28 @@
 		}
 	}
 }
+
+// Guards against a range that runs with an unknown key because the calling node does not know
+// accounts, and against one that is identified twice.
+func TestRangesOfOlderNodesAreIdentified(t *testing.T) {
+	h := ready(t, 1)
+	table := h.newTable(2, 1)
+	table.Accounts = account.NewDirectory([]account.Account{{Name: "one", Priority: 3, Keys: []string{"k1"}}})
+	h.step(TableRead{Table: table})
+	run := func(m Message) (*Message, int) {
+		m.Host, m.Path = "h", "/all/x"
+		h.lastRequest++
+		subset := &Subset{Shards: []api.ServiceName{shard(0)}, MaxAttempts: 2}
+		h.step(Arrived{Request: h.lastRequest, CallerTimeout: time.Second, Target: time.Second, Subset: subset, Message: &m})
+		return &m, len(h.takeSends())
+	}
+	if m, sends := run(Message{Credential: []byte("k1")}); m.Account != "one" || m.AccountPriority != 3 || !m.Identified || sends != 1 {
+		t.Errorf("a known key: %+v, %d attempts", m, sends)
+	}
+	if _, sends := run(Message{Credential: []byte("k2")}); sends != 0 {
+		t.Errorf("an unknown key: %d attempts", sends)
+	}
+	if m, sends := run(Message{Account: "two", AccountPriority: 1}); m.Identified || m.AccountPriority != 1 || sends != 1 {
+		t.Errorf("an account: %+v, %d attempts", m, sends)
+	}
+}
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -241,6 +242,25 @@
 	bearerScheme        = "Bearer "
 )
 
+// splitIdentity separates the fields in which a caller names its account or its key from the rest
+// of a head, and returns the key.
+func splitIdentity(headers Headers, head []byte) (rest, identity, credential []byte) {
+	var authorization []string
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(line, []byte(": "))
+		switch string(name) {
+		case authorizationHeader:
+			authorization = append(authorization, string(bytes.TrimSpace(value)))
+			identity = append(identity, line...)
+		case headers.Account:
+			identity = append(identity, line...)
+		default:
+			rest = append(rest, line...)
+		}
+	}
+	return rest, identity, bearerToken(authorization)
+}
+
 // bearerToken returns the token of the only Authorization field (RFC 6750, section 2.1), or nil
 // if there is none or it has another form.
 func bearerToken(fields []string) []byte {
--- a/entry/relay/identity_test.go
+++ b/entry/relay/identity_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
 // Guards against a replica that gets the caller's key, or an account that the caller made up,
@@ -37,7 +38,7 @@
 	if h := string(q.GetHead()); q.GetAccount() != "one" || strings.Contains(h, "k-1") || !strings.Contains(h, "X-Account: one\r\n") {
 		t.Errorf("to another node: %q", h)
 	}
-	received := arrivedEvent(1, q).Message
+	received := arrivedEvent(testHeaders, 1, q).Message
 	if h := string(received.Wire.(*wireRequest).identifiedHead(received, testHeaders)); strings.Count(h, "X-Account") != 1 {
 		t.Errorf("from another node: %q", h)
 	}
@@ -57,3 +58,21 @@
 		}
 	}
 }
+
+// Guards against a key that a node of an older version passes on and that then reaches a replica.
+func TestKeyFromAnOlderNodeIsNotPassedOn(t *testing.T) {
+	q := &nodepb.ShardsRequest{Path: "/x", Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k-1\r\nX-Account: made-up\r\nX-Other: kept\r\n")}
+	m := arrivedEvent(testHeaders, 1, q).Message
+	if string(m.Credential) != "k-1" {
+		t.Errorf("credential %q", m.Credential)
+	}
+	wire := m.Wire.(*wireRequest)
+	if h := string(wire.identifiedHead(m, testHeaders)); !strings.Contains(h, "k-1") || !strings.Contains(h, "made-up") {
+		t.Errorf("without accounts: %q", h)
+	}
+	m.Identified, m.Account = true, "one"
+	want := "GET /x HTTP/1.1\r\nHost: h\r\nX-Other: kept\r\nX-Account: one\r\n"
+	if h := string(wire.identifiedHead(m, testHeaders)); h != want {
+		t.Errorf("with accounts: %q, want %q", h, want)
+	}
+}
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return err
 		}
-		a := arrivedEvent(1, q)
+		a := arrivedEvent(testHeaders, 1, q)
 		if !slices.Equal(a.Subset.Shards, []api.ServiceName{"s3", "s4"}) || a.Subset.PriorAttempts != 1 || a.Subset.MaxAttempts != 3 ||
 			a.Target != 80*time.Millisecond || a.Message.CallerRequest != "id" || a.Message.Wire.(*wireRequest).method != "GET" {
 			t.Errorf("the node received %+v", a)
@@ -183,7 +183,7 @@
 	}
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2"}), discardLog{}, nil)
 	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders))
-	server := NewNodeServer(loop)
+	server := NewNodeServer(loop, testHeaders)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	defer server.Stop()
 	events := &eventRecorder{}
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -18,13 +18,14 @@
 // NodeServer serves calls from other nodes: it runs ranges of shards and receives notices.
 type NodeServer struct {
 	nodepb.UnimplementedNodeServer
-	loop *Loop
+	loop    *Loop
+	headers Headers
 }
 
 // NewNodeServer returns a gRPC server for calls from other nodes.
-func NewNodeServer(loop *Loop) *grpc.Server {
+func NewNodeServer(loop *Loop, headers Headers) *grpc.Server {
 	server := grpc.NewServer(grpc.ReadBufferSize(nodeBufferSize), grpc.WriteBufferSize(nodeBufferSize))
-	nodepb.RegisterNodeServer(server, &NodeServer{loop: loop})
+	nodepb.RegisterNodeServer(server, &NodeServer{loop: loop, headers: headers})
 	return server
 }
 
@@ -38,7 +39,7 @@
 		return err
 	}
 	id, answers := s.loop.register()
-	s.loop.Post(arrivedEvent(id, q))
+	s.loop.Post(arrivedEvent(s.headers, id, q))
 	go func() {
 		if _, err := stream.Recv(); err == nil { // an error means that the call has ended
 			s.loop.Post(forward.ExtraAttemptsAllowed{Request: id})
@@ -71,8 +72,14 @@
 	return &peerpb.Ack{}, nil
 }
 
-// arrivedEvent converts a call from another node to an event.
-func arrivedEvent(id api.RequestID, q *nodepb.ShardsRequest) forward.Arrived {
+// arrivedEvent converts a call from another node to an event. If the call names no account, what
+// the caller sent about it is kept apart, as for a request that arrives from the caller itself.
+func arrivedEvent(headers Headers, id api.RequestID, q *nodepb.ShardsRequest) forward.Arrived {
+	wire := &wireRequest{method: q.GetMethod(), head: q.GetHead(), body: q.GetBody(), id: q.GetCallerRequest()}
+	var credential []byte
+	if q.GetAccount() == "" {
+		wire.head, wire.identity, credential = splitIdentity(headers, q.GetHead())
+	}
 	return forward.Arrived{
 		Request:       id,
 		CallerTimeout: time.Duration(q.GetLeftUs()) * time.Microsecond,
@@ -85,7 +92,8 @@
 			Host: q.GetHost(), Path: q.GetPath(), CallerRequest: q.GetCallerRequest(),
 			Fingerprint: api.Fingerprint(q.GetFingerprint()),
 			Account:     q.GetAccount(), AccountPriority: int(q.GetAccountPriority()),
-			Wire: &wireRequest{method: q.GetMethod(), head: q.GetHead(), body: q.GetBody(), id: q.GetCallerRequest()},
+			Credential: credential,
+			Wire:       wire,
 		},
 	}
 }
--- a/entry/relay/regions_test.go
+++ b/entry/relay/regions_test.go
@@ -16,7 +16,7 @@
 		q := n.shardsRequest(forward.CallPeer{
 			Message: &forward.Message{Path: "/x", Wire: &wireRequest{}}, Subset: forward.Subset{HomeRegions: regions},
 		})
-		if got := arrivedEvent(1, q).Subset.HomeRegions; !slices.Equal(got, regions) {
+		if got := arrivedEvent(testHeaders, 1, q).Subset.HomeRegions; !slices.Equal(got, regions) {
 			t.Errorf("%v become %v", regions, got)
 		}
 	}
