--- a/core/account/account.go
+++ b/core/account/account.go
@@ -55,6 +55,18 @@
 	return d
 }
 
+// All returns the accounts in no particular order.
+func (d *Directory) All() []*Account {
+	if d == nil {
+		return nil
+	}
+	all := make([]*Account, 0, len(d.byName))
+	for _, a := range d.byName {
+		all = append(all, a)
+	}
+	return all
+}
+
 // Len returns the number of accounts.
 func (d *Directory) Len() int { return len(d.byName) }
 
--- a/core/api/request.go
+++ b/core/api/request.go
@@ -164,6 +164,7 @@
 	ReasonMismatched       Reason = "mismatched_answer"
 	ReasonUnknownRoute     Reason = "unknown_route"
 	ReasonUnknownKey       Reason = "unknown_key"
+	ReasonKeysOutdated     Reason = "keys_outdated"
 	ReasonOverQuota        Reason = "over_quota"
 	ReasonQuotaUnknown     Reason = "quota_unknown"
 	ReasonEvacuated        Reason = "evacuated"
--- a/core/count/count.go
+++ b/core/count/count.go
@@ -56,6 +56,8 @@
 	ReplicaStatus Kind = "replica_status"
 	// RateLimit counts attempts at replicas that name a rate limit, and the permits for them.
 	RateLimit Kind = "rate_limit"
+	// Quota counts requests for admissions of accounts with a quota, and the responses.
+	Quota Kind = "quota"
 )
 
 // Key identifies a counter: a kind and a reason or other detail within it.
--- a/core/forward/action.go
+++ b/core/forward/action.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
 )
 
@@ -167,6 +168,21 @@
 	Call CallID
 }
 
+// AdmitRequests asks a node to admit requests of an account. The driver responds with
+// AdmissionAnswered or AdmissionFailed.
+type AdmitRequests struct {
+	action
+	quota.Ask
+	Address string
+}
+
+// GrantAdmissions is the response to an AdmissionRequested.
+type GrantAdmissions struct {
+	action
+	quota.Grant
+	Call CallID
+}
+
 // Log writes one log line of key=value pairs.
 type Log struct {
 	action
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -164,8 +164,12 @@
 	if route != nil {
 		name = route.Name
 	}
-	e.log("request_refused", "id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
+	fields := []any{"id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
 		"version", e.version(), "reason", reason, "patience_ms", ev.CallerTimeout.Milliseconds(),
-		"fingerprint", ev.Message.Fingerprint)
+		"fingerprint", ev.Message.Fingerprint}
+	if ev.Message.Account != "" {
+		fields = append(fields, "account", ev.Message.Account)
+	}
+	e.log("request_refused", fields...)
 	e.deliver(now, Answer{Request: ev.Request, Route: name, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
 }
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -48,6 +48,10 @@
 		e.refuse(now, ev, route, api.ReasonWrongEpoch, 0)
 		return
 	}
+	if e.keysOutdated(now, ev) {
+		e.refuse(now, ev, route, api.ReasonKeysOutdated, longRetryAfter)
+		return
+	}
 	if !e.identify(ev, route) {
 		e.refuse(now, ev, route, api.ReasonUnknownKey, 0)
 		return
@@ -69,12 +73,21 @@
 	if !ok {
 		return
 	}
-	if groups := e.groupCount(route); groups > 1 && !probation && ev.Subset == nil {
+	r.onProbation, r.hasHeldParts = probation, probation
+	if q, ok := e.quotaFor(r); ok {
+		e.awaitAdmission(now, r, ev, q)
+		return
+	}
+	e.run(now, r)
+}
+
+// run starts a request that has passed all checks.
+func (e *Engine) run(now time.Time, r *request) {
+	if groups := e.groupCount(r.route); groups > 1 && !r.onProbation && r.subset == nil {
 		e.divide(now, r, groups)
 		return
 	}
 	e.requests[r.id] = r
-	r.onProbation, r.hasHeldParts = probation, probation
 	e.start(now, r)
 	e.progress(now, r)
 }
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -9,6 +9,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
+	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/core/timerqueue"
@@ -26,6 +27,11 @@
 	BudgetWindow   time.Duration
 	BudgetShare    float64
 	BudgetConstant float64
+	// Quota bounds what all nodes together admit of an account with a quota.
+	Quota quota.Bounds
+	// RevokeAfter is the age of what this node knows of the store's contents above which it
+	// refuses requests that carry a key, since the key may have been removed; 0 means never.
+	RevokeAfter time.Duration
 	// FirstStart is set if no node of this system has run before, so that no extra
 	// attempts of an earlier process count against the budget.
 	FirstStart bool
@@ -124,21 +130,26 @@
 	callAcceptDelay, callReplyDelay quantile.Estimator
 	// waiting lists, per service, the parts that wait for a replica with capacity.
 	waiting map[api.ServiceName][]waitingPart
-	timers  timerqueue.Queue[timer]
+	// confirmedAt is the time up to which this node knows the store's contents.
+	confirmedAt time.Time
+	// quotas keeps the requests of client accounts within their quotas.
+	quotas quotas
+	timers timerqueue.Queue[timer]
 
 	candidates []api.ReplicaName // scratch buffer for choosing replicas and nodes
 	actions    []Action
 }
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
-// a replica's registration, the waiting parts of a service, or the liveness check of a
-// replica. Only the field of that item is set.
+// a replica's registration, the waiting parts of a service, the liveness check of a replica, or
+// the requests of an account that wait to be admitted. Only the field of that item is set.
 type timer struct {
 	request       api.RequestID
 	attempt       AttemptID
 	registration  api.ReplicaName
 	service       api.ServiceName
 	livenessCheck api.ReplicaName
+	account       string
 }
 
 // New returns an Engine that has no configuration yet.
@@ -164,6 +175,7 @@
 		lastReplyAt:     make(map[api.ReplicaName]time.Time),
 		quarantine:      quarantine.New(counts),
 		limits:          newRateLimits(),
+		quotas:          newQuotas(s),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
@@ -225,6 +237,7 @@
 		e.noticesUndelivered(ev)
 	case Members:
 		e.membersChanged(now, ev.Nodes)
+		e.rankAllocators(now, ev)
 		e.adoptPeers(now, ev.Peers)
 	case ExtraAttemptsAllowed:
 		e.extraAttemptsAllowed(now, ev.Request)
@@ -242,13 +255,26 @@
 		e.permitsGranted(now, ev)
 	case PermitsFailed:
 		e.permitsFailed(now, ev)
+	case AdmissionRequested:
+		e.admissionRequested(now, ev)
+	case AdmissionAnswered:
+		e.admissionAnswered(now, ev)
+	case AdmissionFailed:
+		e.admissionFailed(now, ev)
+	case StoreConfirmed:
+		e.storeConfirmed(now, ev)
+	case AccountSettingsChanged:
+		e.settings.Quota, e.settings.RevokeAfter = ev.Quota, ev.RevokeAfter
+		e.quotas.allocator.SetBounds(ev.Quota)
 	case Stopping:
 		e.limits.stopping = true
+		e.quotas.allocator.Stop()
 	}
 	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
 		e.cleanedUpAt = now
 		e.quarantine.Tick(now)
 		e.limits.tick(now)
+		e.quotas.allocator.Tick(now)
 	}
 	e.runTimers(now)
 	return e.actions
@@ -266,7 +292,7 @@
 func (e *Engine) Table() *routing.Table { return e.table }
 
 // InFlight returns the number of requests that have not been answered yet.
-func (e *Engine) InFlight() int { return len(e.requests) + len(e.divided) }
+func (e *Engine) InFlight() int { return len(e.requests) + len(e.divided) + len(e.quotas.waiting) }
 
 // Ready reports whether requests can be served: there is a configuration, and
 // at least one replica is registered.
@@ -287,6 +313,8 @@
 			e.registrationRemovalDue(now, t.registration)
 		case t.livenessCheck != "":
 			e.livenessCheckDue(now, t.livenessCheck)
+		case t.account != "":
+			e.admissionsDue(now, t.account)
 		case t.service != "":
 			e.resume(now, t.service)
 		case t.attempt != 0:
@@ -316,6 +344,7 @@
 		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
 	e.dropUnusedAdmissionControls()
 	e.adoptLimits(t)
+	e.adoptQuotas()
 	e.regroup()
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
@@ -346,6 +347,50 @@
 	Nodes int
 	// Peers are the nodes that accept calls from other nodes.
 	Peers []Peer
+	// ListedBefore is set if this node was listed for a while before this process started. It
+	// counts in the first list only.
+	ListedBefore bool
+}
+
+// StoreConfirmed reports how long ago a response of the store last confirmed what this node
+// knows of its contents.
+type StoreConfirmed struct {
+	event
+	Age time.Duration
+}
+
+// AccountSettingsChanged replaces Quota and RevokeAfter of the settings. Quota.Window must not
+// be 0.
+type AccountSettingsChanged struct {
+	event
+	Quota       quota.Bounds
+	RevokeAfter time.Duration
+}
+
+// AdmissionRequested reports that another node asks this one to admit requests of an account.
+// The engine responds with GrantAdmissions.
+type AdmissionRequested struct {
+	event
+	quota.Request
+	// Call identifies the request of the other node.
+	Call CallID
+}
+
+// AdmissionAnswered holds the response to an AdmitRequests.
+type AdmissionAnswered struct {
+	event
+	Ask   quota.Ask
+	Grant quota.Grant
+}
+
+// AdmissionFailed reports that a node did not respond to an AdmitRequests.
+type AdmissionFailed struct {
+	event
+	Ask quota.Ask
+	// Supported is unset if the node responded that it does not know such calls.
+	Supported bool
+	// Error describes the cause for the log.
+	Error string
 }
 
 // PermitsRequested reports that another node asks this one, the allocator of a replica, for
--- a/core/forward/groups.go
+++ b/core/forward/groups.go
@@ -31,6 +31,8 @@
 	DataCentre api.DataCentre
 	// Address is where the node accepts calls from other nodes; empty if it accepts none.
 	Address string
+	// Cores is the number of processor cores of the node; 0 if unknown.
+	Cores float64
 }
 
 // nodeGroups holds the nodes that accept calls and the shards that this node runs on behalf of
@@ -145,16 +147,18 @@
 	e.preparePeers()
 }
 
-// preparePeers requests connections to the other nodes of this data centre if any shards are
-// divided.
+// preparePeers requests connections to the allocators of the accounts that have a quota, and to
+// the other nodes of this data centre if any shards are divided.
 func (e *Engine) preparePeers() {
-	if len(e.groups.sharedShards) == 0 {
+	addresses := e.allocatorAddresses()
+	if len(e.groups.sharedShards) == 0 && len(addresses) == 0 {
 		return
 	}
-	var addresses []string
-	for _, p := range e.groups.nodes[e.settings.DataCentre] {
-		if p.Node != e.settings.Node {
-			addresses = append(addresses, p.Address)
+	if len(e.groups.sharedShards) > 0 {
+		for _, p := range e.groups.nodes[e.settings.DataCentre] {
+			if p.Node != e.settings.Node && !slices.Contains(addresses, p.Address) {
+				addresses = append(addresses, p.Address)
+			}
 		}
 	}
 	e.emit(PreparePeers{Addresses: addresses})
--- a/core/forward/identity.go
+++ b/core/forward/identity.go
@@ -1,6 +1,26 @@
 package forward
 
-import "github.com/baobabsail/baobabsail/core/routing"
+import (
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/routing"
+)
+
+// storeConfirmed records up to when this node knows the store's contents.
+func (e *Engine) storeConfirmed(now time.Time, ev StoreConfirmed) {
+	if at := now.Add(-ev.Age); at.After(e.confirmedAt) {
+		e.confirmedAt = at
+		e.quotas.allocator.Confirm(now, at)
+	}
+}
+
+// keysOutdated reports whether a request carries a key that may have been removed from the
+// configuration without this node's knowledge, if the settings ask for such requests to be
+// refused.
+func (e *Engine) keysOutdated(now time.Time, ev Arrived) bool {
+	return e.settings.RevokeAfter > 0 && e.table.Accounts != nil && ev.Subset == nil &&
+		len(ev.Message.Credential) > 0 && now.Sub(e.confirmedAt) > e.settings.RevokeAfter
+}
 
 // identify determines the account of a caller's request by its key. It reports false if the
 // route needs a key and the configuration holds no such key. A request of another node was
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -273,6 +273,10 @@
 		e.dividedCallerGone(now, d)
 		return
 	}
+	if w := e.quotas.waiting[id]; w != nil {
+		e.awaitingCallerGone(now, w)
+		return
+	}
 	r := e.requests[id]
 	if r == nil {
 		return
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -144,7 +144,7 @@
 		a = &account{}
 		r.accounts[name] = a
 	}
-	if quota.Version > a.quota.Version {
+	if quota.Version >= a.quota.Version {
 		if quota.PerSecond != a.quota.PerSecond || quota.Burst != a.quota.Burst {
 			a.deniedUntil, a.standbyDeniedUntil = time.Time{}, time.Time{} // it applied to the former quota
 		}
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -14,6 +14,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
@@ -73,8 +74,9 @@
 	running bool
 	timerAt time.Time
 
-	answers *pending[forward.Answer]
-	grants  *pending[ratelimit.Grant]
+	answers    *pending[forward.Answer]
+	grants     *pending[ratelimit.Grant]
+	admissions *pending[quota.Grant]
 
 	limits   atomic.Pointer[routing.Limits]
 	ready    atomic.Bool
@@ -86,6 +88,7 @@
 	l := &Loop{
 		engine: engine, log: log, notices: notices, started: time.Now(),
 		answers: newPending[forward.Answer](maxAnswers), grants: newPending[ratelimit.Grant](1),
+		admissions: newPending[quota.Grant](1),
 	}
 	l.timer = time.AfterFunc(time.Hour, func() { l.Post(forward.Timer{}) })
 	l.timer.Stop()
@@ -176,6 +179,10 @@
 		l.nodes.requestPermits(a)
 	case forward.GrantPermits:
 		l.grants.deliver(uint64(a.Call), a.Grant, true)
+	case forward.AdmitRequests:
+		l.nodes.admitRequests(a)
+	case forward.GrantAdmissions:
+		l.admissions.deliver(uint64(a.Call), a.Grant, true)
 	case forward.Publish:
 		l.notices.Publish(a.Notices)
 	case forward.Log:
