--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -82,7 +82,7 @@
 func (e *Engine) rankAllocators(now time.Time, ev Members) {
 	if !e.quotas.settled {
 		e.quotas.settled = true
-		e.quotas.allocator.Settle(now, ev.ListedBefore || e.settings.FirstStart)
+		e.quotas.allocator.Settle(now, ev.ListedBefore, e.settings.FirstStart)
 	}
 	nodes := make([]quota.Node, 0, len(ev.Peers))
 	for _, p := range ev.Peers {
--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -25,6 +25,8 @@
 	// HoldTime is how long a node must have had its role before it uses all of its rights. It
 	// exceeds maxListAge by the time that a response of the store may take to be read.
 	HoldTime = 10 * time.Second
+	// firstStartTime is how long the nodes may take to register at their first start.
+	firstStartTime = 5 * time.Second
 	// minRetryAfter and maxRetryAfter bound RetryAfter. Each node asks at most once for each
 	// account in maxRetryAfter after a refusal.
 	minRetryAfter = 10 * time.Millisecond
@@ -45,8 +47,12 @@
 	// known holds the quotas of this node's configuration.
 	known map[string]Quota
 	// settled is set if this node has been listed for longer than HoldTime, counted over
-	// previous processes, or if no node was started before.
+	// previous processes, or if no node was started before; its roles in the first list count as
+	// held.
 	settled bool
+	// settledUntil is the time until which new roles need not be held: at the first start of
+	// all nodes, their lists become complete within seconds, and no bucket holds a burst yet.
+	settledUntil time.Time
 	// startedAt is when the first list was read; confirmedAt is the time up to which the list
 	// is known to be current, and regainedAt when it became current again after it was not.
 	startedAt, confirmedAt, regainedAt time.Time
@@ -89,8 +95,14 @@
 func (a *Allocator) SetQuotas(quotas map[string]Quota) { a.known = quotas }
 
 // Settle is called with the first list of nodes. settled is set if this node has been listed for
-// longer than HoldTime, counted over previous processes, or if no node was started before.
-func (a *Allocator) Settle(now time.Time, settled bool) { a.startedAt, a.settled = now, settled }
+// longer than HoldTime, counted over previous processes; firstStart if no node was started
+// before.
+func (a *Allocator) Settle(now time.Time, settled, firstStart bool) {
+	a.startedAt, a.settled = now, settled || firstStart
+	if firstStart {
+		a.settledUntil = now.Add(firstStartTime)
+	}
+}
 
 // Confirm records that the list of nodes was current at a time.
 func (a *Allocator) Confirm(now, at time.Time) {
@@ -124,6 +136,8 @@
 	from := since.Add(HoldTime)
 	if a.settled && !since.After(a.startedAt) {
 		from = a.startedAt
+	} else if !since.After(a.settledUntil) {
+		from = since
 	}
 	if a.regainedAt.After(from) {
 		from = a.regainedAt
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -99,7 +99,7 @@
 	ranking := NewRanking(self)
 	ranking.SetNodes(start, list)
 	a := NewAllocator(bounds, ranking, rand.New(rand.NewPCG(1, 1)))
-	a.Settle(start, true)
+	a.Settle(start, true, false)
 	a.Confirm(start, start)
 	return a
 }
@@ -190,6 +190,30 @@
 	}
 }
 
+// Guards against accounts that are hardly served in the first seconds of a new deployment, while
+// the nodes register one after the other, and against the same at a node that is added later.
+func TestNodesMayGrantAtTheirFirstStart(t *testing.T) {
+	q := Quota{Version: 1, PerSecond: 100, Burst: 100}
+	for firstStart, bounds := range map[bool][2]float64{true: {190, 220}, false: {0, 0.2 * pageBounds.tolerance(q)}} {
+		probe := NewRanking("")
+		probe.SetNodes(start, nodeList(3))
+		self, _ := probe.Of("a")
+		ranking := NewRanking(self)
+		a := NewAllocator(pageBounds, ranking, rand.New(rand.NewPCG(1, 1)))
+		ranking.SetNodes(start, []Node{{Name: "other"}})
+		a.Settle(start, false, firstStart)
+		a.Confirm(start, start)
+		ranking.SetNodes(start.Add(time.Second), nodeList(3))
+		n := 0
+		for now := start.Add(time.Second); now.Sub(start) < 3*time.Second; now = now.Add(10 * time.Millisecond) {
+			n += a.Allocate(now, wants(q, 50)).Admitted
+		}
+		if float64(n) < bounds[0] || float64(n) > bounds[1] {
+			t.Errorf("first start %v: %d admitted in 2 s, want %.0f to %.0f", firstStart, n, bounds[0], bounds[1])
+		}
+	}
+}
+
 // Guards against the use of an outdated quota: the newest version counts, and tokens are cut to
 // a lower burst at once.
 func TestNewestQuotaCounts(t *testing.T) {
@@ -218,7 +242,7 @@
 	sum := 0
 	for range 4 {
 		a := NewAllocator(DefaultBounds, NewRanking("n"), rand.New(rand.NewPCG(1, 1)))
-		a.Settle(start, true)
+		a.Settle(start, true, false)
 		for now := start; now.Sub(start) <= DefaultBounds.Window; now = now.Add(10 * time.Millisecond) {
 			sum += a.AllocateLocally(now, wants(q, 10), 0.25).Admitted
 		}
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -127,7 +127,7 @@
 	if n.neverRead {
 		since, known := s.listed[n.name]
 		// As membership does: an entry that was written long ago is that of a former process.
-		n.allocator.Settle(now, known && s.now.Sub(since) > HoldTime+5*time.Second)
+		n.allocator.Settle(now, known && s.now.Sub(since) > HoldTime+5*time.Second, false)
 		n.neverRead = false
 	}
 	if _, ok := s.listed[n.name]; !ok {
