--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -65,7 +65,10 @@
 		e.refuse(now, ev, route, reason, longRetryAfter)
 		return
 	}
-	if ev.Subset == nil && e.admissionDenied(now, route) {
+	if e.sharesFairly() {
+		e.sharesOf(r).arrived(now, r.message.Account, r.message.AccountPriority)
+	}
+	if ev.Subset == nil && e.admissionDenied(now, r) {
 		e.refuse(now, ev, route, api.ReasonOverloaded, overloadRetryAfter(e.rng))
 		return
 	}
@@ -83,7 +86,14 @@
 
 // run starts a request that has passed all checks.
 func (e *Engine) run(now time.Time, r *request) {
+	fair := e.sharesFairly()
+	if fair {
+		e.sharesOf(r).offered(now, r.message.Account)
+	}
 	if groups := e.groupCount(r.route); groups > 1 && !r.onProbation && r.subset == nil {
+		if fair { // its ranges wait at the nodes that run them
+			e.sharesOf(r).started(now, r.message.Account, 1)
+		}
 		e.divide(now, r, groups)
 		return
 	}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -86,6 +86,9 @@
 	c.used++
 	e.replicas.Sent(now, name)
 	e.counts.Inc(count.Sent, "")
+	if why == firstAttempt && e.sharesFairly() {
+		e.sharesOf(r).started(now, r.message.Account, 1/float64(len(r.parts)))
+	}
 	if r.onProbation {
 		e.quarantine.ProbationStarted(now, r.message.Fingerprint, name)
 	}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -132,6 +132,9 @@
 	waiting map[api.ServiceName][]waitingPart
 	// confirmedAt is the time up to which this node knows the store's contents.
 	confirmedAt time.Time
+	// fairness holds the use of replicas by accounts, by the first shard of a route or the
+	// service.
+	fairness map[api.ServiceName]*fairShares
 	// quotas keeps the requests of client accounts within their quotas.
 	quotas quotas
 	timers timerqueue.Queue[timer]
@@ -176,6 +179,7 @@
 		quarantine:      quarantine.New(counts),
 		limits:          newRateLimits(),
 		quotas:          newQuotas(s),
+		fairness:        make(map[api.ServiceName]*fairShares),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
@@ -275,6 +279,11 @@
 		e.quarantine.Tick(now)
 		e.limits.tick(now)
 		e.quotas.allocator.Tick(now)
+		for pool, f := range e.fairness {
+			if f.tick(now); len(f.accounts) == 0 {
+				delete(e.fairness, pool)
+			}
+		}
 	}
 	e.runTimers(now)
 	return e.actions
--- a/core/forward/overload.go
+++ b/core/forward/overload.go
@@ -69,14 +69,7 @@
 
 // admit reports whether a request of a route may start.
 func (c *admissionControl) admit(now time.Time, route *routing.Route) bool {
-	c.topPriority = min(c.topPriority, route.Priority)
-	if now.Sub(c.adjustedAt) > 10*adjustInterval {
-		c.adjust(now) // no request has ended for a while
-	}
-	share := c.admitted
-	if share < 1 && route.Priority > c.topPriority {
-		share *= lowPriorityShare
-	}
+	share := c.share(now, route)
 	credit := c.credits[route.Name] + share
 	if credit < 1 {
 		c.credits[route.Name] = credit
@@ -86,6 +79,18 @@
 	return true
 }
 
+// share returns the share of the requests of a route that is admitted.
+func (c *admissionControl) share(now time.Time, route *routing.Route) float64 {
+	c.topPriority = min(c.topPriority, route.Priority)
+	if now.Sub(c.adjustedAt) > 10*adjustInterval {
+		c.adjust(now) // no request has ended for a while
+	}
+	if c.admitted < 1 && route.Priority > c.topPriority {
+		return c.admitted * lowPriorityShare
+	}
+	return c.admitted
+}
+
 // observe records the end of a request: half is the time until half of its parts were
 // answered, limit the time above which that may indicate overload.
 func (c *admissionControl) observe(now time.Time, route string, half, limit time.Duration) {
@@ -133,8 +138,16 @@
 
 // admissionDenied reports whether a request must be refused because its shards are
 // overloaded.
-func (e *Engine) admissionDenied(now time.Time, route *routing.Route) bool {
-	return route.Sharded() && !e.admissionControlFor(now, route).admit(now, route)
+func (e *Engine) admissionDenied(now time.Time, r *request) bool {
+	if !r.route.Sharded() {
+		return false
+	}
+	c := e.admissionControlFor(now, r.route)
+	if !e.sharesFairly() {
+		return !c.admit(now, r.route)
+	}
+	share := c.share(now, r.route)
+	return share < 1 && !e.fairlyAdmitted(now, r, share)
 }
 
 // observeLoad records how long the replicas took to answer half of the parts of a sharded
--- a/core/forward/waiting.go
+++ b/core/forward/waiting.go
@@ -33,6 +33,7 @@
 
 // resume sends the waiting parts of a service until no replica has capacity.
 func (e *Engine) resume(now time.Time, service api.ServiceName) {
+	e.orderWaiting(now, service)
 	for at := 0; at < len(e.waiting[service]); {
 		w := e.waiting[service][at]
 		p := &w.request.parts[w.part]
@@ -68,6 +69,7 @@
 		}
 		e.progress(now, w.request)
 		at = 0 // the queue may have changed
+		e.orderWaiting(now, service)
 	}
 	if len(e.waiting[service]) == 0 {
 		delete(e.waiting, service)
