--- a/core/count/count.go
+++ b/core/count/count.go
@@ -58,6 +58,14 @@
 	RateLimit Kind = "rate_limit"
 	// Quota counts requests for admissions of accounts with a quota, and the responses.
 	Quota Kind = "quota"
+	// AccountAdmitted counts the requests of callers that were sent, by account. The others
+	// count those that were refused: because the account was over its quota, because its quota
+	// could not be determined, for lack of capacity, and for other reasons.
+	AccountAdmitted     Kind = "account_admitted"
+	AccountOverQuota    Kind = "account_over_quota"
+	AccountQuotaUnknown Kind = "account_quota_unknown"
+	AccountNoRoom       Kind = "account_no_room"
+	AccountRefused      Kind = "account_refused"
 )
 
 // Key identifies a counter: a kind and a reason or other detail within it.
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -21,7 +21,7 @@
 	}
 	e.deliver(now, answer)
 	if answer.Outcome == api.NotRun {
-		e.counts.Inc(count.Refused, reason)
+		e.countRefused(r.message, r.subset != nil, reason)
 	}
 	e.counts.Inc(count.SearchEnded, api.Reason(answer.Outcome.String()))
 	e.countLate(now, r, &answer)
@@ -159,7 +159,7 @@
 
 // refuse answers a request that was not started.
 func (e *Engine) refuse(now time.Time, ev Arrived, route *routing.Route, reason api.Reason, retryAfter time.Duration) {
-	e.counts.Inc(count.Refused, reason)
+	e.countRefused(ev.Message, ev.Subset != nil, reason)
 	name := ""
 	if route != nil {
 		name = route.Name
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -86,6 +86,9 @@
 
 // run starts a request that has passed all checks.
 func (e *Engine) run(now time.Time, r *request) {
+	if r.subset == nil {
+		e.countAdmitted(r.message)
+	}
 	fair := e.sharesFairly()
 	if fair {
 		e.sharesOf(r).offered(now, r.message.Account)
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -137,7 +137,7 @@
 	a := d.answer(reason)
 	e.emit(a)
 	if a.Outcome == api.NotRun {
-		e.counts.Inc(count.Refused, reason)
+		e.countRefused(r.message, false, reason)
 	}
 	e.counts.Inc(count.SearchEnded, api.Reason(a.Outcome.String()))
 	e.countLate(now, r, &a)
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -131,7 +131,8 @@
 	// waiting lists, per service, the parts that wait for a replica with capacity.
 	waiting map[api.ServiceName][]waitingPart
 	// confirmedAt is the time up to which this node knows the store's contents.
-	confirmedAt time.Time
+	confirmedAt   time.Time
+	accountCounts accountCounts
 	// fairness holds the use of replicas by accounts, by the first shard of a route or the
 	// service.
 	fairness map[api.ServiceName]*fairShares
@@ -179,6 +180,7 @@
 		quarantine:      quarantine.New(counts),
 		limits:          newRateLimits(),
 		quotas:          newQuotas(s),
+		accountCounts:   newAccountCounts(),
 		fairness:        make(map[api.ServiceName]*fairShares),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
