--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -341,7 +341,7 @@
 	for i := range 299 {
 		add(r, start.Add(time.Duration(i)*time.Millisecond), api.RequestID(i+2), 0)
 		d, asks := r.Take()
-		if len(asks) != 0 || len(d) != 1 || d[0].Verdict != OverQuota || d[0].RetryAfter <= 0 {
+		if len(asks) != 0 || len(d) != 1 || d[0].Verdict != OverQuota || d[0].RetryAfter < time.Millisecond {
 			t.Fatalf("after %d ms: %+v %+v", i, d, asks)
 		}
 	}
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -354,6 +354,7 @@
 }
 
 func (r *Requester) refuseAll(a *account, v Verdict, retryAfter time.Duration) {
+	retryAfter = max(retryAfter, minRetryAfter)
 	for _, w := range a.waiting {
 		r.decisions = append(r.decisions, Decision{Request: w.Request, Verdict: v, RetryAfter: retryAfter})
 	}
