--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -21,7 +21,7 @@
 	}
 	e.deliver(now, answer)
 	if answer.Outcome == api.NotRun {
-		e.counts.Inc(count.Refused, reason)
+		e.countRefused(r.message, r.subset != nil, reason)
 	}
 	e.counts.Inc(count.SearchEnded, api.Reason(answer.Outcome.String()))
 	e.countLate(now, r, &answer)
@@ -159,13 +159,17 @@
 
 // refuse answers a request that was not started.
 func (e *Engine) refuse(now time.Time, ev Arrived, route *routing.Route, reason api.Reason, retryAfter time.Duration) {
-	e.counts.Inc(count.Refused, reason)
+	e.countRefused(ev.Message, ev.Subset != nil, reason)
 	name := ""
 	if route != nil {
 		name = route.Name
 	}
-	e.log("request_refused", "id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
+	fields := []any{"id", ev.Message.CallerRequest, "route", name, "path", ev.Message.Path,
 		"version", e.version(), "reason", reason, "patience_ms", ev.CallerTimeout.Milliseconds(),
-		"fingerprint", ev.Message.Fingerprint)
+		"fingerprint", ev.Message.Fingerprint}
+	if ev.Message.Account != "" {
+		fields = append(fields, "account", ev.Message.Account)
+	}
+	e.log("request_refused", fields...)
 	e.deliver(now, Answer{Request: ev.Request, Route: name, Outcome: api.NotRun, Reason: reason, RetryAfter: retryAfter})
 }
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -10,6 +10,7 @@
 	"github.com/baobabsail/baobabsail/core/locality"
 	"github.com/baobabsail/baobabsail/core/quantile"
 	"github.com/baobabsail/baobabsail/core/quarantine"
+	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/retry"
 	"github.com/baobabsail/baobabsail/core/routing"
@@ -30,6 +31,11 @@
 	BudgetWindow   time.Duration
 	BudgetShare    float64
 	BudgetConstant float64
+	// Quota bounds what all nodes together admit of an account with a quota.
+	Quota quota.Bounds
+	// RevokeAfter is the age of what this node knows of the store's contents above which it
+	// refuses requests that carry a key, since the key may have been removed; 0 means never.
+	RevokeAfter time.Duration
 	// FirstStart is set if no node of this system has run before, so that no extra
 	// attempts of an earlier process count against the budget.
 	FirstStart bool
@@ -141,7 +147,15 @@
 	callAcceptDelay, callReplyDelay quantile.Estimator
 	// waiting lists, per service, the parts that wait for a replica with capacity.
 	waiting map[api.ServiceName][]waitingPart
-	timers  timerqueue.Queue[timer]
+	// confirmedAt is the time up to which this node knows the store's contents.
+	confirmedAt   time.Time
+	accountCounts accountCounts
+	// fairness holds the use of replicas by accounts, by the first shard of a route or the
+	// service.
+	fairness map[api.ServiceName]*fairShares
+	// quotas keeps the requests of client accounts within their quotas.
+	quotas quotas
+	timers timerqueue.Queue[timer]
 
 	// latencies holds the latency of each replica as core/locality uses it.
 	latencies map[api.ReplicaName]*locality.Latency
@@ -156,8 +170,8 @@
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
 // a replica's registration, the waiting parts of a service, the liveness check of a replica, or
-// the end of a held evacuation, or the end of the time in which a replica is cold. Only the
-// field of that item is set.
+// the end of a held evacuation, the end of the time in which a replica is cold, or the requests
+// of an account that wait to be admitted. Only the field of that item is set.
 type timer struct {
 	request       api.RequestID
 	attempt       AttemptID
@@ -166,6 +180,7 @@
 	livenessCheck api.ReplicaName
 	dataCentre    api.DataCentre
 	coldReplica   api.ReplicaName
+	account       string
 }
 
 // New returns an Engine that has no configuration yet.
@@ -196,6 +211,9 @@
 		lastReplyAt:     make(map[api.ReplicaName]time.Time),
 		quarantine:      quarantine.New(counts),
 		limits:          newRateLimits(s.Node, s.ListAge),
+		quotas:          newQuotas(s),
+		accountCounts:   newAccountCounts(),
+		fairness:        make(map[api.ServiceName]*fairShares),
 		admissions:      make(map[api.ServiceName]*admissionControl),
 		possibleCrashes: make(map[api.ReplicaName]*possibleCrash),
 		waiting:         make(map[api.ServiceName][]waitingPart),
@@ -256,8 +274,6 @@
 	case StoreLost:
 		e.registry.storeLost = true
 		e.limits.ranks.StoreLost(now)
-	case StoreConfirmed:
-		e.limits.ranks.Confirmed(now, now.Add(-ev.Age))
 	case StoreBack:
 		e.storeBack(now)
 	case BudgetChanged:
@@ -268,6 +284,7 @@
 		e.noticesUndelivered(ev)
 	case Members:
 		e.membersChanged(now, ev.Nodes)
+		e.rankAllocators(now, ev)
 		e.adoptPeers(now, ev.Peers)
 		e.limits.ranks.SetNodes(now, e.allocators())
 	case ExtraAttemptsAllowed:
@@ -286,13 +303,31 @@
 		e.permitsGranted(now, ev)
 	case PermitsFailed:
 		e.permitsFailed(now, ev)
+	case AdmissionRequested:
+		e.admissionRequested(now, ev)
+	case AdmissionAnswered:
+		e.admissionAnswered(now, ev)
+	case AdmissionFailed:
+		e.admissionFailed(now, ev)
+	case StoreConfirmed:
+		e.storeConfirmed(now, ev)
+	case AccountSettingsChanged:
+		e.settings.Quota, e.settings.RevokeAfter = ev.Quota, ev.RevokeAfter
+		e.quotas.allocator.SetBounds(ev.Quota)
 	case Stopping:
 		e.limits.stopping = true
+		e.quotas.allocator.Stop()
 	}
 	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
 		e.cleanedUpAt = now
 		e.quarantine.Tick(now)
 		e.limits.tick(now)
+		e.quotas.allocator.Tick(now)
+		for pool, f := range e.fairness {
+			if f.tick(now); len(f.accounts) == 0 {
+				delete(e.fairness, pool)
+			}
+		}
 	}
 	e.runTimers(now)
 	return e.actions
@@ -310,7 +345,7 @@
 func (e *Engine) Table() *routing.Table { return e.table }
 
 // InFlight returns the number of requests that have not been answered yet.
-func (e *Engine) InFlight() int { return len(e.requests) + len(e.divided) }
+func (e *Engine) InFlight() int { return len(e.requests) + len(e.divided) + len(e.quotas.waiting) }
 
 // Ready reports whether requests can be served: there is a configuration, and
 // at least one replica is registered.
@@ -335,6 +370,8 @@
 			e.evacuationHoldDue(now, t.dataCentre)
 		case t.coldReplica != "":
 			e.coldEndDue(now, t.coldReplica)
+		case t.account != "":
+			e.admissionsDue(now, t.account)
 		case t.service != "":
 			e.resume(now, t.service)
 		case t.attempt != 0:
@@ -365,6 +402,7 @@
 	e.dropUnusedAdmissionControls()
 	e.adoptLimits(t)
 	e.applyColdLimits(now)
+	e.adoptQuotas()
 	e.regroup()
 	for name := range e.budgets {
 		if _, ok := t.Services[name]; !ok {
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -14,6 +14,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
@@ -77,8 +78,9 @@
 	running bool
 	timerAt time.Time
 
-	answers *pending[forward.Answer]
-	grants  *pending[ratelimit.Grant]
+	answers    *pending[forward.Answer]
+	grants     *pending[ratelimit.Grant]
+	admissions *pending[quota.Grant]
 
 	// startup is closed once the engine can serve requests or the store is lost, which means
 	// that it will not be able to soon.
@@ -97,7 +99,8 @@
 	l := &Loop{
 		engine: engine, log: log, notices: notices, started: time.Now(),
 		answers: newPending[forward.Answer](maxAnswers), grants: newPending[ratelimit.Grant](1),
-		startup: make(chan struct{}),
+		startup:    make(chan struct{}),
+		admissions: newPending[quota.Grant](1),
 	}
 	l.timer = time.AfterFunc(time.Hour, func() { l.Post(forward.Timer{}) })
 	l.timer.Stop()
@@ -194,6 +197,10 @@
 		l.nodes.requestPermits(a)
 	case forward.GrantPermits:
 		l.grants.deliver(uint64(a.Call), a.Grant, true)
+	case forward.AdmitRequests:
+		l.nodes.admitRequests(a)
+	case forward.GrantAdmissions:
+		l.admissions.deliver(uint64(a.Call), a.Grant, true)
 	case forward.Publish:
 		l.notices.Publish(a.Notices)
 	case forward.Log:
