--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -78,6 +78,11 @@
 	}
 	r.onProbation, r.hasHeldParts = probation, probation
 	if q, ok := e.quotaFor(r); ok {
+		if e.yieldsQuota(now, r, ev) {
+			e.endProbation(now, r)
+			e.refuse(now, ev, route, api.ReasonOverQuota, yieldRetryAfter)
+			return
+		}
 		e.awaitAdmission(now, r, ev, q)
 		return
 	}
--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -35,6 +35,9 @@
 	settled bool
 	// over holds the accounts that are refused as over their quota.
 	over map[string]*overQuota
+	// callerTimeouts holds the longest time that callers of each route have allowed for a
+	// request under the current configuration.
+	callerTimeouts map[string]time.Duration
 }
 
 // awaitingAdmission is a request that waits to be admitted.
@@ -53,13 +56,14 @@
 		ranking: ranking, requester: quota.NewRequester(ranking),
 		allocator: quota.NewAllocator(bounds, ranking, rand.New(rand.NewPCG(s.Seed, 4))),
 		waiting:   make(map[api.RequestID]*awaitingAdmission), wakeAt: make(map[string]time.Time),
-		over: make(map[string]*overQuota),
+		over: make(map[string]*overQuota), callerTimeouts: make(map[string]time.Duration),
 	}
 }
 
 // adoptQuotas replaces the quotas by those of the current configuration.
 func (e *Engine) adoptQuotas() {
 	e.quotas.accounts = make(map[string]quota.Quota)
+	clear(e.quotas.callerTimeouts)
 	known := make(map[string]quota.Quota)
 	for _, a := range e.table.Accounts.All() {
 		q := quota.Quota{Version: e.table.Version, PerSecond: a.PerSecond, Burst: a.Burst}
@@ -270,6 +274,32 @@
 		"after_ms", now.Sub(r.start).Milliseconds(), "covered", 0)
 }
 
+const (
+	// overQuotaTime is how long an account that was refused at this node counts as over its
+	// quota.
+	overQuotaTime = 5 * time.Second
+	// yieldRetryAfter is how long a caller should wait whose request could not be answered by
+	// its target any more: its account is over its quota, and each attempt takes an admission
+	// from a request that can.
+	yieldRetryAfter = time.Second
+)
+
+// yieldsQuota reports whether a request gives up its admission to others of its account: the
+// account is over its quota, and the caller has retried for so long that the target cannot be
+// met. How long follows from the time that callers of the route allow in their first attempts.
+func (e *Engine) yieldsQuota(now time.Time, r *request, ev Arrived) bool {
+	allowed := e.quotas.callerTimeouts[r.route.Name]
+	if ev.CallerTimeout > allowed {
+		allowed = ev.CallerTimeout
+		e.quotas.callerTimeouts[r.route.Name] = allowed
+	}
+	o := e.quotas.over[r.message.Account]
+	if o == nil || now.Sub(o.last) >= overQuotaTime || ev.CallerTimeout == 0 || r.route.TargetLatency == 0 {
+		return false
+	}
+	return allowed-ev.CallerTimeout >= r.route.TargetLatency
+}
+
 // overQuotaHold is how long an account must not have been refused before the log says that it
 // is within its quota again.
 const overQuotaHold = 10 * time.Second
--- a/core/forward/quota_test.go
+++ b/core/forward/quota_test.go
@@ -442,3 +442,38 @@
 		}
 	})
 }
+
+// Guards against admissions that go to retries which can no longer be answered by their target,
+// while the account of a caller that retries at once is over its quota, and against retries that
+// are refused although the account is within it.
+func TestLateRetriesOverQuotaYield(t *testing.T) {
+	const first, target = 800 * time.Millisecond, 200 * time.Millisecond // of /one/
+	h := newQuotaHarness(t, nil)
+	late := func() api.RequestID { return h.send("/one/x", "k1", first-target, 1) }
+	answer := func(ask AdmitRequests, g quota.Grant) { h.step(AdmissionAnswered{Ask: ask.Ask, Grant: g}) }
+
+	h.send("/one/x", "k1", first, 1)
+	answer(h.takeAsks()[0], quota.Grant{Admitted: 1})
+	late()
+	if asks := h.takeAsks(); len(asks) != 1 {
+		t.Fatalf("%d requests for a late retry within the quota, want 1", len(asks))
+	} else {
+		answer(asks[0], quota.Grant{RetryAfter: 50 * time.Millisecond})
+	}
+	h.wait(100 * time.Millisecond)
+	id := late()
+	if a := h.answer(id); a.Reason != api.ReasonOverQuota || a.RetryAfter < target || len(h.takeAsks()) != 0 {
+		t.Errorf("a late retry over the quota: %+v", a)
+	}
+	h.send("/one/x", "k1", first-target/2, 1)
+	if asks := h.takeAsks(); len(asks) != 1 {
+		t.Errorf("%d requests for a retry in time, want 1", len(asks))
+	} else {
+		answer(asks[0], quota.Grant{Admitted: 1})
+	}
+	h.wait(overQuotaTime)
+	late()
+	if asks := h.takeAsks(); len(asks) != 1 {
+		t.Errorf("%d requests for a late retry after the account was over its quota, want 1", len(asks))
+	}
+}
