--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -99,6 +99,16 @@
 
 // newRequest creates a request with its deadline, target time and parts.
 func (e *Engine) newRequest(now time.Time, ev Arrived, route *routing.Route) *request {
+	r := e.prepareRequest(now, ev, route)
+	if !route.Sharded() {
+		r.parts = []part{{service: e.splitter.Choose(route)}}
+	}
+	return r
+}
+
+// prepareRequest creates a request like newRequest, without the part of a route that is not
+// sharded.
+func (e *Engine) prepareRequest(now time.Time, ev Arrived, route *routing.Route) *request {
 	r := &request{
 		id: ev.Request, message: ev.Message, route: route, version: e.table.Version, start: now, subset: ev.Subset,
 		maxAttempts: route.MaxAttempts, homes: e.homesOf(ev, route),
@@ -114,9 +124,7 @@
 		left = r.deadline.Sub(now) // the target cannot be met
 	}
 	r.hedgeAfter = min(e.delays.Hedge(delayKey(route), left), max(left/maxHedgeDivisor, retry.DefaultFloor))
-	if !route.Sharded() {
-		r.parts = []part{{service: e.splitter.Choose(route)}}
-	} else {
+	if route.Sharded() {
 		shards := route.Shards
 		if ev.Subset != nil {
 			shards = ev.Subset.Shards
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -84,32 +84,38 @@
 	preferredRank := e.preferredRank(p.service)
 	for _, name := range e.registry.byService[p.service] {
 		entry := e.registry.entries[name]
-		switch reason := e.exclusion(now, r, p, entry, why); {
-		case reason == api.ReasonRateLimited:
-			c.unpermitted = append(c.unpermitted, name)
-		case reason != api.ReasonNone:
-			c.exclude(reason)
-		case slices.Contains(p.tried, name):
-			c.failed = append(c.failed, name)
-		case e.overdueReplicas[name] && !e.worthWaiting(now, r, name):
-			c.overdue = append(c.overdue, name)
-		case !e.prefers(entry, preferredRank):
-			c.notPreferred = append(c.notPreferred, name)
-		default:
-			c.preferred = append(c.preferred, name)
-			// While the preferred replicas return from an evacuation, the others keep their share.
-			c.slow = c.slow && (e.returning(now, entry) || e.replicas.ExpectedLatency(now, name) > slowLatencyFactor*r.hedgeAfter)
-		}
+		e.suspectUnconfirmed(now, name)
+		e.classify(now, &c, r, p, entry, e.exclusion(now, r, p, entry, why), preferredRank)
 	}
 	e.candidates = c.preferred
 	return c
 }
 
+// classify adds a replica with the given exclusion to the candidates.
+func (e *Engine) classify(now time.Time, c *candidates, r *request, p *part, entry *registryEntry, reason api.Reason, preferredRank float64) {
+	name := entry.Replica
+	switch {
+	case reason == api.ReasonRateLimited:
+		c.unpermitted = append(c.unpermitted, name)
+	case reason != api.ReasonNone:
+		c.exclude(reason)
+	case slices.Contains(p.tried, name):
+		c.failed = append(c.failed, name)
+	case e.overdueReplicas[name] && !e.worthWaiting(now, r, name):
+		c.overdue = append(c.overdue, name)
+	case !e.prefers(entry, preferredRank):
+		c.notPreferred = append(c.notPreferred, name)
+	default:
+		c.preferred = append(c.preferred, name)
+		// While the preferred replicas return from an evacuation, the others keep their share.
+		c.slow = c.slow && (e.returning(now, entry) || e.replicas.ExpectedLatency(now, name) > slowLatencyFactor*r.hedgeAfter)
+	}
+}
+
 // exclusion returns why a replica may not get an attempt now, or ReasonNone. ReasonRateLimited
 // means that it lacks only a permit.
 func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
 	name := entry.Replica
-	e.suspectUnconfirmed(now, name)
 	switch {
 	case !e.reaches(r.homes, entry.DataCentre):
 		return api.ReasonOutsideRegion
@@ -119,7 +125,7 @@
 		return api.ReasonNoReplica
 	case now.Before(entry.stated.backoffUntil):
 		return api.ReasonBackoff
-	case !e.connections(name).hasCapacity(now, e.quota(p.service, entry.Slots)):
+	case !e.hasCapacity(now, entry):
 		return api.ReasonOverloaded
 	case e.stalledReplicas[name] && !e.replicas.ProbeDue(now, name):
 		return api.ReasonNoReplica
--- a/core/forward/cold.go
+++ b/core/forward/cold.go
@@ -126,11 +126,18 @@
 // suspectUnconfirmed suspects a replica while the store is lost and this node has no connection
 // to it: nothing shows that its process is still the one that was registered.
 func (e *Engine) suspectUnconfirmed(now time.Time, name api.ReplicaName) {
-	if e.registry.storeLost && !e.limits.limiter.Cold(name) && e.connections(name).open == 0 {
+	if e.unconfirmed(name) {
 		e.suspectCold(now, name)
 	}
 }
 
+// unconfirmed reports whether nothing shows that the process of a replica is still the one that
+// was registered.
+func (e *Engine) unconfirmed(name api.ReplicaName) bool {
+	c := e.conns[name]
+	return e.registry.storeLost && !e.limits.limiter.Cold(name) && (c == nil || c.open == 0)
+}
+
 // applyCold sets or ends the limit of a replica according to what is known of it.
 func (e *Engine) applyCold(now time.Time, entry *registryEntry, source string) {
 	perSecond := e.coldPerSecond(entry.Service)
--- a/core/forward/connections.go
+++ b/core/forward/connections.go
@@ -108,6 +108,15 @@
 	return c.used < c.open || !now.Before(c.nextOpenAt)
 }
 
+// hasCapacity reports whether an attempt of this node may go to a replica now.
+func (e *Engine) hasCapacity(now time.Time, entry *registryEntry) bool {
+	quota := e.quota(entry.Service, entry.Slots)
+	if c := e.conns[entry.Replica]; c != nil {
+		return c.hasCapacity(now, quota)
+	}
+	return quota > 0
+}
+
 // connectionLimitReached handles a replica that accepts no more connections. Connections
 // of lost nodes count towards its limit until it notices their loss.
 func (e *Engine) connectionLimitReached(now time.Time, a *attempt) {
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -76,6 +76,8 @@
 // for concurrent use.
 type Engine struct {
 	settings Settings
+	// source is the source of rng.
+	source   *rand.PCG
 	rng      *rand.Rand
 	counts   *count.Set
 	table    *routing.Table
@@ -173,10 +175,12 @@
 	if s.ListAge == 0 {
 		s.ListAge = defaultListAge
 	}
-	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	source := rand.NewPCG(s.Seed, 1)
+	rng := rand.New(source)
 	counts := count.NewSet()
 	e := &Engine{
 		settings:        s,
+		source:          source,
 		rng:             rng,
 		counts:          counts,
 		splitter:        routing.NewSplitter(),
--- a/core/forward/nodechoice.go
+++ b/core/forward/nodechoice.go
@@ -15,7 +15,7 @@
 	}
 	var suspects []api.ReplicaName
 	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
-		if p.Node != e.settings.Node && e.reaches(d.request.homes, p.DataCentre) && !slices.Contains(d.ranges[i].tried, p.Node) {
+		if e.mayRunRange(d.request.homes, p, d.ranges[i].tried) {
 			suspects = append(suspects, api.ReplicaName(p.Node))
 		}
 	}
@@ -48,10 +48,7 @@
 	for _, p := range nodes {
 		name := api.ReplicaName(p.Node)
 		switch {
-		case p.Node == e.settings.Node || slices.Contains(d.ranges[i].tried, p.Node):
-			// This node, or one that was already tried.
-		case !e.reaches(d.request.homes, p.DataCentre):
-			// The request's body must not leave its home regions.
+		case !e.mayRunRange(d.request.homes, p, d.ranges[i].tried):
 		case e.groups.balancer.Suspect(name):
 			e.pingIfDue(now, name, d, i)
 		default:
@@ -62,6 +59,12 @@
 	return string(name), ok
 }
 
+// mayRunRange reports whether a range may be sent to another node: it was not tried for the range,
+// and the request's body does not leave its home regions.
+func (e *Engine) mayRunRange(homes homeRegions, p Peer, tried []string) bool {
+	return p.Node != e.settings.Node && !slices.Contains(tried, p.Node) && e.reaches(homes, p.DataCentre)
+}
+
 // pingIfDue asks a suspect node whether it can run a range if its next probe is due. The ping
 // names the shards because a node may respond without knowing them.
 func (e *Engine) pingIfDue(now time.Time, name api.ReplicaName, d *dividedRequest, i int) {
--- a/core/forward/overload.go
+++ b/core/forward/overload.go
@@ -69,15 +69,7 @@
 
 // admit reports whether a request of a route may start.
 func (c *admissionControl) admit(now time.Time, route *routing.Route) bool {
-	c.topPriority = min(c.topPriority, route.Priority)
-	if now.Sub(c.adjustedAt) > 10*adjustInterval {
-		c.adjust(now) // no request has ended for a while
-	}
-	share := c.admitted
-	if share < 1 && route.Priority > c.topPriority {
-		share *= lowPriorityShare
-	}
-	credit := c.credits[route.Name] + share
+	credit := c.credits[route.Name] + c.share(now, route)
 	if credit < 1 {
 		c.credits[route.Name] = credit
 		return false
@@ -86,6 +78,19 @@
 	return true
 }
 
+// share returns the share of the requests of a route that is admitted. It changes no map of c, so
+// that a copy of c may be asked.
+func (c *admissionControl) share(now time.Time, route *routing.Route) float64 {
+	c.topPriority = min(c.topPriority, route.Priority)
+	if now.Sub(c.adjustedAt) > 10*adjustInterval {
+		c.adjust(now) // no request has ended for a while
+	}
+	if c.admitted < 1 && route.Priority > c.topPriority {
+		return c.admitted * lowPriorityShare
+	}
+	return c.admitted
+}
+
 // observe records the end of a request: half is the time until half of its parts were
 // answered, limit the time above which that may indicate overload.
 func (c *admissionControl) observe(now time.Time, route string, half, limit time.Duration) {
--- a/core/quantile/quantile.go
+++ b/core/quantile/quantile.go
@@ -76,6 +76,16 @@
 	return e.cached
 }
 
+// Preserve returns a function that undoes what calls of Value in the meantime have changed: when
+// the value is computed again depends on when it was computed last. e may be nil.
+func (e *Estimator) Preserve() (restore func()) {
+	if e == nil {
+		return func() {}
+	}
+	cached, quantile, samples := e.cached, e.cachedQuantile, e.samplesSinceCached
+	return func() { e.cached, e.cachedQuantile, e.samplesSinceCached = cached, quantile, samples }
+}
+
 func (e *Estimator) compute(q float64) time.Duration {
 	rank := int(q*float64(e.Count()) + 0.5)
 	sum := 0
--- a/core/retry/delay.go
+++ b/core/retry/delay.go
@@ -70,6 +70,12 @@
 	return min(max(wait, d.floor), remaining/capDivisor)
 }
 
+// Preserve returns a function that undoes what calls of Hedge for a service in the meantime have
+// changed.
+func (d *Delay) Preserve(service api.ServiceName) (restore func()) {
+	return d.services[service].Preserve()
+}
+
 // Drop removes a service.
 func (d *Delay) Drop(service api.ServiceName) { delete(d.services, service) }
 
