--- a/core/forward/explain.go
+++ b/core/forward/explain.go
@@ -42,7 +42,8 @@
 			acc = e.table.Accounts.ByName(q.Account)
 		}
 		if acc == nil {
-			return nil, ErrUnknownAccount.New("no account %q in version %d", q.Account, e.table.Version)
+			// The name is not repeated: it may be a key, given by mistake.
+			return nil, ErrUnknownAccount.New("no account of this name in version %d", e.table.Version)
 		}
 	}
 	if q.DataCentre != "" && !e.knowsDataCentre(q.DataCentre) {
--- a/core/forward/explain_test.go
+++ b/core/forward/explain_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -191,7 +192,7 @@
 		{ExplainQuery{Host: "h", Path: "/one/x", Account: "secret-1"}, ErrUnknownAccount},
 		{ExplainQuery{Host: "h", Path: "/one/x", DataCentre: "dc-q"}, ErrUnknownDataCentre},
 	} {
-		if _, err := h.e.Explain(h.now, c.query); !errorx.IsOfType(err, c.want) {
+		if _, err := h.e.Explain(h.now, c.query); !errorx.IsOfType(err, c.want) || strings.Contains(err.Error(), "secret-1") {
 			t.Errorf("%+v: %v", c.query, err)
 		}
 	}
@@ -276,8 +277,8 @@
 	h.step(StoreConfirmed{})
 	paths := []string{"/all/x", "/one/x", "/order/x", "/split/x"}
 	var open []Send
-	for i := range 1000 {
-		if explain && i%2 == 0 {
+	for i := range 3000 {
+		if explain && i%8 == 0 {
 			for _, path := range paths {
 				x := h.explain(path)
 				if x.Summary.Parts == 0 {
@@ -395,3 +396,58 @@
 		h.explain("/all/x")
 	}
 }
+
+// Guards against an explanation that spends the credit of an overloaded route, or does not foresee
+// which requests are refused on arrival.
+func TestExplainForeseesTheAdmission(t *testing.T) {
+	h := ready(t, 4)
+	route := h.e.table.Match("h", "/all/x")
+	c := h.e.admissionControlFor(h.now, route)
+	admitted := 0
+	const requests = 200
+	for range requests {
+		c.admitted, c.adjustedAt = 0.6, h.now // stays overloaded
+		x := h.explain("/all/x")
+		if y := h.explain("/all/x"); x.Admission.Next != y.Admission.Next || x.Admission.Share != 0.6 {
+			t.Fatalf("%+v, then %+v", x.Admission, y.Admission)
+		}
+		id := h.request("/all/x")
+		sends := h.takeSends()
+		checkSends(t, "overload", x, sends)
+		if len(sends) > 0 {
+			admitted++
+		} else if x.Reason != api.ReasonOverloaded || h.answer(id).Reason != api.ReasonOverloaded {
+			t.Fatalf("refused with %s, said to be %s", h.answer(id).Reason, x.Reason)
+		}
+		for _, s := range sends {
+			h.ok(s, "aa")
+		}
+		h.advance(time.Millisecond)
+	}
+	if admitted < requests*59/100 || admitted > requests*61/100 {
+		t.Errorf("%d of %d requests are admitted, want 0.6", admitted, requests)
+	}
+}
+
+// Guards against an explanation that moves the time at which a cached quantile is computed again.
+func TestExplainLeavesQuantilesAlone(t *testing.T) {
+	h := twoCentres(t, 4)
+	for range 100 {
+		h.request("/all/x")
+		h.advance(time.Millisecond)
+		for _, s := range h.takeSends() {
+			h.ok(s, "aa")
+		}
+	}
+	route := h.e.table.Match("h", "/all/x")
+	for range 40 { // more than a value may lag behind
+		h.e.sendDelay.Add(h.now, time.Millisecond)
+		h.e.typical[typicalKey(route)].Add(h.now, time.Millisecond)
+		h.e.delays.Observe(h.now, delayKey(route), time.Millisecond)
+	}
+	typical, sendDelay := *h.e.typical[typicalKey(route)], h.e.sendDelay
+	h.explain("/all/x")
+	if !reflect.DeepEqual(typical, *h.e.typical[typicalKey(route)]) || !reflect.DeepEqual(sendDelay, h.e.sendDelay) {
+		t.Error("an estimator has changed")
+	}
+}
