--- a/cmd/baobabctl/main.go
+++ b/cmd/baobabctl/main.go
@@ -1,10 +1,12 @@
 // Command baobabctl sends statements of the query and command language to the
 // operator listener of an entry node and prints the results. It also generates
-// idempotency keys for work orders.
+// idempotency keys for work orders, and explains where a node on the users'
+// platform would send a request.
 //
 // Exit codes: 0 if every statement was carried out; 1 if one was refused,
-// invalid, in conflict or failed; 2 for invalid arguments; 3 if the node could
-// not be reached, so that nothing was run; 4 if the outcome is unknown.
+// invalid, in conflict or failed, or if a name to explain is not known; 2 for
+// invalid arguments; 3 if the node could not be reached, so that nothing was
+// run; 4 if the outcome is unknown.
 package main
 
 import (
@@ -32,8 +34,9 @@
 )
 
 type arguments struct {
-	Exec execCommand `cmd:"" help:"Run statements given as an argument, in a file, or on standard input."`
-	Key  struct{}    `cmd:"" help:"Print a new idempotency key for a work order (a UUID version 7)."`
+	Exec    execCommand    `cmd:"" help:"Run statements given as an argument, in a file, or on standard input."`
+	Explain explainCommand `cmd:"" help:"Explain where a node on the users' platform would send a request now, and why. Nothing is sent."`
+	Key     struct{}       `cmd:"" help:"Print a new idempotency key for a work order (a UUID version 7)."`
 }
 
 type execCommand struct {
@@ -65,9 +68,12 @@
 	if err != nil {
 		return reportUsageError(stderr, err)
 	}
-	if parsed.Command() == "key" {
+	switch parsed.Command() {
+	case "key":
 		_, _ = fmt.Fprintln(stdout, uuid.Must(uuid.NewV7()))
 		return exitOK
+	case "explain <target>":
+		return a.Explain.run(ctx, stdout, stderr)
 	}
 	text, err := a.Exec.readStatements(stdin)
 	if err != nil {
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -64,6 +64,11 @@
 // launch starts a program in dir, with its output in the file log, and waits
 // until it logs its listen addresses. The caller ends it with kill.
 func launch(dir, log, name string, args ...string) (*process, error) {
+	return launchWithEnv(nil, dir, log, name, args...)
+}
+
+// launchWithEnv is like launch, with further environment variables.
+func launchWithEnv(env []string, dir, log, name string, args ...string) (*process, error) {
 	out, err := os.Create(log)
 	if err != nil {
 		return nil, err
@@ -71,6 +76,7 @@
 	defer out.Close()
 	p := &process{cmd: exec.Command(filepath.Join(programDir, name), args...), logFile: log, done: make(chan struct{})}
 	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = dir, out, out
+	p.cmd.Env = append(os.Environ(), env...)
 	// The kernel kills the program when the test process ends, even if that ends
 	// without cleaning up.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/cmd/e2e/script_test.go
+++ b/cmd/e2e/script_test.go
@@ -25,10 +25,11 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"walk":  commandWalk,
-			"start": commandStart,
-			"stop":  commandStop,
-			"exits": commandExits,
+			"walk":          commandWalk,
+			"start":         commandStart,
+			"stop":          commandStop,
+			"exits":         commandExits,
+			"platform-node": commandPlatformNode,
 		},
 	})
 }
--- a/entry/relay/loop.go
+++ b/entry/relay/loop.go
@@ -136,6 +136,10 @@
 
 func (l *Loop) step(ev forward.Event) {
 	defer endProcessOnPanic()
+	if ev, ok := ev.(explainEvent); ok {
+		l.explain(ev)
+		return
+	}
 	for _, a := range l.engine.Step(l.now(), ev) {
 		l.execute(a)
 	}
