--- a/core/forward/fairness.go
+++ b/core/forward/fairness.go
@@ -201,7 +201,7 @@
 func (e *Engine) averageUsed(f *fairShares) float64 {
 	sum, n := 0.0, 0
 	for name := range f.accounts {
-		if used := e.quotas.requester.Used(name); used > 0 {
+		if used, _ := e.quotas.requester.Used(name); used > 0 {
 			sum += used
 			n++
 		}
@@ -217,7 +217,8 @@
 func (e *Engine) fairlyAdmitted(now time.Time, r *request, share float64) bool {
 	f := e.sharesOf(r)
 	m := r.message
-	relative := f.relativeUse(now, m.Account, e.quotas.requester.Used(m.Account), e.averageUsed(f))
+	used, _ := e.quotas.requester.Used(m.Account)
+	relative := f.relativeUse(now, m.Account, used, e.averageUsed(f))
 	return e.rng.Float64() < f.admittedShare(now, share, relative, m.AccountPriority)
 }
 
--- a/core/forward/overload.go
+++ b/core/forward/overload.go
@@ -79,7 +79,8 @@
 	return true
 }
 
-// share returns the share of the requests of a route that is admitted.
+// share returns the share of the requests of a route that is admitted. It changes no map of c, so
+// that a copy of c may be asked.
 func (c *admissionControl) share(now time.Time, route *routing.Route) float64 {
 	c.topPriority = min(c.topPriority, route.Priority)
 	if now.Sub(c.adjustedAt) > 10*adjustInterval {
--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -293,13 +293,18 @@
 		allowed = ev.CallerTimeout
 		e.quotas.callerTimeouts[r.route.Name] = allowed
 	}
-	o := e.quotas.over[r.message.Account]
-	if o == nil || now.Sub(o.last) >= overQuotaTime || ev.CallerTimeout == 0 || r.route.TargetLatency == 0 {
+	if !e.overQuota(now, r.message.Account) || ev.CallerTimeout == 0 || r.route.TargetLatency == 0 {
 		return false
 	}
 	return allowed-ev.CallerTimeout >= r.route.TargetLatency
 }
 
+// overQuota reports whether an account was refused at this node a short time ago.
+func (e *Engine) overQuota(now time.Time, name string) bool {
+	o := e.quotas.over[name]
+	return o != nil && now.Sub(o.last) < overQuotaTime
+}
+
 // overQuotaHold is how long an account must not have been refused before the log says that it
 // is within its quota again.
 const overQuotaHold = 10 * time.Second
--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -91,6 +91,9 @@
 // SetBounds replaces the bounds.
 func (a *Allocator) SetBounds(b Bounds) { a.bounds = b }
 
+// Window returns the time over which the quotas hold.
+func (a *Allocator) Window() time.Duration { return a.bounds.Window }
+
 // SetQuotas replaces the quotas of this node's configuration.
 func (a *Allocator) SetQuotas(quotas map[string]Quota) { a.known = quotas }
 
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -120,12 +120,12 @@
 }
 
 // Used returns the fraction of its quota that an account used in the last window, as the
-// allocator last reported it.
-func (r *Requester) Used(name string) float64 {
+// allocator last reported it; false if it has not.
+func (r *Requester) Used(name string) (used float64, ok bool) {
 	if a := r.accounts[name]; a != nil {
-		return a.used
+		return a.used, true
 	}
-	return 0
+	return 0, false
 }
 
 // Keep forgets the accounts that are not listed and have no waiting requests.
