--- a/core/forward/adopt_bench_test.go
+++ b/core/forward/adopt_bench_test.go
@@ -17,7 +17,7 @@
 			var services []routing.Service
 			for i := range 90 {
 				shards = append(shards, shard(i))
-				services = append(services, routing.Service{Name: shard(i), MaxConnections: regionAccepted})
+				services = append(services, routing.Service{Name: shard(i), MaxConnections: localityAccepted})
 			}
 			routes := make([]routing.Route, n)
 			for i := range routes {
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -78,9 +78,9 @@
 	}
 	r.onProbation, r.hasHeldParts = probation, probation
 	if q, ok := e.quotaFor(r); ok {
-		if e.yieldsQuota(now, r, ev) {
+		if e.isLateRetry(now, r, ev) {
 			e.endProbation(now, r)
-			e.refuse(now, ev, route, api.ReasonOverQuota, yieldRetryAfter)
+			e.refuse(now, ev, route, api.ReasonOverQuota, lateRetryAfter)
 			return
 		}
 		e.awaitAdmission(now, r, ev, q)
@@ -142,7 +142,7 @@
 func (e *Engine) prepareRequest(now time.Time, ev Arrived, route *routing.Route) *request {
 	r := &request{
 		id: ev.Request, message: ev.Message, route: route, version: e.table.Version, start: now, subset: ev.Subset,
-		maxAttempts: route.MaxAttempts, homes: e.homesOf(ev, route),
+		maxAttempts: route.MaxAttempts, homeRegions: e.homeRegionsOf(ev, route),
 	}
 	if ev.Subset != nil {
 		r.maxAttempts = ev.Subset.MaxAttempts
@@ -207,7 +207,7 @@
 func (e *Engine) unservableReason(r *request) api.Reason {
 	available, evacuated, outside := 0, 0, 0
 	for i := range r.parts {
-		switch e.unavailableReason(r.homes, r.parts[i].service) {
+		switch e.unavailableReason(r.homeRegions, r.parts[i].service) {
 		case api.ReasonNone:
 			available++
 		case api.ReasonEvacuated:
@@ -230,13 +230,13 @@
 
 // unavailableReason returns ReasonNone if a service has a replica that is not draining and may
 // get requests with the given home regions, and otherwise why it has none.
-func (e *Engine) unavailableReason(homes homeRegions, service api.ServiceName) api.Reason {
+func (e *Engine) unavailableReason(allowed homeRegions, service api.ServiceName) api.Reason {
 	reason := api.ReasonNoReplica
 	for _, name := range e.registry.byService[service] {
 		entry := e.registry.entries[name]
 		switch {
 		case entry.draining():
-		case !e.reaches(homes, entry.DataCentre):
+		case !e.mayReach(allowed, entry.DataCentre):
 			if reason == api.ReasonNoReplica {
 				reason = api.ReasonOutsideRegion
 			}
--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -79,7 +79,7 @@
 	}
 	s := &c.divided.ranges[c.index]
 	for _, service := range c.divided.request.route.Shards[s.from:s.to] {
-		if e.unavailableReason(c.divided.request.homes, service) == api.ReasonNone {
+		if e.unavailableReason(c.divided.request.homeRegions, service) == api.ReasonNone {
 			return true
 		}
 	}
--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -120,7 +120,7 @@
 func (c *call) subset() Subset {
 	sr := &c.divided.ranges[c.index]
 	r := c.divided.request
-	return Subset{Shards: r.route.Shards[sr.from:sr.to], MaxAttempts: r.maxAttempts, PriorAttempts: sr.usedAttempts, HomeRegions: r.homes.regions}
+	return Subset{Shards: r.route.Shards[sr.from:sr.to], MaxAttempts: r.maxAttempts, PriorAttempts: sr.usedAttempts, HomeRegions: r.homeRegions.regions}
 }
 
 // acceptTimeout returns how long a node may take to accept a range.
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -105,7 +105,7 @@
 func (e *Engine) exclusion(now time.Time, r *request, p *part, entry *registryEntry, why purpose) api.Reason {
 	name := entry.Replica
 	switch {
-	case !e.reaches(r.homes, entry.DataCentre):
+	case !e.mayReach(r.homeRegions, entry.DataCentre):
 		return api.ReasonOutsideRegion
 	case !entry.draining() && e.evacuated(entry):
 		return api.ReasonEvacuated
--- a/core/forward/cold.go
+++ b/core/forward/cold.go
@@ -16,10 +16,11 @@
 	// suspectedColdTime is how long a replica counts as cold whose process may have been
 	// replaced. By then, the registration of the new process is known.
 	suspectedColdTime = 6 * time.Second
-	// maxColdTime bounds the time that a replica may state.
+	// maxColdTime bounds the time for which a replica may state that it is cold.
 	maxColdTime = 10 * time.Minute
-	// toldInterval is the time between two notices of this node about the same replica.
-	toldInterval = 2 * time.Second
+	// endedNoticeInterval is the least time between two notices of this node that the process of the
+	// same replica has ended.
+	endedNoticeInterval = 2 * time.Second
 	// defaultListAge is used if the settings give no ListAge.
 	defaultListAge = 3 * time.Second
 )
@@ -42,8 +43,8 @@
 	suspectedUntil time.Time
 	// sequence is that of the registration that until comes from.
 	sequence int64
-	// toldAt is when this node last told the others that the process has ended.
-	toldAt time.Time
+	// noticeSentAt is when this node last sent a notice that the process has ended.
+	noticeSentAt time.Time
 }
 
 // coldPerSecond returns the number of requests per second that a cold replica of a service can
@@ -99,16 +100,16 @@
 	e.applyCold(now, entry, coldSuspected)
 }
 
-// replicaRefused handles a replica at whose address no process listens. The other nodes are told:
-// those without a connection to it have no other sign that its next process may be cold.
+// replicaRefused handles a replica at whose address no process listens. It notifies the other
+// nodes: those without a connection to it have no other sign that its next process may be cold.
 func (e *Engine) replicaRefused(now time.Time, name api.ReplicaName) {
 	entry := e.registry.entries[name]
 	if entry == nil || e.coldPerSecond(entry.Service) == 0 {
 		return
 	}
 	e.suspectCold(now, name)
-	if c := &entry.stated.cold; now.Sub(c.toldAt) >= toldInterval {
-		c.toldAt = now
+	if c := &entry.stated.cold; now.Sub(c.noticeSentAt) >= endedNoticeInterval {
+		c.noticeSentAt = now
 		e.sendDirectly([]gossip.Notice{{
 			Kind: gossip.NoticeReplicaEnded, Replica: name, Incarnation: api.Incarnation(entry.ProcessStart), TimeToLive: suspectedColdTime,
 		}})
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -161,8 +161,8 @@
 
 	// latencies holds the latency of each replica as core/locality uses it.
 	latencies map[api.ReplicaName]*locality.Latency
-	// typical estimates the latency of attempts by typicalKey.
-	typical map[api.ServiceName]*quantile.Estimator
+	// routeLatencies estimates the latency of answered attempts, by routeLatencyKey.
+	routeLatencies map[api.ServiceName]*quantile.Estimator
 
 	candidates []api.ReplicaName // scratch buffer for choosing replicas and nodes
 	// local and remote are scratch buffers for the candidates inside and outside the data centre.
@@ -225,7 +225,7 @@
 		divided:         make(map[api.RequestID]*dividedRequest),
 		calls:           make(map[CallID]*call),
 		latencies:       make(map[api.ReplicaName]*locality.Latency),
-		typical:         make(map[api.ServiceName]*quantile.Estimator),
+		routeLatencies:  make(map[api.ServiceName]*quantile.Estimator),
 	}
 	e.replicas.SetRemoteSurcharge(remoteSurcharge)
 	return e
@@ -413,9 +413,9 @@
 			delete(e.budgets, name)
 		}
 	}
-	for name := range e.typical {
+	for name := range e.routeLatencies {
 		if _, ok := t.Services[name]; !ok {
-			delete(e.typical, name)
+			delete(e.routeLatencies, name)
 		}
 	}
 	e.resumeAll(now)
--- a/core/forward/evacuation.go
+++ b/core/forward/evacuation.go
@@ -30,9 +30,9 @@
 	// since is the revision of the last write; 0 if it is not known in the store's current
 	// contents.
 	since int64
-	// liftAt is the time at which the evacuation ends unless it is written again; zero while it
+	// endsAt is the time at which the evacuation ends unless it is written again; zero while it
 	// is in the store.
-	liftAt time.Time
+	endsAt time.Time
 }
 
 func newEvacuations() evacuations {
@@ -68,7 +68,7 @@
 // up at once.
 func (e *Engine) evacuate(now time.Time, ev Evacuation) {
 	before, ok := e.evacuations.current[ev.DataCentre]
-	if ok && before.liftAt.IsZero() && before.since == ev.Revision {
+	if ok && before.endsAt.IsZero() && before.since == ev.Revision {
 		return
 	}
 	e.evacuations.current[ev.DataCentre] = evacuation{since: ev.Revision}
@@ -130,7 +130,7 @@
 			e.counts.Inc(count.Evacuation, evacuationHeld)
 			e.log("data_centre_evacuation_held", "data_centre", dc, "since_revision", state.since,
 				"for_ms", e.settings.EvacuationHold.Milliseconds())
-		case state.liftAt.IsZero():
+		case state.endsAt.IsZero():
 			e.endEvacuation(now, dc, "removed")
 		}
 	}
@@ -139,7 +139,7 @@
 // holdEvacuation keeps an evacuation that the store does not contain until a given time. The
 // revisions of the restored store cannot be compared with the former ones.
 func (e *Engine) holdEvacuation(now time.Time, dc api.DataCentre, until time.Time) {
-	e.evacuations.current[dc] = evacuation{liftAt: until}
+	e.evacuations.current[dc] = evacuation{endsAt: until}
 	e.timers.Add(until, timer{dataCentre: dc})
 }
 
@@ -147,7 +147,7 @@
 // no answers, no operator can write.
 func (e *Engine) evacuationHoldDue(now time.Time, dc api.DataCentre) {
 	state, ok := e.evacuations.current[dc]
-	if !ok || state.liftAt.IsZero() || now.Before(state.liftAt) {
+	if !ok || state.endsAt.IsZero() || now.Before(state.endsAt) {
 		return
 	}
 	if e.registry.storeLost {
--- a/core/forward/explain.go
+++ b/core/forward/explain.go
@@ -63,7 +63,7 @@
 		},
 	}}
 	for _, restore := range []func(){
-		e.sendDelay.Preserve(), e.delays.Preserve(delayKey(route)), e.typical[typicalKey(route)].Preserve(),
+		e.sendDelay.Preserve(), e.delays.Preserve(delayKey(route)), e.routeLatencies[routeLatencyKey(route)].Preserve(),
 	} {
 		defer restore()
 	}
@@ -215,7 +215,7 @@
 	}
 	usable := func(peers []Peer, suspect bool) (names []string) {
 		for _, p := range peers {
-			if e.mayRunRange(r.homes, p, nil) && e.groups.balancer.Suspect(api.ReplicaName(p.Node)) == suspect {
+			if e.mayRunRange(r.homeRegions, p, nil) && e.groups.balancer.Suspect(api.ReplicaName(p.Node)) == suspect {
 				names = append(names, p.Node)
 			}
 		}
--- a/core/forward/explain_test.go
+++ b/core/forward/explain_test.go
@@ -444,12 +444,12 @@
 	route := h.e.table.Match("h", "/all/x")
 	for range 40 { // more than a value may lag behind
 		h.e.sendDelay.Add(h.now, time.Millisecond)
-		h.e.typical[typicalKey(route)].Add(h.now, time.Millisecond)
+		h.e.routeLatencies[routeLatencyKey(route)].Add(h.now, time.Millisecond)
 		h.e.delays.Observe(h.now, delayKey(route), time.Millisecond)
 	}
-	typical, sendDelay := *h.e.typical[typicalKey(route)], h.e.sendDelay
+	routeLatency, sendDelay := *h.e.routeLatencies[routeLatencyKey(route)], h.e.sendDelay
 	h.explain("/all/x")
-	if !reflect.DeepEqual(typical, *h.e.typical[typicalKey(route)]) || !reflect.DeepEqual(sendDelay, h.e.sendDelay) {
+	if !reflect.DeepEqual(routeLatency, *h.e.routeLatencies[routeLatencyKey(route)]) || !reflect.DeepEqual(sendDelay, h.e.sendDelay) {
 		t.Error("an estimator has changed")
 	}
 }
--- a/core/forward/fairness.go
+++ b/core/forward/fairness.go
@@ -18,12 +18,12 @@
 	// fairHalfLife is the time after which a request counts half. It is about the window of a
 	// quota, so that a burst counts as long as it is charged.
 	fairHalfLife = 5 * time.Second
-	// minServedRatio is the share of its requests that an account is served at least, relative to
-	// the accounts overall. The bound is a quarter; the rest covers that more than the intended
-	// share may be admitted overall.
+	// minServedRatio is the least share of its requests that an account is served, relative to
+	// that of all accounts. The required share is a quarter; the margin covers that more than the
+	// intended share may be admitted overall.
 	minServedRatio = 0.3
-	// starvedRatio is the same ratio at which its waiting parts precede all others. It is higher,
-	// since a part may have to wait for a replica even then.
+	// starvedRatio is the value of the same ratio below which the waiting parts of an account
+	// precede all others. It exceeds minServedRatio, since such a part may still have to wait.
 	starvedRatio = 0.35
 	// lowAccountShare is multiplied with the admitted share for accounts of lower priority than
 	// another one. It is below lowPriorityShare, since the account precedes the route.
@@ -87,7 +87,7 @@
 	f.total.offered++
 }
 
-// started counts a share of a request that was sent.
+// started counts a request that was sent, or the given share of one that is sent in parts.
 func (f *fairShares) started(now time.Time, account string, share float64) {
 	f.use(now, account).started += share
 	f.total.started += share
--- a/core/forward/locality.go
+++ b/core/forward/locality.go
@@ -44,8 +44,8 @@
 	localSlow        api.Reason = "slow"
 )
 
-// minTypicalSamples is the number of latencies of a route after which their median is used.
-const minTypicalSamples = 20
+// minMedianSamples is the number of latencies of a route after which their median is used.
+const minMedianSamples = 20
 
 // isLocal reports whether a replica is in the data centre of this node.
 func (e *Engine) isLocal(name api.ReplicaName) bool {
@@ -93,20 +93,20 @@
 	if len(e.local) == 0 || len(e.remote) == 0 {
 		return e.replicas.Pick(now, candidates, nil)
 	}
-	near, ok := e.replicas.PickReady(now, e.local, candidates)
+	localName, ok := e.replicas.PickReady(now, e.local, candidates)
 	if !ok {
 		return e.replicas.Pick(now, candidates, nil)
 	}
-	far, ok := e.replicas.PickReady(now, e.remote, candidates)
+	remoteName, ok := e.replicas.PickReady(now, e.remote, candidates)
 	if !ok {
-		return near, true
+		return localName, true
 	}
-	typical := e.typicalLatency(r.route)
-	share := locality.RemoteShare(e.expected(now, near, typical), e.expected(now, far, typical), typical)
+	median := e.medianLatency(r.route)
+	share := locality.RemoteShare(e.expected(now, localName, median), e.expected(now, remoteName, median), median)
 	if share > 0 && e.rng.Float64() < share {
-		return far, true
+		return remoteName, true
 	}
-	return near, true
+	return localName, true
 }
 
 // countCrossing counts a first attempt that leaves the data centre by the reason why no local
@@ -154,9 +154,11 @@
 	return localSlow
 }
 
-func (e *Engine) expected(now time.Time, name api.ReplicaName, typical time.Duration) locality.Expected {
+// expected returns what this node knows of how long a replica takes to answer, for the comparison
+// of local and remote ones. median stands for the latency of a replica that has not answered yet.
+func (e *Engine) expected(now time.Time, name api.ReplicaName, median time.Duration) locality.Expected {
 	return locality.Expected{
-		Latency: e.latencies[name].Value(now, typical), InFlight: e.replicas.InFlight(name), Slots: e.registry.entries[name].Slots,
+		Latency: e.latencies[name].Value(now, median), InFlight: e.replicas.InFlight(name), Slots: e.registry.entries[name].Slots,
 		FailureFactor: e.replicas.FailureFactor(now, name),
 	}
 }
@@ -173,7 +175,7 @@
 	if e.latencies[local].LastLong() {
 		return r.hedgeAfter
 	}
-	return locality.HedgeDelay(r.hedgeAfter, r.targetTime.Sub(sentAt), e.typicalLatency(r.route))
+	return locality.HedgeDelay(r.hedgeAfter, r.targetTime.Sub(sentAt), e.medianLatency(r.route))
 }
 
 // remoteHedgeAt returns the earliest time of a hedge for a part: a later one than p.hedgeAt if
@@ -199,9 +201,9 @@
 		now.Sub(e.overdueSince[name]) < e.remoteHedgeDelay(now, r, name)
 }
 
-// typicalKey returns the key under which the latencies of the replicas of a route are recorded.
+// routeLatencyKey returns the key under which the latencies of the replicas of a route are recorded.
 // Routes over the same shards share one, as the latency of a replica is that of all its requests.
-func typicalKey(route *routing.Route) api.ServiceName {
+func routeLatencyKey(route *routing.Route) api.ServiceName {
 	if route.Sharded() {
 		return route.Shards[0]
 	}
@@ -218,20 +220,20 @@
 		l = &locality.Latency{}
 		e.latencies[name] = l
 	}
-	l.Observe(now, latency, e.typicalLatency(route))
-	key := typicalKey(route)
-	q := e.typical[key]
+	l.Observe(now, latency, e.medianLatency(route))
+	key := routeLatencyKey(route)
+	q := e.routeLatencies[key]
 	if q == nil {
 		q = &quantile.Estimator{}
-		e.typical[key] = q
+		e.routeLatencies[key] = q
 	}
 	q.Add(now, latency)
 }
 
-// typicalLatency returns the median latency of the replicas of a route; 0 if it is unknown.
-func (e *Engine) typicalLatency(route *routing.Route) time.Duration {
-	q := e.typical[typicalKey(route)]
-	if q == nil || q.Count() < minTypicalSamples {
+// medianLatency returns the median latency of the replicas of a route; 0 if it is unknown.
+func (e *Engine) medianLatency(route *routing.Route) time.Duration {
+	q := e.routeLatencies[routeLatencyKey(route)]
+	if q == nil || q.Count() < minMedianSamples {
 		return 0
 	}
 	return q.Value(0.5)
--- a/core/forward/locality_test.go
+++ b/core/forward/locality_test.go
@@ -9,9 +9,9 @@
 	"github.com/baobabsail/baobabsail/core/api"
 )
 
-// regionBaseline is what the code of commit 7bd2170 gave under the load of the plate archive,
+// localityBaseline is what the code of commit 7bd2170 gave under the load of the plate archive,
 // with the same seeds.
-type regionBaseline struct {
+type localityBaseline struct {
 	nodes    int
 	seed     uint64
 	searches float64 // coverage
@@ -26,7 +26,7 @@
 func TestPlateArchiveStaysInTheDataCentre(t *testing.T) {
 	formerShare := map[int]float64{35: 0.1916, 29: 0.3007}
 	remote, total := map[int]float64{}, map[int]float64{}
-	for _, b := range []regionBaseline{
+	for _, b := range []localityBaseline{
 		{nodes: 35, seed: 1, searches: 0.9990, checks: 0.9971},
 		{nodes: 35, seed: 2, searches: 0.9990, checks: 0.9980},
 		{nodes: 29, seed: 1, searches: 0.9967, checks: 0.9880},
@@ -34,7 +34,7 @@
 	} {
 		load := plateArchive(b.seed)
 		load.nodes = b.nodes
-		r := newRegionSim(t, load).run()
+		r := newLocalitySim(t, load).run()
 		r.log(t, "plate archive")
 		attempts := 0
 		for _, n := range r.attempts {
@@ -67,7 +67,7 @@
 
 // checkSpill checks a run with a disturbance: the mean utility, that never all traffic of the
 // affected callers leaves, and that it is back 5 s after the end.
-func checkSpill(t *testing.T, r regionResult, label string, formerUtility, maxRemote float64) {
+func checkSpill(t *testing.T, r localityResult, label string, formerUtility, maxRemote float64) {
 	t.Helper()
 	r.log(t, label)
 	if u := r.meanUtility(); u < formerUtility-0.03 {
@@ -99,7 +99,7 @@
 			}
 			return rng.IntN(3)
 		}
-		r := newRegionSim(t, load).run()
+		r := newLocalitySim(t, load).run()
 		checkSpill(t, r, "callers move", c.formerUtility, 0.5)
 	}
 }
@@ -152,7 +152,7 @@
 }
 
 // slowThird runs a load during which a third of the replicas takes five times as long.
-func slowThird(t *testing.T, seed uint64, nodes int, factor float64) regionResult {
+func slowThird(t *testing.T, seed uint64, nodes int, factor float64) localityResult {
 	load := plateArchive(seed)
 	load.nodes = nodes
 	load.searches *= factor
@@ -163,7 +163,7 @@
 		}
 		return 1
 	}
-	return newRegionSim(t, load).run()
+	return newLocalitySim(t, load).run()
 }
 
 // Guards against a change for deployments where the shards have no replica in the data centre
@@ -263,7 +263,7 @@
 		h.table(1, 1)
 		var peers []Peer
 		for i := range 64 {
-			peers = append(peers, Peer{Node: nodeName(i), DataCentre: regionDC(i / 20), Address: "a:1"})
+			peers = append(peers, Peer{Node: nodeName(i), DataCentre: localityDC(i / 20), Address: "a:1"})
 		}
 		h.step(Members{Nodes: 64, Peers: peers})
 		local, remote := registration(0, 0), registration(0, 1)
--- a/core/forward/localitysim_test.go
+++ b/core/forward/localitysim_test.go
@@ -12,9 +12,9 @@
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
-// regionLoad describes nodes, callers and replicas in several data centres. The defaults are
+// localityLoad describes nodes, callers and replicas in several data centres. The defaults are
 // those of deployment B in docs/hard-load.md.
-type regionLoad struct {
+type localityLoad struct {
 	nodes, dataCentres, shards int
 	// replicas is the number of replicas of each shard.
 	replicas     int
@@ -29,8 +29,8 @@
 	seed     uint64
 }
 
-func plateArchive(seed uint64) regionLoad {
-	return regionLoad{
+func plateArchive(seed uint64) localityLoad {
+	return localityLoad{
 		nodes: 35, dataCentres: 3, shards: 90, replicas: 3, dataCentreOf: func(_, replica int) int { return replica }, seconds: 30,
 		searches: 31.7, checks: 10.6, seed: seed,
 		callerDataCentre: func(_ time.Duration, rng *rand.Rand) int { return rng.IntN(3) },
@@ -39,60 +39,60 @@
 }
 
 const (
-	regionSlots       = 2
-	regionAccepted    = 66
-	regionPause       = 200 * time.Millisecond
-	regionPausePeriod = 4500 * time.Millisecond
-	regionLocalDelay  = 200 * time.Microsecond
-	regionRemoteDelay = 900 * time.Microsecond
+	localitySlots       = 2
+	localityAccepted    = 66
+	localityPause       = 200 * time.Millisecond
+	localityPausePeriod = 4500 * time.Millisecond
+	localityLocalDelay  = 200 * time.Microsecond
+	localityRemoteDelay = 900 * time.Microsecond
 	searchWork        = 20 * time.Millisecond
 	checkWork         = 6700 * time.Microsecond
 	searchTarget      = 200 * time.Millisecond
 	checkTarget       = 60 * time.Millisecond
-	// regionWarmUp is left out of the counts: the nodes know no latencies yet.
-	regionWarmUp = 5 * time.Second
+	// localityWarmUp is left out of the counts: the nodes know no latencies yet.
+	localityWarmUp = 5 * time.Second
 )
 
-// regionSim simulates the engines of all nodes, the calls between them, and replicas with two
+// localitySim simulates the engines of all nodes, the calls between them, and replicas with two
 // slots that pause regularly.
-type regionSim struct {
+type localitySim struct {
 	t        *testing.T
-	load     regionLoad
+	load     localityLoad
 	rng      *rand.Rand
 	now      time.Duration
 	events   simEvents
 	seq      int
 	engines  []*Engine
-	replicas map[api.ReplicaName]*regionReplica
+	replicas map[api.ReplicaName]*localityReplica
 	next     uint64
-	ranges   map[simRequest]regionCall
+	ranges   map[simRequest]localityCall
 	calls    map[string]simRequest
-	callers  map[simRequest]*regionCaller
+	callers  map[simRequest]*localityCaller
 	done     map[simAttemptKey]bool
-	result   regionResult
+	result   localityResult
 }
 
-type regionCall struct {
+type localityCall struct {
 	from int
 	call CallID
 }
 
-type regionCaller struct {
+type localityCaller struct {
 	path string
 	sent time.Duration
 }
 
-// regionReplica is a replica with its speed, the phase of its pauses and the times at which its
+// localityReplica is a replica with its speed, the phase of its pauses and the times at which its
 // slots are free.
-type regionReplica struct {
+type localityReplica struct {
 	shard, index, dataCentre int
 	speed                    float64
 	phase                    time.Duration
-	free                     [regionSlots]time.Duration
+	free                     [localitySlots]time.Duration
 }
 
-// regionResult holds what the load measured after the warm-up.
-type regionResult struct {
+// localityResult holds what the load measured after the warm-up.
+type localityResult struct {
 	// attempts counts attempts by purpose and by whether they left the node's data centre.
 	attempts map[string]int
 	// causes classifies first attempts at remote replicas by the state of the local replica.
@@ -105,28 +105,28 @@
 	requests          map[string]int
 }
 
-func regionDC(i int) api.DataCentre { return api.DataCentre(fmt.Sprintf("dc-%c", 'a'+i)) }
+func localityDC(i int) api.DataCentre { return api.DataCentre(fmt.Sprintf("dc-%c", 'a'+i)) }
 
-func newRegionSim(t *testing.T, load regionLoad) *regionSim {
-	s := &regionSim{
-		t: t, load: load, rng: rand.New(rand.NewPCG(load.seed, 11)), replicas: map[api.ReplicaName]*regionReplica{},
-		ranges: map[simRequest]regionCall{}, calls: map[string]simRequest{}, callers: map[simRequest]*regionCaller{}, done: map[simAttemptKey]bool{},
-		result: regionResult{
+func newLocalitySim(t *testing.T, load localityLoad) *localitySim {
+	s := &localitySim{
+		t: t, load: load, rng: rand.New(rand.NewPCG(load.seed, 11)), replicas: map[api.ReplicaName]*localityReplica{},
+		ranges: map[simRequest]localityCall{}, calls: map[string]simRequest{}, callers: map[simRequest]*localityCaller{}, done: map[simAttemptKey]bool{},
+		result: localityResult{
 			attempts: map[string]int{}, causes: map[string]int{}, remoteIn: map[int]int{}, totalIn: map[int]int{}, latencies: map[string][]time.Duration{},
 			utility: map[string]float64{}, coverage: map[string]float64{}, requests: map[string]int{},
 		},
 	}
 	var peers []Peer
 	for n := range load.nodes {
-		peers = append(peers, Peer{Node: nodeName(n), DataCentre: regionDC(n % load.dataCentres), Address: nodeName(n) + ":1"})
+		peers = append(peers, Peer{Node: nodeName(n), DataCentre: localityDC(n % load.dataCentres), Address: nodeName(n) + ":1"})
 	}
 	speeds := []float64{0.8, 1, 1.3}
 	for shard := range load.shards {
 		s.rng.Shuffle(3, func(i, j int) { speeds[i], speeds[j] = speeds[j], speeds[i] })
 		for i := range load.replicas {
-			s.replicas[replicaOf(shard, i)] = &regionReplica{
+			s.replicas[replicaOf(shard, i)] = &localityReplica{
 				shard: shard, index: i, dataCentre: load.dataCentreOf(shard, i), speed: speeds[i%3],
-				phase: time.Duration(s.rng.Int64N(int64(regionPausePeriod))),
+				phase: time.Duration(s.rng.Int64N(int64(localityPausePeriod))),
 			}
 		}
 	}
@@ -140,7 +140,7 @@
 		for shard := range load.shards {
 			for i := range load.replicas {
 				reg := registration(shard, i)
-				reg.DataCentre = regionDC(load.dataCentreOf(shard, i))
+				reg.DataCentre = localityDC(load.dataCentreOf(shard, i))
 				s.step(n, ReplicaRegistered{Registration: reg})
 			}
 		}
@@ -149,12 +149,12 @@
 	return s
 }
 
-func (s *regionSim) table() *routing.Table {
+func (s *localitySim) table() *routing.Table {
 	var names []api.ServiceName
 	var services []routing.Service
 	for i := range s.load.shards {
 		names = append(names, shard(i))
-		services = append(services, routing.Service{Name: shard(i), MaxConnections: regionAccepted})
+		services = append(services, routing.Service{Name: shard(i), MaxConnections: localityAccepted})
 	}
 	merge := routing.Merge{RecordBytes: 16, Records: 10}
 	return routing.NewTable(1, []routing.Route{
@@ -169,25 +169,25 @@
 	}, services, routing.Limits{})
 }
 
-func (s *regionSim) after(d time.Duration, run func()) {
+func (s *localitySim) after(d time.Duration, run func()) {
 	s.seq++
 	heap.Push(&s.events, simEvent{at: s.now + d, seq: s.seq, run: run})
 }
 
-func (s *regionSim) step(n int, ev Event) {
+func (s *localitySim) step(n int, ev Event) {
 	for _, a := range slices.Clone(s.engines[n].Step(start.Add(s.now), ev)) {
 		s.execute(n, a)
 	}
 }
 
-func (s *regionSim) delay(from, to int) time.Duration {
+func (s *localitySim) delay(from, to int) time.Duration {
 	if from == to {
-		return regionLocalDelay
+		return localityLocalDelay
 	}
-	return regionRemoteDelay
+	return localityRemoteDelay
 }
 
-func (s *regionSim) execute(n int, a Action) {
+func (s *localitySim) execute(n int, a Action) {
 	switch a := a.(type) {
 	case Send:
 		s.send(n, a)
@@ -211,18 +211,18 @@
 	}
 }
 
-func (s *regionSim) nodeDelay(a, b int) time.Duration {
+func (s *localitySim) nodeDelay(a, b int) time.Duration {
 	return s.delay(a%s.load.dataCentres, b%s.load.dataCentres)
 }
 
-func (s *regionSim) call(n int, a CallPeer) {
+func (s *localitySim) call(n int, a CallPeer) {
 	var to int
 	if _, err := fmt.Sscanf(a.Node, "n%d", &to); err != nil {
 		s.t.Fatal(err)
 	}
 	s.next++
 	id := api.RequestID(s.next)
-	s.ranges[simRequest{to, id}] = regionCall{n, a.Call}
+	s.ranges[simRequest{to, id}] = localityCall{n, a.Call}
 	s.calls[callKey(n, a.Call)] = simRequest{to, id}
 	d := s.nodeDelay(n, to)
 	s.after(d, func() {
@@ -231,7 +231,7 @@
 	s.after(2*d, func() { s.step(n, CallAccepted{Call: a.Call}) })
 }
 
-func (s *regionSim) answer(n int, a Answer) {
+func (s *localitySim) answer(n int, a Answer) {
 	key := simRequest{n, a.Request}
 	if c, ok := s.ranges[key]; ok {
 		ev := CallReplied{Call: c.call, Last: !a.More, Reason: a.Reason}
@@ -247,7 +247,7 @@
 	}
 	c := s.callers[key]
 	delete(s.callers, key)
-	if c == nil || c.sent < regionWarmUp {
+	if c == nil || c.sent < localityWarmUp {
 		return
 	}
 	r := &s.result
@@ -267,10 +267,10 @@
 }
 
 // record counts an attempt by its purpose and the data centres of node and replica.
-func (s *regionSim) record(n int, a Send) {
+func (s *localitySim) record(n int, a Send) {
 	e := s.engines[n]
 	at := e.attempts[a.Attempt]
-	if s.now < regionWarmUp || at == nil {
+	if s.now < localityWarmUp || at == nil {
 		return
 	}
 	p := &at.request.parts[at.part]
@@ -295,18 +295,18 @@
 }
 
 // cause says why a first attempt went to a remote replica.
-func (s *regionSim) cause(e *Engine, service api.ServiceName, remote api.ReplicaName, dataCentre int) string {
+func (s *localitySim) cause(e *Engine, service api.ServiceName, remote api.ReplicaName, dataCentre int) string {
 	now := start.Add(s.now)
 	for _, name := range e.registry.byService[service] {
 		switch {
 		case s.replicas[name].dataCentre != dataCentre:
 		case e.overdueReplicas[name]:
 			return "local overdue"
-		case e.connections(name).used >= e.quota(service, regionSlots):
+		case e.connections(name).used >= e.quota(service, localitySlots):
 			return "local full"
 		case e.replicas.ExpectedLatency(now, remote) < 5*time.Millisecond:
 			return "remote near prior"
-		case e.replicas.InFlight(name) >= regionSlots:
+		case e.replicas.InFlight(name) >= localitySlots:
 			return "local slots busy"
 		case e.replicas.InFlight(name) > 0:
 			return "local slot free, one busy"
@@ -321,7 +321,7 @@
 	return "no local replica"
 }
 
-func (s *regionSim) send(n int, a Send) {
+func (s *localitySim) send(n int, a Send) {
 	s.record(n, a)
 	r := s.replicas[a.Replica]
 	key := simAttemptKey{n, a.Attempt}
@@ -351,14 +351,14 @@
 }
 
 // finish returns when work that starts at a time ends, given the pauses of the replica.
-func (r *regionReplica) finish(from, work time.Duration) time.Duration {
+func (r *localityReplica) finish(from, work time.Duration) time.Duration {
 	for {
-		at := (from + r.phase) % regionPausePeriod
-		if at < regionPause {
-			from += regionPause - at
+		at := (from + r.phase) % localityPausePeriod
+		if at < localityPause {
+			from += localityPause - at
 			continue
 		}
-		if left := regionPausePeriod - at; work > left {
+		if left := localityPausePeriod - at; work > left {
 			work -= left
 			from += left
 			continue
@@ -367,7 +367,7 @@
 	}
 }
 
-func (s *regionSim) arrive(path string, rate float64) {
+func (s *localitySim) arrive(path string, rate float64) {
 	if s.now >= time.Duration(s.load.seconds)*time.Second {
 		return
 	}
@@ -376,7 +376,7 @@
 	n := dc + s.load.dataCentres*s.rng.IntN(members)
 	s.next++
 	id := api.RequestID(s.next)
-	s.callers[simRequest{n, id}] = &regionCaller{path: path, sent: s.now}
+	s.callers[simRequest{n, id}] = &localityCaller{path: path, sent: s.now}
 	s.step(n, Arrived{
 		Request: id, CallerTimeout: 800 * time.Millisecond, Transit: 2 * time.Millisecond,
 		Message: &Message{Host: "h", Path: path, CallerRequest: fmt.Sprint("id-", s.next), Fingerprint: api.Fingerprint(s.next)},
@@ -384,7 +384,7 @@
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(path, rate) })
 }
 
-func (s *regionSim) run() regionResult {
+func (s *localitySim) run() localityResult {
 	s.arrive("/search/", s.load.searches)
 	s.arrive("/check/", s.load.checks)
 	end := time.Duration(s.load.seconds+1) * time.Second
@@ -413,7 +413,7 @@
 }
 
 // quantile returns a quantile of the latencies of a route.
-func (r *regionResult) quantile(path string, q float64) time.Duration {
+func (r *localityResult) quantile(path string, q float64) time.Duration {
 	l := r.latencies[path]
 	if len(l) == 0 {
 		return 0
@@ -422,13 +422,13 @@
 }
 
 // remoteShare returns the share of all attempts that left the data centre.
-func (r *regionResult) remoteShare() float64 {
+func (r *localityResult) remoteShare() float64 {
 	remote := r.attempts["first_remote"] + r.attempts["hedge_remote"] + r.attempts["retry_remote"]
 	return float64(remote) / float64(max(remote+r.attempts["first_local"]+r.attempts["hedge_local"]+r.attempts["retry_local"], 1))
 }
 
 // remoteShareIn returns the share in the seconds from the first up to the last, excluded.
-func (r *regionResult) remoteShareIn(from, to int) float64 {
+func (r *localityResult) remoteShareIn(from, to int) float64 {
 	remote, total := 0, 0
 	for second := from; second < to; second++ {
 		remote += r.remoteIn[second]
@@ -437,11 +437,11 @@
 	return float64(remote) / float64(max(total, 1))
 }
 
-func (r *regionResult) meanCoverage(path string) float64 {
+func (r *localityResult) meanCoverage(path string) float64 {
 	return r.coverage[path] / float64(max(r.requests[path], 1))
 }
 
-func (r *regionResult) meanUtility() float64 {
+func (r *localityResult) meanUtility() float64 {
 	sum, n := 0.0, 0
 	for path, u := range r.utility {
 		sum += u
@@ -450,7 +450,7 @@
 	return sum / float64(max(n, 1))
 }
 
-func (r *regionResult) log(t *testing.T, label string) {
+func (r *localityResult) log(t *testing.T, label string) {
 	t.Helper()
 	t.Logf("%s: remote %.3f, attempts %v, causes %v", label, r.remoteShare(), r.attempts, r.causes)
 	for _, path := range []string{"/search/", "/check/"} {
--- a/core/forward/nodechoice.go
+++ b/core/forward/nodechoice.go
@@ -15,7 +15,7 @@
 	}
 	var suspects []api.ReplicaName
 	for _, p := range e.groups.members(e.settings.DataCentre, i, len(d.ranges)) {
-		if e.mayRunRange(d.request.homes, p, d.ranges[i].tried) {
+		if e.mayRunRange(d.request.homeRegions, p, d.ranges[i].tried) {
 			suspects = append(suspects, api.ReplicaName(p.Node))
 		}
 	}
@@ -48,7 +48,7 @@
 	for _, p := range nodes {
 		name := api.ReplicaName(p.Node)
 		switch {
-		case !e.mayRunRange(d.request.homes, p, d.ranges[i].tried):
+		case !e.mayRunRange(d.request.homeRegions, p, d.ranges[i].tried):
 		case e.groups.balancer.Suspect(name):
 			e.pingIfDue(now, name, d, i)
 		default:
@@ -61,8 +61,8 @@
 
 // mayRunRange reports whether a range may be sent to another node: it was not tried for the range,
 // and the request's body does not leave its home regions.
-func (e *Engine) mayRunRange(homes homeRegions, p Peer, tried []string) bool {
-	return p.Node != e.settings.Node && !slices.Contains(tried, p.Node) && e.reaches(homes, p.DataCentre)
+func (e *Engine) mayRunRange(allowed homeRegions, p Peer, tried []string) bool {
+	return p.Node != e.settings.Node && !slices.Contains(tried, p.Node) && e.mayReach(allowed, p.DataCentre)
 }
 
 // pingIfDue asks a suspect node whether it can run a range if its next probe is due. The ping
--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -31,9 +31,9 @@
 	waiting map[api.RequestID]*awaitingAdmission
 	// wakeAt is when the timer of an account is due.
 	wakeAt map[string]time.Time
-	// settled is set once the first list of nodes was read.
-	settled bool
-	// over holds the accounts that are refused as over their quota.
+	// hasNodeList is set once the first list of nodes has been read.
+	hasNodeList bool
+	// over holds the accounts that were refused at this node as over their quota.
 	over map[string]*overQuota
 	// callerTimeouts holds the longest time that callers of each route have allowed for a
 	// request under the current configuration.
@@ -85,8 +85,8 @@
 
 // rankAllocators replaces the nodes among which allocators are chosen.
 func (e *Engine) rankAllocators(now time.Time, ev Members) {
-	if !e.quotas.settled {
-		e.quotas.settled = true
+	if !e.quotas.hasNodeList {
+		e.quotas.hasNodeList = true
 		e.quotas.allocator.Settle(now, ev.ListedBefore, e.settings.FirstStart)
 	}
 	nodes := make([]quota.Node, 0, len(ev.Peers))
@@ -137,7 +137,7 @@
 		return
 	}
 	e.quotas.requester.Add(now, account, q, quota.Waiting{Request: r.id, Priority: r.route.Priority, Deadline: r.deadline})
-	e.settleAdmissions(now, account)
+	e.applyDecisions(now, account)
 }
 
 // admitLocally decides about a request if no node accepts calls of others, so that each node
@@ -151,8 +151,8 @@
 	e.admissionDecided(now, d)
 }
 
-// settleAdmissions carries out what the requester has decided about an account.
-func (e *Engine) settleAdmissions(now time.Time, account string) {
+// applyDecisions carries out what the requester has decided about an account.
+func (e *Engine) applyDecisions(now time.Time, account string) {
 	for e.quotas.requester.Pending() {
 		decisions, asks := e.quotas.requester.Take()
 		for _, a := range asks {
@@ -173,7 +173,7 @@
 func (e *Engine) admissionsDue(now time.Time, account string) {
 	delete(e.quotas.wakeAt, account)
 	e.quotas.requester.Tick(now, account)
-	e.settleAdmissions(now, account)
+	e.applyDecisions(now, account)
 }
 
 // askAllocator sends a request for admissions to a node, or handles it if that is this node.
@@ -202,7 +202,7 @@
 // admissionAnswered handles the response of another node.
 func (e *Engine) admissionAnswered(now time.Time, ev AdmissionAnswered) {
 	e.quotas.requester.Answered(now, ev.Ask.ID, ev.Grant)
-	e.settleAdmissions(now, ev.Ask.Account)
+	e.applyDecisions(now, ev.Ask.Account)
 }
 
 // admissionFailed handles a node that did not respond.
@@ -210,10 +210,10 @@
 	e.counts.Inc(count.Quota, "ask_failed")
 	e.log("admission_failed", "node", ev.Ask.Node, "account", ev.Ask.Account, "supported", ev.Supported, "error", ev.Error)
 	e.quotas.requester.Failed(now, ev.Ask.ID, ev.Supported)
-	e.settleAdmissions(now, ev.Ask.Account)
+	e.applyDecisions(now, ev.Ask.Account)
 }
 
-// admissionDecided starts or refuses a request that waited.
+// admissionDecided starts or refuses a request according to the decision about its admission.
 func (e *Engine) admissionDecided(now time.Time, d quota.Decision) {
 	w := e.quotas.waiting[d.Request]
 	if w == nil {
@@ -278,16 +278,15 @@
 	// overQuotaTime is how long an account that was refused at this node counts as over its
 	// quota.
 	overQuotaTime = 5 * time.Second
-	// yieldRetryAfter is how long a caller should wait whose request could not be answered by
-	// its target any more: its account is over its quota, and each attempt takes an admission
-	// from a request that can.
-	yieldRetryAfter = time.Second
+	// lateRetryAfter is the Retry-After of a late retry (isLateRetry).
+	lateRetryAfter = time.Second
 )
 
-// yieldsQuota reports whether a request gives up its admission to others of its account: the
-// account is over its quota, and the caller has retried for so long that the target cannot be
-// met. How long follows from the time that callers of the route allow in their first attempts.
-func (e *Engine) yieldsQuota(now time.Time, r *request, ev Arrived) bool {
+// isLateRetry reports whether a request is to be refused without asking for an admission: its
+// account is over its quota, and its caller has retried for longer than the target latency, so
+// that the admission is better used by a request that can still be answered in time. The time of
+// the retries is the difference to the longest timeout seen on the route, which is recorded here.
+func (e *Engine) isLateRetry(now time.Time, r *request, ev Arrived) bool {
 	allowed := e.quotas.callerTimeouts[r.route.Name]
 	if ev.CallerTimeout > allowed {
 		allowed = ev.CallerTimeout
--- a/core/forward/regions.go
+++ b/core/forward/regions.go
@@ -14,8 +14,8 @@
 	regions    []api.Region
 }
 
-// and returns the regions that are also in a list. An empty list restricts nothing.
-func (h homeRegions) and(regions []api.Region) homeRegions {
+// intersect returns the regions that are also in a list. An empty list restricts nothing.
+func (h homeRegions) intersect(regions []api.Region) homeRegions {
 	switch {
 	case len(regions) == 0:
 		return h
@@ -31,23 +31,23 @@
 	return both
 }
 
-// homesOf returns the regions that a request may reach: those of its route, of its account and, if
-// it came from another node, those that this node named.
-func (e *Engine) homesOf(ev Arrived, route *routing.Route) homeRegions {
-	h := homeRegions{}.and(route.HomeRegions)
+// homeRegionsOf returns the regions that a request may reach: those that its route, its account
+// and, for a range of another node's request, that node all name.
+func (e *Engine) homeRegionsOf(ev Arrived, route *routing.Route) homeRegions {
+	h := homeRegions{}.intersect(route.HomeRegions)
 	if e.table.Accounts != nil && ev.Message.Account != "" {
 		if a := e.table.Accounts.ByName(ev.Message.Account); a != nil {
-			h = h.and(a.HomeRegions)
+			h = h.intersect(a.HomeRegions)
 		}
 	}
 	if ev.Subset != nil {
-		h = h.and(ev.Subset.HomeRegions)
+		h = h.intersect(ev.Subset.HomeRegions)
 	}
 	return h
 }
 
-// reaches reports whether a request with the given home regions may reach a data centre. One whose
+// mayReach reports whether a request with the given home regions may reach a data centre. One whose
 // region is not known is outside all of them.
-func (e *Engine) reaches(h homeRegions, dc api.DataCentre) bool {
+func (e *Engine) mayReach(h homeRegions, dc api.DataCentre) bool {
 	return !h.restricted || slices.Contains(h.regions, e.settings.Regions[dc])
 }
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -77,8 +77,8 @@
 	route   *routing.Route
 	version uint64 // of the configuration
 	start   time.Time
-	// homes are the regions that the request may reach.
-	homes homeRegions
+	// homeRegions are the regions that the request may reach.
+	homeRegions homeRegions
 	// deadline is the latest time for the final answer. targetTime is the preferred time, at
 	// which an answer may be sent with parts missing.
 	deadline   time.Time
