--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -56,6 +56,11 @@
 		e.refuse(now, ev, route, api.ReasonUnknownKey, 0)
 		return
 	}
+	e.identified(now, ev, route)
+}
+
+// identified starts or refuses a request whose route and account are known.
+func (e *Engine) identified(now time.Time, ev Arrived, route *routing.Route) {
 	r := e.newRequest(now, ev, route)
 	if !now.Before(r.deadline) {
 		e.refuse(now, ev, route, api.ReasonDeadline, 0)
--- a/core/forward/explain.go
+++ b/core/forward/explain.go
@@ -272,15 +272,15 @@
 	x.out.Parts = append(x.out.Parts, part)
 }
 
-// explainPart explains the first attempt for one of a number of parts.
-func (x *explainer) explainPart(r *request, p *part, parts int) ExplainedPart {
+// classifyReplicas returns the candidates for the first attempt of a part, those that there would
+// be with a permit for every replica, and the reason of the exclusion of each replica.
+func (x *explainer) classifyReplicas(r *request, p *part) (current, permitted candidates, reasons []api.Reason) {
 	e, now := x.e, x.now
 	names := e.registry.byService[p.service]
 	rank := e.preferredRank(p.service)
-	current := candidates{slow: true, reason: api.ReasonNoReplica}
-	// permitted are the candidates if there were a permit for every replica.
-	permitted := current
-	reasons := make([]api.Reason, len(names))
+	current = candidates{slow: true, reason: api.ReasonNoReplica}
+	permitted = current
+	reasons = make([]api.Reason, len(names))
 	for i, name := range names {
 		entry := e.registry.entries[name]
 		reason := e.exclusion(now, r, p, entry, firstAttempt)
@@ -294,6 +294,14 @@
 		}
 		e.classify(now, &permitted, r, p, entry, reason, rank)
 	}
+	return current, permitted, reasons
+}
+
+// explainPart explains the first attempt for one of a number of parts.
+func (x *explainer) explainPart(r *request, p *part, parts int) ExplainedPart {
+	e, now := x.e, x.now
+	names := e.registry.byService[p.service]
+	current, permitted, reasons := x.classifyReplicas(r, p)
 	best := current.best()
 	withPermit := permitted.best()
 	if len(best) == 0 {
--- a/core/forward/localitysim_test.go
+++ b/core/forward/localitysim_test.go
@@ -45,10 +45,10 @@
 	localityPausePeriod = 4500 * time.Millisecond
 	localityLocalDelay  = 200 * time.Microsecond
 	localityRemoteDelay = 900 * time.Microsecond
-	searchWork        = 20 * time.Millisecond
-	checkWork         = 6700 * time.Microsecond
-	searchTarget      = 200 * time.Millisecond
-	checkTarget       = 60 * time.Millisecond
+	searchWork          = 20 * time.Millisecond
+	checkWork           = 6700 * time.Microsecond
+	searchTarget        = 200 * time.Millisecond
+	checkTarget         = 60 * time.Millisecond
 	// localityWarmUp is left out of the counts: the nodes know no latencies yet.
 	localityWarmUp = 5 * time.Second
 )
