--- a/cmd/baobabctl/explain.go
+++ b/cmd/baobabctl/explain.go
@@ -17,6 +17,7 @@
 	"github.com/baobabsail/baobabsail/entry/explainhttp"
 )
 
+// explainCommand prints what a node would do with a request now. Host and path are an argument.
 type explainCommand struct {
 	Target     string        `arg:"" name:"target" help:"Host and path of the request, as in HOST/PATH; a query is ignored."`
 	Account    string        `help:"Name of the account whose key the request carries." placeholder:"NAME"`
