--- a/core/forward/explanation.go
+++ b/core/forward/explanation.go
@@ -219,7 +219,8 @@
 func milliseconds(d time.Duration) float64 { return math.Round(d.Seconds()*1e6) / 1e3 }
 
 // remainingQuota returns what is left of an account's quota over all nodes in the present window,
-// as the account's allocator last told this node; nil if it has not, or the account has no quota.
+// as the account's allocator last reported it; nil if this node has asked for no admission of the
+// account, or the account has no quota.
 func (e *Engine) remainingQuota(a *account.Account) *float64 {
 	used, ok := e.quotas.requester.Used(a.Name)
 	if !ok || !a.Limited() {
