--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -71,7 +71,7 @@
 	// latency of the other candidates at the last choice, in nanoseconds; 0 if unknown.
 	ramp        pace.Ramp
 	peerLatency float64
-	// coldFor is that of the last Spec.
+	// coldFor is Spec.ColdFor of the last call of Set.
 	coldFor time.Duration
 	// drainedIncarnations is a ring buffer of drained incarnations. drainPending
 	// means that the next incarnation observed is drained.
@@ -113,13 +113,13 @@
 	remoteSurcharge float64
 	// reportsObserved is set once a Report was observed.
 	reportsObserved bool
-	// pace says how the share of a replica that has started or recovered grows.
-	pace pace.Settings
+	// rampSettings says how the share of a replica that has started or recovered grows.
+	rampSettings pace.Settings
 }
 
 // New returns a Replicas without replicas. local is the data centre of this node.
 func New(rng *rand.Rand, local api.DataCentre) *Replicas {
-	return &Replicas{rng: rng, local: local, replicas: make(map[api.ReplicaName]*replica), pace: pace.Default()}
+	return &Replicas{rng: rng, local: local, replicas: make(map[api.ReplicaName]*replica), rampSettings: pace.Default()}
 }
 
 // Configure applies the replicas of a configuration document. The state of a
@@ -134,7 +134,7 @@
 	for name, c := range doc.Replicas {
 		spec := Spec{Address: c.Address, DataCentre: c.DataCentre, Slots: c.Slots, Drained: c.Drained}
 		if old, ok := r.replicas[name]; r.configured && (!ok || old.address != c.Address) {
-			spec.ColdFor = r.pace.Duration
+			spec.ColdFor = r.rampSettings.Duration
 		}
 		r.Set(now, name, spec)
 	}
@@ -161,7 +161,7 @@
 	if spec.ColdFor > s.coldFor {
 		// The replica is new or cold again. A shorter time is the rest of the time that is
 		// known.
-		s.ramp.Start(now, r.pace, spec.ColdFor)
+		s.ramp.Start(now, r.rampSettings, spec.ColdFor)
 	}
 	s.coldFor = spec.ColdFor
 	s.slots = float64(max(spec.Slots, 1))
@@ -176,13 +176,13 @@
 // one.
 func (r *Replicas) StartRampUp(now time.Time, name api.ReplicaName) {
 	if s, ok := r.replicas[name]; ok {
-		s.ramp.Start(now, r.pace, r.pace.Duration)
+		s.ramp.Start(now, r.rampSettings, r.rampSettings.Duration)
 	}
 }
 
 // RampUpDuration returns the time after which a replica that has started or recovered has its
 // full share, unless its answers change that.
-func (r *Replicas) RampUpDuration() time.Duration { return r.pace.Duration }
+func (r *Replicas) RampUpDuration() time.Duration { return r.rampSettings.Duration }
 
 // Remove deletes a replica and its state.
 func (r *Replicas) Remove(name api.ReplicaName) { delete(r.replicas, name) }
@@ -206,13 +206,13 @@
 	if !ok {
 		return 1, false
 	}
-	return s.ramp.Share(now, r.pace), s.ramp.Slow()
+	return s.ramp.Share(now, r.rampSettings), s.ramp.Slow()
 }
 
 // Cold reports whether the share of a replica still grows after a start or a recovery.
 func (r *Replicas) Cold(now time.Time, name api.ReplicaName) bool {
 	s, ok := r.replicas[name]
-	return ok && s.ramp.Active(now, r.pace)
+	return ok && s.ramp.Active(now, r.rampSettings)
 }
 
 // ObserveLoad records a load report that did not come with an answer, such as one
@@ -220,7 +220,7 @@
 // as draining by this report and had not been before.
 func (r *Replicas) ObserveLoad(now time.Time, name api.ReplicaName, load api.TargetLoad) (drained bool) {
 	s, ok := r.replicas[name]
-	return ok && s.observeLoad(now, r.pace, load)
+	return ok && s.observeLoad(now, r.rampSettings, load)
 }
 
 // SetDraining marks one incarnation as drained, so that it gets no new work.
--- a/core/balance/outcome.go
+++ b/core/balance/outcome.go
@@ -29,10 +29,10 @@
 		return false
 	}
 	s.inFlight = max(s.inFlight-1, 0)
-	drained = s.observeLoad(now, r.pace, load)
+	drained = s.observeLoad(now, r.rampSettings, load)
 	switch outcome {
 	case api.TargetOK:
-		s.pace(now, r.pace, latency)
+		s.adaptShare(now, r.rampSettings, latency)
 		s.addLatency(now, latency)
 		s.tailLatency.Add(now, latency)
 		s.addOutcome(now, 0)
@@ -40,7 +40,7 @@
 			// The probe was answered: the share of the replica ramps up like that of
 			// a cold one.
 			s.failureRate = 0
-			s.ramp.Start(now, r.pace, r.pace.Duration)
+			s.ramp.Start(now, r.rampSettings, r.rampSettings.Duration)
 		}
 		s.consecutiveFailures = 0
 	case api.TargetError:
@@ -49,7 +49,7 @@
 		// Overload is not a failure of the replica: it lowers the share, but a
 		// replica that answers does not become suspect.
 		s.addOutcome(now, 1)
-		s.ramp.Failed(now, r.pace)
+		s.ramp.Failed(now, r.rampSettings)
 		s.consecutiveFailures = 0
 	}
 	return drained
@@ -82,8 +82,8 @@
 		return
 	}
 	s.inFlight = max(s.inFlight-1, 0)
-	if s.peerLatency > 0 && float64(waited) > r.pace.SlowLatency*s.peerLatency {
-		s.pace(now, r.pace, waited)
+	if s.peerLatency > 0 && float64(waited) > r.rampSettings.SlowLatency*s.peerLatency {
+		s.adaptShare(now, r.rampSettings, waited)
 	}
 	if float64(waited) > s.latency {
 		s.addLatency(now, waited)
@@ -98,9 +98,9 @@
 	}
 }
 
-// pace adapts the share of a replica that has started or recovered to the latency of an
+// adaptShare adapts the share of a replica that has started or recovered to the latency of an
 // answer.
-func (s *replica) pace(now time.Time, settings pace.Settings, latency time.Duration) {
+func (s *replica) adaptShare(now time.Time, settings pace.Settings, latency time.Duration) {
 	if s.peerLatency > 0 {
 		s.ramp.Answered(now, settings, float64(latency)/s.peerLatency)
 	}
@@ -136,7 +136,7 @@
 // one failure.
 func (r *Replicas) recordFailure(now time.Time, s *replica) {
 	s.addOutcome(now, 1)
-	s.ramp.Failed(now, r.pace)
+	s.ramp.Failed(now, r.rampSettings)
 	if s.consecutiveFailures >= suspectAfter && !s.probing {
 		return
 	}
--- a/core/balance/pace_test.go
+++ b/core/balance/pace_test.go
@@ -126,7 +126,7 @@
 		var balancers []*Replicas
 		for i := range nodes {
 			r := New(rand.New(rand.NewPCG(seed, uint64(10+i))), "")
-			r.pace = settings
+			r.rampSettings = settings
 			for _, name := range candidates[c.returning:] {
 				r.Set(start, name, Spec{Address: string(name), Slots: modelSlots})
 			}
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -82,7 +82,7 @@
 	i := r.rng.IntN(len(candidates))
 	for range candidates {
 		s, class := r.classify(now, candidates[i], exclude, meanWait)
-		if s != nil && r.pace.GoodLatency > 0 && s.ramp.Active(now, r.pace) {
+		if s != nil && r.rampSettings.GoodLatency > 0 && s.ramp.Active(now, r.rampSettings) {
 			s.peerLatency = r.peerLatency(now, peers)
 		}
 		if i++; i == len(candidates) {
@@ -123,7 +123,7 @@
 	sum, n := 0.0, 0
 	for _, name := range candidates {
 		s, ok := r.replicas[name]
-		if !ok || s.latency == 0 || s.consecutiveFailures >= suspectAfter || s.ramp.Active(now, r.pace) {
+		if !ok || s.latency == 0 || s.consecutiveFailures >= suspectAfter || s.ramp.Active(now, r.rampSettings) {
 			continue
 		}
 		sum += s.expectedLatency(now)
@@ -152,7 +152,7 @@
 		}
 		return s, lastResort
 	}
-	if share := s.ramp.Share(now, r.pace); share < 1 && r.rng.Float64() >= share {
+	if share := s.ramp.Share(now, r.rampSettings); share < 1 && r.rng.Float64() >= share {
 		return s, lastResort
 	}
 	if share := s.reportedShare(now, meanWait); share < 1 && r.rng.Float64() >= share {
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -28,11 +28,11 @@
 	maxReportedWait = 8.0
 	// maxReportAge is the age in half-lives from which a report is not used.
 	maxReportAge = 8
-	// normalPace is the pace of a replica whose work takes as long as usual. minPace and maxPace
-	// bound what a stated pace can do.
-	normalPace = 100
-	minPace    = 25
-	maxPace    = 1000
+	// usualDurationPercent is what a replica reports whose requests take as long as usual.
+	// minDurationPercent and maxDurationPercent limit the effect of a false value.
+	usualDurationPercent = 100
+	minDurationPercent   = 25
+	maxDurationPercent   = 1000
 )
 
 // Report is the load that a replica states of itself. The values are not negative.
@@ -42,8 +42,8 @@
 	Running, Waiting float64
 	// Slots is how many requests it runs at a time.
 	Slots float64
-	// Pace is how long work takes at this moment; 100 is usual.
-	Pace float64
+	// DurationPercent is the present duration of a request in percent of the usual one.
+	DurationPercent float64
 }
 
 // ObserveReport records a report that came with the answer to an attempt of this node, before the
@@ -55,8 +55,8 @@
 		return
 	}
 	others := max(report.Running+report.Waiting-float64(s.inFlight), 0)
-	pace := min(max(report.Pace, minPace), maxPace) / normalPace
-	s.reportedWait = min(others/max(report.Slots, 1)*pace, maxReportedWait)
+	relativeDuration := min(max(report.DurationPercent, minDurationPercent), maxDurationPercent) / usualDurationPercent
+	s.reportedWait = min(others/max(report.Slots, 1)*relativeDuration, maxReportedWait)
 	s.reportedWaitAt = now
 	r.reportsObserved = true
 }
--- a/core/balance/report_test.go
+++ b/core/balance/report_test.go
@@ -59,8 +59,8 @@
 // least a quarter of its third.
 func TestReportsDrawAndRepelABoundedShare(t *testing.T) {
 	const nodes, sampling = 3000, 0.04 // 0.04 is over four standard deviations of a share
-	idle, busy := Report{Slots: 2, Pace: 100}, Report{Running: 2, Waiting: 4, Slots: 2, Pace: 100}
-	usual := Report{Running: 1, Slots: 2, Pace: 100}
+	idle, busy := Report{Slots: 2, DurationPercent: 100}, Report{Running: 2, Waiting: 4, Slots: 2, DurationPercent: 100}
+	usual := Report{Running: 1, Slots: 2, DurationPercent: 100}
 	for what, c := range map[string]struct {
 		first, others   Report
 		age             time.Duration
@@ -70,10 +70,10 @@
 		"idle, others busy":                {idle, busy, 0, 0.40, 0.5},
 		"falsely idle, others usual":       {idle, usual, 0, 1. / 3, 0.5},
 		"busy, others idle":                {busy, idle, 0, 0.25 / 3, 0.25},
-		"falsely busy, in millions":        {Report{Running: 1e6, Waiting: 1e6, Slots: 1, Pace: 1e6}, idle, 0, 0.25 / 3, 0.3},
-		"falsely fast":                     {Report{Running: 2, Waiting: 4, Slots: 2, Pace: 1e-9}, busy, 0, 1. / 3, 0.5},
-		"falsely many slots":               {Report{Running: 2, Waiting: 4, Slots: 1e6, Pace: 100}, busy, 0, 1. / 3, 0.5},
-		"slow pace, others as usual":       {Report{Running: 2, Slots: 2, Pace: 400}, Report{Running: 2, Slots: 2, Pace: 100}, 0, 0.25 / 3, 0.30},
+		"falsely busy, in millions":        {Report{Running: 1e6, Waiting: 1e6, Slots: 1, DurationPercent: 1e6}, idle, 0, 0.25 / 3, 0.3},
+		"falsely fast":                     {Report{Running: 2, Waiting: 4, Slots: 2, DurationPercent: 1e-9}, busy, 0, 1. / 3, 0.5},
+		"falsely many slots":               {Report{Running: 2, Waiting: 4, Slots: 1e6, DurationPercent: 100}, busy, 0, 1. / 3, 0.5},
+		"slow pace, others as usual":       {Report{Running: 2, Slots: 2, DurationPercent: 400}, Report{Running: 2, Slots: 2, DurationPercent: 100}, 0, 0.25 / 3, 0.30},
 		"busy, at the age of 3 half-lives": {busy, idle, 3 * loadHalfLife, 0.26, 1. / 3},
 		"busy, outdated":                   {busy, idle, maxReportAge * loadHalfLife, 1. / 3, 1. / 3},
 		"idle, outdated":                   {idle, busy, maxReportAge * loadHalfLife, 1. / 3, 1. / 3},
@@ -98,7 +98,7 @@
 // single report that is compared with nothing.
 func TestReplicasWithoutReportsKeepTheirShare(t *testing.T) {
 	const sampling = 0.04
-	for _, report := range []Report{{Slots: 2, Pace: 100}, {Running: 2, Waiting: 9, Slots: 2, Pace: 100}} {
+	for _, report := range []Report{{Slots: 2, DurationPercent: 100}, {Running: 2, Waiting: 9, Slots: 2, DurationPercent: 100}} {
 		all := reporting(3000)
 		for _, r := range all {
 			r.ObserveReport(start, name(0), report)
@@ -115,8 +115,8 @@
 	for range 3 {
 		r.Sent(start, name(0))
 	}
-	r.ObserveReport(start, name(0), Report{Running: 2, Waiting: 1, Slots: 2, Pace: 100})
-	r.ObserveReport(start, name(1), Report{Slots: 2, Pace: 100})
+	r.ObserveReport(start, name(0), Report{Running: 2, Waiting: 1, Slots: 2, DurationPercent: 100})
+	r.ObserveReport(start, name(1), Report{Slots: 2, DurationPercent: 100})
 	if got := r.replicas[name(0)].reportedWait; got != 0 {
 		t.Errorf("a wait of %v of others, want 0", got)
 	}
@@ -150,7 +150,7 @@
 				kept = append(kept, r)
 				continue
 			}
-			report := Report{Slots: herdSlots, Pace: 100}
+			report := Report{Slots: herdSlots, DurationPercent: 100}
 			for _, other := range replies {
 				if left := r.at.Add(-transit); other.replica == r.replica && other.sent.Before(left) && other.at.After(r.at) {
 					report.Running++
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -34,7 +34,7 @@
 	}
 	state := State{
 		Latency: time.Duration(s.latency), Expected: time.Duration(s.expectedLatency(now)), InFlight: s.inFlight,
-		Share: s.ramp.Share(now, r.pace), Suspect: s.consecutiveFailures >= suspectAfter,
+		Share: s.ramp.Share(now, r.rampSettings), Suspect: s.consecutiveFailures >= suspectAfter,
 	}
 	state.ProbeDue = state.Suspect && r.ProbeDue(now, name)
 	if !s.reportedWaitAt.IsZero() {
--- a/core/forward/explain_test.go
+++ b/core/forward/explain_test.go
@@ -302,7 +302,7 @@
 				h.reply(s, Reply{Kind: ReplyError})
 			default:
 				h.replyWith(s, Reply{Kind: ReplyOK, Proof: "p", Body: []byte("aa")}, ReplicaStatus{
-					HasLoad: true, Load: balance.Report{Running: float64(rng.IntN(4)), Waiting: float64(rng.IntN(6)), Slots: 2, Pace: 100},
+					HasLoad: true, Load: balance.Report{Running: float64(rng.IntN(4)), Waiting: float64(rng.IntN(6)), Slots: 2, DurationPercent: 100},
 				})
 			}
 		case n == 85:
--- a/core/forward/load_test.go
+++ b/core/forward/load_test.go
@@ -19,7 +19,7 @@
 			h.request("/one/x")
 			for _, s := range h.takeSends() {
 				h.advance(time.Millisecond) // less than any hedge delay
-				status := ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 1, Slots: 2, Pace: 100}}
+				status := ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 1, Slots: 2, DurationPercent: 100}}
 				if s.Replica == replicaOf(0, 0) {
 					status = busy
 					got++
@@ -29,8 +29,8 @@
 		}
 		return float64(got) / requests
 	}
-	usual := share(ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 1, Slots: 2, Pace: 100}})
-	busy := share(ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 2, Waiting: 6, Slots: 2, Pace: 100}})
+	usual := share(ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 1, Slots: 2, DurationPercent: 100}})
+	busy := share(ReplicaStatus{HasLoad: true, Load: balance.Report{Running: 2, Waiting: 6, Slots: 2, DurationPercent: 100}})
 	if usual < 0.25 || usual > 0.42 {
 		t.Errorf("a share of %.2f with equal reports", usual)
 	}
@@ -57,7 +57,7 @@
 	if n := h.e.Counts().Get(count.ReplicaStatus, statusLoadInvalid); n != 5 || lines != 1 {
 		t.Errorf("%d counted and %d log lines, want 5 and 1", n, lines)
 	}
-	report(ReplicaStatus{HasLoad: true, Load: balance.Report{Slots: 1, Pace: 100}})
+	report(ReplicaStatus{HasLoad: true, Load: balance.Report{Slots: 1, DurationPercent: 100}})
 	report(ReplicaStatus{InvalidLoad: "X"})
 	if lines != 2 {
 		t.Errorf("%d log lines after a valid report in between, want 2", lines)
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -8,6 +8,14 @@
 
 import "time"
 
+const (
+	// smoothedWeight is the weight of a new latency in the smoothed one.
+	smoothedWeight = 0.5
+	// maxFailureDoublings limits how often FailureTime is doubled, so that the shift cannot
+	// overflow.
+	maxFailureDoublings = 8
+)
+
 // Settings says how a share changes.
 type Settings struct {
 	// Duration is the time in which a share grows from InitialShare to 1 without any answer.
@@ -16,10 +24,9 @@
 	// MinShare is the smallest share: without requests, a replica could not show that it has
 	// become faster.
 	MinShare float64
-	// GoodLatency and SlowLatency are relative to the latency of the peers, which are not looked
-	// at if GoodLatency is 0: an answer below the
-	// first multiplies the share by Increase, one above the second divides it by Decrease.
-	// Increase and Decrease are at least 1.
+	// GoodLatency and SlowLatency are multiples of the latency of the peers. A smoothed latency of at
+	// most GoodLatency multiplies the share by Increase, one above SlowLatency divides it by Decrease.
+	// Increase and Decrease are at least 1. If GoodLatency is 0, latencies are not compared.
 	GoodLatency, SlowLatency float64
 	Increase, Decrease       float64
 	// HoldTime is how long the share does not grow with time after it was reduced.
@@ -33,9 +40,10 @@
 	FailureTime, FailureMemory time.Duration
 }
 
-// Default returns the settings that balance uses. With 7 s, replicas are fully used earlier than
-// with the 10 s of a ramp without feedback, and a replica that is 5 times as slow for 10 s makes
-// no more requests late; with 2.5 s, one that is 1.6 times as slow for 3 s does.
+// Default returns the settings that core/balance uses. With a Duration of 7 s, replicas are fully
+// used earlier than with a ramp of 10 s without feedback, and a replica that is 5 times as slow for
+// 10 s delays no more requests than with that ramp. With 2.5 s, a replica that is 1.6 times as slow
+// for 3 s delays more.
 func Default() Settings {
 	return Settings{
 		Duration: 7 * time.Second, InitialShare: 0.1, MinShare: 0.05,
@@ -85,9 +93,6 @@
 	return min(r.share+r.growth*(1-s.InitialShare)*float64(grown)/float64(s.Duration), 1)
 }
 
-// smoothedWeight is the weight of a new latency in the smoothed one.
-const smoothedWeight = 0.5
-
 // Answered records the latency of an answer relative to the latency of the peers.
 func (r *Ramp) Answered(now time.Time, s Settings, relative float64) {
 	if !r.Active(now, s) {
@@ -136,10 +141,10 @@
 
 // failureTime returns how long after the last failure good answers count for nothing.
 func (r *Ramp) failureTime(s Settings) time.Duration {
-	return min(s.FailureTime<<min(max(r.failurePeriods-1, 0), 8), s.FailureMemory)
+	return min(s.FailureTime<<min(max(r.failurePeriods-1, 0), maxFailureDoublings), s.FailureMemory)
 }
 
-// reduce reduces the share.
+// reduce divides the share by Settings.Decrease and stops its growth for Settings.HoldTime.
 func (r *Ramp) reduce(now time.Time, s Settings) {
 	if s.Decrease <= 1 || !r.Active(now, s) {
 		return
--- a/entry/relay/status.go
+++ b/entry/relay/status.go
@@ -17,8 +17,9 @@
 	maxBackoff = 24 * time.Hour
 	// maxLoadFigure is the largest figure in a report of the load that is taken for a real one.
 	maxLoadFigure = 1e6
-	// normalPace is the pace of a replica that reports none.
-	normalPace = 100
+	// usualDurationPercent is the duration of requests at a replica that reports none, in percent
+	// of the usual one.
+	usualDurationPercent = 100
 	// maxCold bounds the time for which a replica may say that it is cold.
 	maxCold = 24 * time.Hour
 )
@@ -63,13 +64,14 @@
 }
 
 // parseLoad parses a report of a replica's load: the requests that it runs, those that wait, its
-// slots and its pace, which older replicas omit. It reports false unless the field is there once and
+// slots, and the present duration of a request in percent of the usual one, which older replicas
+// omit. It reports false unless the field is there once and
 // all figures are plausible.
 func parseLoad(values []string) (balance.Report, bool) {
 	if len(values) != 1 {
 		return balance.Report{}, false
 	}
-	figures := [4]float64{3: normalPace}
+	figures := [4]float64{3: usualDurationPercent}
 	fields := strings.Split(values[0], ",")
 	if len(fields) != len(figures) && len(fields) != len(figures)-1 {
 		return balance.Report{}, false
@@ -81,8 +83,8 @@
 		}
 		figures[i] = v
 	}
-	report := balance.Report{Running: figures[0], Waiting: figures[1], Slots: figures[2], Pace: figures[3]}
-	if report.Slots < 1 || report.Pace == 0 {
+	report := balance.Report{Running: figures[0], Waiting: figures[1], Slots: figures[2], DurationPercent: figures[3]}
+	if report.Slots < 1 || report.DurationPercent == 0 {
 		return balance.Report{}, false
 	}
 	return report, true
