--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -73,8 +73,8 @@
 		}
 	}
 	e.quotas.allocator.SetQuotas(known)
-	e.quotas.ranking.Keep(e.quotas.accounts)
-	e.quotas.requester.Keep(e.quotas.accounts)
+	e.quotas.ranking.Retain(e.quotas.accounts)
+	e.quotas.requester.Retain(e.quotas.accounts)
 	e.accountCounts.keep(func(name string) bool { _, ok := known[name]; return ok })
 	for name := range e.quotas.over {
 		if _, ok := e.quotas.accounts[name]; !ok {
--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// fullShare of the tolerance enlarges the bucket of the allocator: with a burst of 0 or 1,
-	// tokens would be lost between two requests of one node. startShare is in the bucket of a
+	// allocatorShare of the tolerance enlarges the bucket of the allocator: with a burst of 0 or 1,
+	// tokens would be lost between two requests of one node. initialShare is in the bucket of a
 	// process that starts, so that accounts are served in the first seconds after a loss of all
 	// nodes, although the previous process may have emptied its bucket.
-	fullShare  = 0.2
-	startShare = 0.1
+	allocatorShare = 0.2
+	initialShare   = 0.1
 	// standbyShare of the tolerance is granted by the standby in a window.
 	standbyShare = 0.4
 	// transitionShare of the tolerance is granted in a window by a node that is first in its
@@ -191,6 +191,8 @@
 	return q
 }
 
+// grant admits requests from this node's bucket for an account. since is when the node got the
+// rights that it has, and share the part of the quota that it may grant.
 func (a *Allocator) grant(now time.Time, r Request, quota Quota, have rights, since time.Time, share float64) Grant {
 	g := Grant{Quota: quota, Reduced: have != fullRights}
 	if quota.PerSecond <= 0 {
@@ -227,8 +229,8 @@
 	tolerance := a.bounds.tolerance(q) * share
 	switch have {
 	case fullRights:
-		rate, capacity = q.PerSecond*share, q.Burst*share+fullShare*tolerance
-		initial = startShare * tolerance
+		rate, capacity = q.PerSecond*share, q.Burst*share+allocatorShare*tolerance
+		initial = initialShare * tolerance
 		if capacity < 1 { // a bucket has to hold a whole token
 			rate, capacity = rate-(1-capacity)/window, 1
 		}
@@ -250,7 +252,7 @@
 	return rate, capacity, initial
 }
 
-// start makes the bucket begin at a time with the given content.
+// start sets the number of tokens at a time; refill adds those of the time after it.
 func (b *bucket) start(at time.Time, tokens float64) {
 	b.tokens, b.updatedAt = tokens, at
 }
@@ -310,14 +312,16 @@
 	}
 }
 
+// add counts n admissions.
 func (u *usage) add(now time.Time, window time.Duration, n int) {
 	u.roll(now, window)
 	u.present += float64(n)
 }
 
-// count estimates the number of admissions in the window that ends now.
+// count estimates the number of admissions in the window that ends now. Those of the last fixed
+// window count by the part of it that overlaps.
 func (u *usage) count(now time.Time, window time.Duration) float64 {
 	u.roll(now, window)
-	rest := 1 - float64(now.Sub(u.start))/float64(window)
-	return u.present + u.last*max(rest, 0)
+	overlap := 1 - float64(now.Sub(u.start))/float64(window)
+	return u.present + u.last*max(overlap, 0)
 }
--- a/core/quota/ranking.go
+++ b/core/quota/ranking.go
@@ -38,6 +38,7 @@
 	changedAt time.Time
 }
 
+// weightedNode is a node with its weight in the rendezvous hashing.
 type weightedNode struct {
 	name   string
 	weight float64
@@ -129,7 +130,8 @@
 	return out
 }
 
-// insert takes the given nodes into account.
+// insert compares the given nodes with the present allocator and standby of an account, and
+// replaces these by nodes with lower scores.
 func (p *pair) insert(account string, nodes []weightedNode) {
 	for _, n := range nodes {
 		s := scored{node: n.name, score: score(n, account)}
@@ -142,6 +144,7 @@
 	}
 }
 
+// less orders nodes by score, and by name if the scores are equal.
 func (s scored) less(t scored) bool {
 	return s.score < t.score || s.score == t.score && s.node < t.node
 }
@@ -154,6 +157,7 @@
 	return -math.Log(uniform) / n.weight
 }
 
+// role returns the role of a node for the account.
 func (p *pair) role(node string) Role {
 	switch node {
 	case p.first.node:
@@ -189,8 +193,8 @@
 	return p.role(r.self), p.since
 }
 
-// Keep ranks the given accounts and forgets all others.
-func (r *Ranking) Keep(accounts map[string]Quota) {
+// Retain ranks the given accounts and forgets all others.
+func (r *Ranking) Retain(accounts map[string]Quota) {
 	for account := range r.pairs {
 		if _, ok := accounts[account]; !ok {
 			delete(r.pairs, account)
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -13,12 +13,16 @@
 	standbyAfter = 15 * time.Millisecond
 	// askTimeout is how long a node may take to answer before it counts as failed.
 	askTimeout = 100 * time.Millisecond
-	// failedTime is how long a node that did not answer, or is not the allocator, is passed
-	// over.
+	// failedTime is how long a node is not asked that did not answer or is not the allocator.
 	failedTime = time.Second
+	// unsupportedTime is how long a node is not asked that does not know the requests of this
+	// package.
+	unsupportedTime = 10 * time.Second
+	// maxWanted is the largest number of requests in one message. Others wait for its response.
+	maxWanted = 256
 )
 
-// Waiting is a request that waits to be admitted.
+// Waiting is a request of a caller that waits to be admitted.
 type Waiting struct {
 	Request api.RequestID
 	// Priority orders the requests of an account; lower values are admitted first.
@@ -61,15 +65,16 @@
 	accounts map[string]*account
 	asks     map[uint64]*ask
 	lastAsk  uint64
-	// passedOver holds the nodes that are not asked, and until when: for all accounts if they
+	// exclusions holds the nodes that are not asked, and until when: for all accounts if they
 	// failed, for one account if they are not its allocator.
-	passedOver map[passedOver]time.Time
+	exclusions map[exclusion]time.Time
 
 	decisions, lastDecisions []Decision
 	out, lastOut             []Ask
 }
 
-type passedOver struct{ node, account string }
+// exclusion identifies a node that is not asked about an account, or about any if account is empty.
+type exclusion struct{ node, account string }
 
 // account is the state of one account at the requesting node.
 type account struct {
@@ -96,7 +101,7 @@
 func NewRequester(ranking *Ranking) *Requester {
 	return &Requester{
 		ranking: ranking, accounts: make(map[string]*account), asks: make(map[uint64]*ask),
-		passedOver: make(map[passedOver]time.Time),
+		exclusions: make(map[exclusion]time.Time),
 	}
 }
 
@@ -128,8 +133,8 @@
 	return 0, false
 }
 
-// Keep forgets the accounts that are not listed and have no waiting requests.
-func (r *Requester) Keep(quotas map[string]Quota) {
+// Retain forgets the accounts that are not listed and have no waiting requests.
+func (r *Requester) Retain(quotas map[string]Quota) {
 	for name, a := range r.accounts {
 		if _, ok := quotas[name]; !ok && len(a.waiting) == 0 {
 			delete(r.accounts, name)
@@ -155,7 +160,7 @@
 		at--
 	}
 	a.waiting = slices.Insert(a.waiting, at, w)
-	r.pump(now, name, a)
+	r.update(now, name, a)
 }
 
 // Remove drops a request whose caller no longer waits.
@@ -177,7 +182,8 @@
 	if a == nil {
 		return
 	}
-	// Under different lists two nodes may report; the one that grants the quota knows better.
+	// The allocator's figure counts. That of the standby counts if it is higher: nodes with
+	// different lists may ask different allocators.
 	if !g.NotAllocator && (first || g.Used > a.used) {
 		a.used = g.Used
 	}
@@ -188,7 +194,7 @@
 	a.waiting = slices.Delete(a.waiting, 0, max(admitted, 0))
 	switch {
 	case g.NotAllocator:
-		r.passedOver[passedOver{q.Node, q.Account}] = now.Add(failedTime)
+		r.exclusions[exclusion{q.Node, q.Account}] = now.Add(failedTime)
 	case g.Admitted >= q.Wanted:
 	case first:
 		a.deniedUntil, a.deniedVerdict = now.Add(max(g.RetryAfter, minRetryAfter)), OverQuota
@@ -198,7 +204,7 @@
 	default:
 		a.standbyDeniedUntil = now.Add(max(g.RetryAfter, minRetryAfter))
 	}
-	r.pump(now, q.Account, a)
+	r.update(now, q.Account, a)
 }
 
 // Failed handles an Ask that got no response. supported is false if the node responds but does
@@ -210,21 +216,18 @@
 	}
 	r.fail(now, q, supported)
 	if a := r.accounts[q.Account]; a != nil {
-		r.pump(now, q.Account, a)
+		r.update(now, q.Account, a)
 	}
 }
 
-// unsupportedTime is how long a node is passed over that does not know the requests of this
-// package.
-const unsupportedTime = 10 * time.Second
-
+// fail removes an unanswered request and excludes its node for a time.
 func (r *Requester) fail(now time.Time, q *ask, supported bool) {
 	r.remove(q)
 	wait := failedTime
 	if !supported {
 		wait = unsupportedTime
 	}
-	r.passedOver[passedOver{node: q.Node}] = now.Add(wait)
+	r.exclusions[exclusion{node: q.Node}] = now.Add(wait)
 }
 
 // remove forgets an unanswered request. It reports whether it was sent to the allocator.
@@ -255,7 +258,7 @@
 			r.fail(now, q, true)
 		}
 	}
-	r.pump(now, name, a)
+	r.update(now, name, a)
 }
 
 // Next returns when Tick is due for an account, or the zero time.
@@ -287,26 +290,26 @@
 
 // mayAsk reports whether a node may be asked about an account.
 func (r *Requester) mayAsk(now time.Time, node, name string) bool {
-	return node != "" && r.passed(now, node, "").IsZero() && r.passed(now, node, name).IsZero()
+	return node != "" && r.excludedUntil(now, node, "").IsZero() && r.excludedUntil(now, node, name).IsZero()
 }
 
-// passed returns until when a node is passed over, or the zero time.
-func (r *Requester) passed(now time.Time, node, name string) time.Time {
-	key := passedOver{node, name}
-	until, ok := r.passedOver[key]
+// excludedUntil returns until when a node is not asked, or the zero time.
+func (r *Requester) excludedUntil(now time.Time, node, name string) time.Time {
+	key := exclusion{node, name}
+	until, ok := r.exclusions[key]
 	if !ok {
 		return time.Time{}
 	}
 	if !now.Before(until) {
-		delete(r.passedOver, key)
+		delete(r.exclusions, key)
 		return time.Time{}
 	}
 	return until
 }
 
-// pump sends the requests to nodes that are due for an account, and refuses the waiting
+// update sends the requests to nodes that are due for an account, and refuses the waiting
 // requests that cannot be admitted.
-func (r *Requester) pump(now time.Time, name string, a *account) {
+func (r *Requester) update(now time.Time, name string, a *account) {
 	a.waiting = slices.DeleteFunc(a.waiting, func(w Waiting) bool {
 		expired := !now.Before(w.Deadline)
 		if expired {
@@ -341,7 +344,7 @@
 // unknownFor returns how long no node can be asked about an account.
 func (r *Requester) unknownFor(now time.Time, a *account, first, second, name string) time.Duration {
 	wait := failedTime
-	until := []time.Time{r.passed(now, first, ""), r.passed(now, first, name)}
+	until := []time.Time{r.excludedUntil(now, first, ""), r.excludedUntil(now, first, name)}
 	if r.mayAsk(now, second, name) {
 		until = append(until, a.standbyDeniedUntil)
 	}
@@ -353,6 +356,7 @@
 	return max(wait, minRetryAfter)
 }
 
+// refuseAll refuses all waiting requests of an account with the given verdict.
 func (r *Requester) refuseAll(a *account, v Verdict, retryAfter time.Duration) {
 	retryAfter = max(retryAfter, minRetryAfter)
 	for _, w := range a.waiting {
@@ -371,6 +375,3 @@
 	r.out = append(r.out, q.Ask)
 	return q
 }
-
-// maxWanted is the largest number of requests in one message. Others wait for its response.
-const maxWanted = 256
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -49,7 +49,7 @@
 	// arrive twice or late.
 	latency            func() time.Duration
 	duplicates, delays float64
-	// admitted and decisions count per account; messages counts requests and responses between
+	// admitted holds the admissions of each account, verdicts counts decisions, and messages counts requests and responses between
 	// nodes.
 	admitted  map[string][]run
 	verdicts  map[Verdict]int
