--- a/entry/explainhttp/explainhttp.go
+++ b/entry/explainhttp/explainhttp.go
@@ -37,6 +37,7 @@
 	Message string `json:"error"`
 }
 
+// Errors of a request, beside those of Node.
 var (
 	errorTypes    = errorx.NewNamespace("explainhttp")
 	errMethod     = errorTypes.NewType("method_not_allowed")
@@ -45,12 +46,12 @@
 
 // New returns the handler of Path. It explains one request at a time, since the node processes no
 // requests meanwhile.
-func New(n Node) http.Handler { return &handler{node: n, turn: make(chan struct{}, 1)} }
+func New(n Node) http.Handler { return &handler{node: n, semaphore: make(chan struct{}, 1)} }
 
 type handler struct {
 	node Node
-	// turn holds an element while an explanation is made.
-	turn chan struct{}
+	// semaphore limits the explanations that are made at the same time.
+	semaphore chan struct{}
 }
 
 // ServeHTTP answers a GET request with an Explanation or an ErrorBody.
@@ -69,6 +70,7 @@
 	_ = json.NewEncoder(w).Encode(explanation)
 }
 
+// explain checks a request and returns the explanation that it asks for.
 func (h *handler) explain(r *http.Request) (*forward.Explanation, error) {
 	if r.Method != http.MethodGet {
 		return nil, errMethod.New("only GET is allowed")
@@ -82,11 +84,11 @@
 		return nil, errParameters.New("%s and %s are needed, and %s begins with a slash", ParamHost, ParamPath, ParamPath)
 	}
 	select {
-	case h.turn <- struct{}{}:
+	case h.semaphore <- struct{}{}:
 	case <-r.Context().Done():
 		return nil, r.Context().Err()
 	}
-	defer func() { <-h.turn }()
+	defer func() { <-h.semaphore }()
 	return h.node.Explain(r.Context(), q)
 }
 
--- a/entry/explainhttp/explainhttp_test.go
+++ b/entry/explainhttp/explainhttp_test.go
@@ -64,8 +64,8 @@
 
 // Guards against a request that waits for its turn after its client has gone.
 func TestClientThatIsGoneWaitsNoLonger(t *testing.T) {
-	h := &handler{node: &fakeNode{}, turn: make(chan struct{}, 1)}
-	h.turn <- struct{}{}
+	h := &handler{node: &fakeNode{}, semaphore: make(chan struct{}, 1)}
+	h.semaphore <- struct{}{}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	w := httptest.NewRecorder()
--- a/entry/relay/admissions.go
+++ b/entry/relay/admissions.go
@@ -20,7 +20,7 @@
 // admitRequests asks a node to admit requests of an account and reports its response.
 func (n *Nodes) admitRequests(a forward.AdmitRequests) {
 	go func() {
-		grant, err := n.askForAdmissions(a)
+		grant, err := n.requestAdmissions(a)
 		if err != nil {
 			supported := status.Code(err) != codes.Unimplemented
 			n.sink.Post(forward.AdmissionFailed{Ask: a.Ask, Supported: supported, Error: err.Error()})
@@ -30,7 +30,8 @@
 	}()
 }
 
-func (n *Nodes) askForAdmissions(a forward.AdmitRequests) (quota.Grant, error) {
+// requestAdmissions sends the request for admissions to a node and returns its response.
+func (n *Nodes) requestAdmissions(a forward.AdmitRequests) (quota.Grant, error) {
 	conn, err := n.conn(a.Address)
 	if err != nil {
 		return quota.Grant{}, err
@@ -80,6 +81,7 @@
 	}
 }
 
+// quotaToProto converts a quota to its wire form.
 func quotaToProto(q quota.Quota) *nodepb.Quota {
 	return &nodepb.Quota{Version: q.Version, PerSecond: q.PerSecond, Burst: q.Burst}
 }
--- a/entry/relay/explain.go
+++ b/entry/relay/explain.go
@@ -6,7 +6,8 @@
 	"github.com/baobabsail/baobabsail/core/forward"
 )
 
-// explainEvent asks for an explanation between two events of the engine, which does not get it.
+// explainEvent asks for an explanation between two events of the engine. It is handled by the loop
+// and not passed to the engine.
 type explainEvent struct {
 	forward.Event
 	query  forward.ExplainQuery
@@ -32,6 +33,7 @@
 	}
 }
 
+// explain handles an explainEvent.
 func (l *Loop) explain(ev explainEvent) {
 	explanation, err := l.engine.Explain(l.now(), ev.query)
 	ev.result <- explained{explanation, err}
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -59,9 +59,9 @@
 }
 
 // NewNodes returns an empty pool of connections.
-func NewNodes(poster EventSink, headers Headers) *Nodes {
+func NewNodes(sink EventSink, headers Headers) *Nodes {
 	return &Nodes{
-		sink: poster, headers: headers, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
+		sink: sink, headers: headers, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
 		pendingNotices: make(map[string]forward.SendNotices),
 	}
 }
--- a/entry/relay/startup.go
+++ b/entry/relay/startup.go
@@ -7,8 +7,8 @@
 
 const (
 	// startupWait is how long a request waits at a process that has just started for the
-	// configuration and the replicas. After a loss of power of 71 nodes, they were known 136 ms
-	// after the start (both medians), and callers that were refused returned only once.
+	// configuration and the replicas. When 71 nodes started at once, the median time until both
+	// were known was 136 ms, and callers that were refused retried only once.
 	startupWait = 300 * time.Millisecond
 	// startupPhase is the time after the start in which requests wait. A process that cannot
 	// serve by then will not be able to soon, so requests are refused at once.
--- a/entry/relay/status.go
+++ b/entry/relay/status.go
@@ -12,11 +12,12 @@
 )
 
 const (
+	// retryAfterHeader is the field in which a replica states how long it wants no requests.
 	retryAfterHeader = "Retry-After"
 	// maxBackoff bounds the time that a replica may ask for in a Retry-After field.
 	maxBackoff = 24 * time.Hour
-	// maxLoadFigure is the largest figure in a report of the load that is taken for a real one.
-	maxLoadFigure = 1e6
+	// maxLoadValue is the largest value that is accepted in a report of the load.
+	maxLoadValue = 1e6
 	// usualDurationPercent is the duration of requests at a replica that reports none, in percent
 	// of the usual one.
 	usualDurationPercent = 100
@@ -78,7 +79,7 @@
 	}
 	for i, field := range fields {
 		v, ok := parseNonNegative(field)
-		if !ok || v > maxLoadFigure {
+		if !ok || v > maxLoadValue {
 			return balance.Report{}, false
 		}
 		figures[i] = v
