--- a/core/account/account.go
+++ b/core/account/account.go
@@ -9,7 +9,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 )
 
-// Account is a client account: a customer whose requests share a priority and a quota.
+// Account is a client account: a customer whose requests share keys, a priority and a quota.
 type Account struct {
 	Name string
 	// Priority orders the accounts when capacity is short; 0 is served first.
--- a/core/balance/outcome.go
+++ b/core/balance/outcome.go
@@ -116,7 +116,7 @@
 		s.latency = sample
 	case sample < s.latency:
 		s.latency = max(s.expectedLatency(now), sample)
-		fallthrough
+		s.latency += latencyWeight * (sample - s.latency)
 	default:
 		s.latency += latencyWeight * (sample - s.latency)
 	}
--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -45,9 +45,10 @@
 // Latency is a smoothed latency of one replica in which single long samples count little. The
 // zero value is ready for use.
 type Latency struct {
+	// value is the smoothed latency in nanoseconds at the time at; 0 before the first sample.
 	value float64
 	at    time.Time
-	// long is the last sample if it was long, and longAt when it was observed.
+	// long is the last sample, in nanoseconds, if it was long, and longAt when it was observed.
 	long   float64
 	longAt time.Time
 }
@@ -97,13 +98,14 @@
 type Expected struct {
 	// Latency is the expected time of an attempt while no other is in flight.
 	Latency time.Duration
-	// InFlight is the number of attempts that this node has in flight there.
+	// InFlight is the number of attempts that this node has in flight there, and Slots how many
+	// the replica runs at a time.
 	InFlight, Slots int
 	// FailureFactor is above 1 if attempts failed recently; 0 means 1.
 	FailureFactor float64
 }
 
-// wait returns the expected time of one more attempt. An attempt that finds a free slot does
+// wait returns the expected time of one more attempt, in nanoseconds. An attempt that finds a free slot does
 // not wait for those in the other slots.
 func (x Expected) wait() float64 {
 	return float64(x.Latency) * max(1, float64(x.InFlight+1)/float64(max(x.Slots, 1))) * max(1, x.FailureFactor)
@@ -123,8 +125,8 @@
 }
 
 // HedgeDelay returns how long after an attempt at a local replica a hedge may go to a remote
-// one. usual is the hedge delay within the data centre, left the time from the attempt until
-// its answer is due, and typical what an attempt takes at most replicas.
-func HedgeDelay(usual, left, typical time.Duration) time.Duration {
-	return max(usual, min(remoteHedgeFactor*usual, left-hedgeReserve*typical))
+// one. usual is the hedge delay within the data centre, remaining the time from the attempt
+// until its answer is due, and typical what an attempt takes at most replicas.
+func HedgeDelay(usual, remaining, typical time.Duration) time.Duration {
+	return max(usual, min(remoteHedgeFactor*usual, remaining-hedgeReserve*typical))
 }
--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -86,7 +86,7 @@
 		"71 nodes, 3 times, none at one node": {nodes: 71, accounts: 3, perSecond: 100, demand: 3, burst: 10},
 	}
 	for name, l := range loads {
-		used, messages, s := l.play(t, pageBounds)
+		used, messages, s := l.play(t, deploymentBounds)
 		slices.Sort(s.latencies)
 		t.Logf("%-38s %.3f of the quota used, %.2f messages/s and node, wait %v median, %v at 99 %%", name, used, messages,
 			s.latencies[len(s.latencies)/2].Round(10*time.Microsecond), s.latencies[len(s.latencies)*99/100].Round(10*time.Microsecond))
--- a/core/quota/property_test.go
+++ b/core/quota/property_test.go
@@ -170,7 +170,7 @@
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		bounds := []Bounds{pageBounds, {Window: 5 * time.Second, Overage: 0.1}, DefaultBounds, {Window: 2 * time.Second, Slack: 8}}[seed%4]
+		bounds := []Bounds{deploymentBounds, {Window: 5 * time.Second, Overage: 0.1}, DefaultBounds, {Window: 2 * time.Second, Slack: 8}}[seed%4]
 		c := &chaos{simulation: newSimulation(seed, bounds, 5+int(seed%11)), history: make(map[string][]quotaChange)}
 		c.duplicates, c.delays = 0.1, 0.05
 		for _, account := range chaosAccounts {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -10,8 +10,8 @@
 	"github.com/baobabsail/baobabsail/core/api"
 )
 
-// pageBounds are the bounds that deployment A names.
-var pageBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+// deploymentBounds are the bounds that deployment A names.
+var deploymentBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 func node(i int) Node { return Node{Name: fmt.Sprint("n", i), Cores: 0.2} }
 
@@ -110,7 +110,7 @@
 // a twentieth of the quota unused although more is asked for.
 func TestAllocatorUnderConstantOverload(t *testing.T) {
 	quotas := []Quota{{1, 0.5, 0}, {1, 1, 0}, {1, 2, 4}, {1, 10, 20}, {1, 300, 50}}
-	for _, bounds := range []Bounds{pageBounds, DefaultBounds, {Window: time.Second, Slack: 3}} {
+	for _, bounds := range []Bounds{deploymentBounds, DefaultBounds, {Window: time.Second, Slack: 3}} {
 		for _, q := range quotas {
 			a := allocatorOf(t, bounds, First)
 			rng := rand.New(rand.NewPCG(1, 1))
@@ -138,7 +138,7 @@
 // allocator is gone.
 func TestStandbyServesFromItsPart(t *testing.T) {
 	q := Quota{Version: 1, PerSecond: 4, Burst: 10}
-	a := allocatorOf(t, pageBounds, Second)
+	a := allocatorOf(t, deploymentBounds, Second)
 	var runs []run
 	for now := start; now.Sub(start) < time.Minute; now = now.Add(10 * time.Millisecond) {
 		a.Confirm(now, now)
@@ -150,12 +150,12 @@
 			runs = append(runs, run{now, now})
 		}
 	}
-	most := 0.4 * pageBounds.tolerance(q)
-	if worst, _ := largestExcess(runs, pageBounds.Window, func(_, _ time.Time) float64 { return most }); worst > 0 {
+	most := 0.4 * deploymentBounds.tolerance(q)
+	if worst, _ := largestExcess(runs, deploymentBounds.Window, func(_, _ time.Time) float64 { return most }); worst > 0 {
 		t.Errorf("%.1f more than the standby may grant", worst)
 	}
 	if float64(len(runs)) < most/2*12/2 {
-		t.Errorf("%d admitted in a minute, the standby's part is %.1f in %v", len(runs), most, pageBounds.Window)
+		t.Errorf("%d admitted in a minute, the standby's part is %.1f in %v", len(runs), most, deploymentBounds.Window)
 	}
 }
 
@@ -165,26 +165,26 @@
 	q := Quota{Version: 1, PerSecond: 100, Burst: 100}
 	total := func(a *Allocator, from time.Time) int {
 		n := 0
-		for now := from; now.Sub(from) < pageBounds.Window; now = now.Add(10 * time.Millisecond) {
+		for now := from; now.Sub(from) < deploymentBounds.Window; now = now.Add(10 * time.Millisecond) {
 			n += a.Allocate(now, wants(q, 50)).Admitted
 		}
 		return n
 	}
-	if n := total(allocatorOf(t, pageBounds, None), start); n != 0 {
+	if n := total(allocatorOf(t, deploymentBounds, None), start); n != 0 {
 		t.Errorf("the third node granted %d", n)
 	}
-	stopped := allocatorOf(t, pageBounds, First)
+	stopped := allocatorOf(t, deploymentBounds, First)
 	stopped.Stop()
 	if n := total(stopped, start); n != 0 {
 		t.Errorf("a stopping node granted %d", n)
 	}
-	if n := total(allocatorOf(t, pageBounds, Second), start.Add(maxListAge+1)); n != 0 {
+	if n := total(allocatorOf(t, deploymentBounds, Second), start.Add(maxListAge+1)); n != 0 {
 		t.Errorf("a standby with an old list granted %d", n)
 	}
-	if n, most := total(allocatorOf(t, pageBounds, First), start.Add(maxListAge+1)), 0.2*pageBounds.tolerance(q); float64(n) > most || n == 0 {
+	if n, most := total(allocatorOf(t, deploymentBounds, First), start.Add(maxListAge+1)), 0.2*deploymentBounds.tolerance(q); float64(n) > most || n == 0 {
 		t.Errorf("an allocator with an old list granted %d, want at most %.0f", n, most)
 	}
-	unread := NewAllocator(pageBounds, NewRanking("n0"), rand.New(rand.NewPCG(1, 1)))
+	unread := NewAllocator(deploymentBounds, NewRanking("n0"), rand.New(rand.NewPCG(1, 1)))
 	if n := total(unread, start); n != 0 {
 		t.Errorf("a node without a list granted %d", n)
 	}
@@ -194,12 +194,12 @@
 // the nodes register one after the other, and against the same at a node that is added later.
 func TestNodesMayGrantAtTheirFirstStart(t *testing.T) {
 	q := Quota{Version: 1, PerSecond: 100, Burst: 100}
-	for firstStart, bounds := range map[bool][2]float64{true: {190, 220}, false: {0, 0.2 * pageBounds.tolerance(q)}} {
+	for firstStart, bounds := range map[bool][2]float64{true: {190, 220}, false: {0, 0.2 * deploymentBounds.tolerance(q)}} {
 		probe := NewRanking("")
 		probe.SetNodes(start, nodeList(3))
 		self, _ := probe.Of("a")
 		ranking := NewRanking(self)
-		a := NewAllocator(pageBounds, ranking, rand.New(rand.NewPCG(1, 1)))
+		a := NewAllocator(deploymentBounds, ranking, rand.New(rand.NewPCG(1, 1)))
 		ranking.SetNodes(start, []Node{{Name: "other"}})
 		a.Settle(start, false, firstStart)
 		a.Confirm(start, start)
@@ -275,8 +275,8 @@
 	return asks[0]
 }
 
-// Guards against a message for each request of a burst, and against a manifest job that is
-// admitted before an alarm that arrived later.
+// Guards against a message for each request of a burst, and against one of low priority that is
+// admitted before one of high priority that arrived later.
 func TestBurstIsAskedForInOneMessage(t *testing.T) {
 	r, first, _ := requesterOf()
 	add(r, start, 1, 2)
--- a/core/ratelimit/cold.go
+++ b/core/ratelimit/cold.go
@@ -22,9 +22,9 @@
 	coldSlackShare = 0.8
 	// coldRateMargin keeps the rate of an allocator just below the bound of a window.
 	coldRateMargin = 0.99
-	// coldBurstShare is the number of seconds of a cold limit that can be granted at once,
-	// beside one permit.
-	coldBurstShare = 0.25
+	// coldBurstSeconds times the rate of a cold limit, and one permit more, can be granted at
+	// once.
+	coldBurstSeconds = 0.25
 	// unstatedAge is the age of a statement that a replica never made.
 	unstatedAge = 24 * time.Hour
 	// slackHoldTime is how long a node that lost the store goes on to grant permits from the
@@ -33,8 +33,8 @@
 	slackHoldTime = 10 * time.Second
 )
 
-// ColdBounds says how far the requests to a cold replica may exceed the rate that its service
-// states: in any second, all nodes together send at most rate x Overage + Slack.
+// ColdBounds limit the requests to a cold replica beyond the rate that the configuration of its
+// service states: in any second, all nodes together send at most rate x Overage + Slack.
 type ColdBounds struct{ Overage, Slack float64 }
 
 // Bound returns the number of requests in any second that the bounds allow for a rate.
@@ -61,7 +61,7 @@
 			return ColdShare{}
 		}
 		rate := min(perSecond, coldRateMargin*float64(window)/coldWindow.Seconds())
-		return ColdShare{PerSecond: rate, Burst: 1 + coldBurstShare*perSecond, Window: window}
+		return ColdShare{PerSecond: rate, Burst: 1 + coldBurstSeconds*perSecond, Window: window}
 	case r.GrantsSlack:
 		// The slack belongs to the nodes of the lowest ranks. Half of it belongs to the second
 		// one, which is asked while the first one does not respond.
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -29,7 +29,8 @@
 	Ended
 )
 
-// Limiter holds the rate limits that replicas have named to this node, and its permits.
+// Limiter holds the rate limits that replicas have named to this node, the limits of cold
+// replicas, and the permits of this node.
 type Limiter struct {
 	replicas map[api.ReplicaName]*limitedReplica
 }
@@ -39,7 +40,7 @@
 	// named is set if the replica names a rate limit, of perSecond.
 	named     bool
 	perSecond float64
-	// statedAt is when the limit was last named; zero if it never was.
+	// statedAt is when the replica last named a limit; zero if it never did.
 	statedAt time.Time
 	// coldPerSecond is the limit of a cold replica; 0 if it is not cold.
 	coldPerSecond float64
@@ -123,7 +124,7 @@
 // Limited reports whether requests to a replica need permits.
 func (l *Limiter) Limited(name api.ReplicaName) bool { return l.replicas[name] != nil }
 
-// Permitted reports whether a request may be sent to a replica: it names no limit, or there is
+// Permitted reports whether a request may be sent to a replica: it has no limit, or there is
 // a permit.
 func (l *Limiter) Permitted(now time.Time, name api.ReplicaName) bool {
 	if len(l.replicas) == 0 {
@@ -137,7 +138,7 @@
 	return len(r.permits) > 0
 }
 
-// Use consumes a permit for a request that is sent to a replica, if it names a limit.
+// Use consumes a permit for a request that is sent to a replica, if it has a limit.
 func (l *Limiter) Use(name api.ReplicaName) {
 	if r := l.replicas[name]; r != nil && len(r.permits) > 0 {
 		r.permits = r.permits[1:]
@@ -185,7 +186,7 @@
 	if r == nil {
 		return false // the limit has ended in the meantime
 	}
-	asked := r.requesting
+	awaited := r.requesting
 	r.requesting = false
 	if statedAt := now.Add(-g.Statement.Age); statedAt.After(r.statedAt) {
 		switch {
@@ -201,7 +202,7 @@
 	expiresAt := now.Add(permitTTL)
 	if r.coldPerSecond > 0 {
 		expiresAt = r.requestedAt.Add(coldPermitTTL)
-		if !g.Cold || !asked {
+		if !g.Cold || !awaited {
 			// The request was sent before the replica was cold or is no longer awaited, or the
 			// allocator is of an older version that knows no cold limits.
 			g.Permits, g.RetryAfter = 0, max(g.RetryAfter, minRetryAfter)
