--- a/core/quota/property_test.go
+++ b/core/quota/property_test.go
@@ -38,6 +38,7 @@
 	version uint64
 }
 
+// setQuota gives an account a random quota in the store.
 func (c *chaos) setQuota(account string) {
 	c.version++
 	q := Quota{Version: c.version, PerSecond: []float64{0.5, 2, 8, 30}[c.rng.IntN(4)], Burst: []float64{0, 1, 5, 40}[c.rng.IntN(4)]}
@@ -104,6 +105,7 @@
 	c.schedule(time.Duration(c.rng.Int64N(int64(120*time.Millisecond))), func() { c.demand(account) })
 }
 
+// event runs one random event.
 func (c *chaos) event() {
 	account := chaosAccounts[c.rng.IntN(len(chaosAccounts))]
 	switch k := c.rng.IntN(1000); {
