--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -10,14 +10,14 @@
 	// tokens would be lost between two requests of one node. initialShare is in the bucket of a
 	// process that starts, so that accounts are served in the first seconds after a loss of all
 	// nodes, although the previous process may have emptied its bucket.
-	allocatorShare = 0.2
+	allocatorShare = 0.45
 	initialShare   = 0.1
 	// standbyShare of the tolerance is granted by the standby in a window.
-	standbyShare = 0.4
+	standbyShare = 0.25
 	// transitionShare of the tolerance is granted in a window by a node that is first in its
 	// list but may not be the only one that grants. Two such nodes, the standby and the
 	// enlarged bucket together stay within the tolerance.
-	transitionShare = 0.2
+	transitionShare = 0.15
 	// maxListAge is how old the list of a node may be that uses all of its rights. It exceeds the
 	// age of the list at a node that follows the store, and is well below the 40 s after which
 	// the entry of a node that lost the store expires.
