--- a/core/forward/explain_test.go
+++ b/core/forward/explain_test.go
@@ -469,6 +469,9 @@
 		t.Errorf("before the first answer: %+v", a)
 	}
 	h.send("/one/x", "k1", time.Second, 1)
+	if a := explain(); a.Remaining != nil {
+		t.Errorf("while the allocator is asked: %+v", a)
+	}
 	ask := h.takeAsks()[0]
 	h.step(AdmissionAnswered{Ask: ask.Ask, Grant: quota.Grant{Used: 0.75, RetryAfter: 250 * time.Millisecond}})
 	a := explain()
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -88,7 +88,10 @@
 	deniedVerdict                   Verdict
 	// standbyAt is when the standby last could have been asked because the allocator was late.
 	standbyAt time.Time
-	used      float64
+	// used is the fraction of the quota that an allocator last reported as used; reported is set
+	// once one has.
+	used     float64
+	reported bool
 }
 
 // ask is an unanswered request to a node.
@@ -128,7 +131,7 @@
 // allocator last reported it; false if it has not.
 func (r *Requester) Used(name string) (used float64, ok bool) {
 	if a := r.accounts[name]; a != nil {
-		return a.used, true
+		return a.used, a.reported
 	}
 	return 0, false
 }
@@ -185,7 +188,7 @@
 	// The allocator's figure counts. That of the standby counts if it is higher: nodes with
 	// different lists may ask different allocators.
 	if !g.NotAllocator && (first || g.Used > a.used) {
-		a.used = g.Used
+		a.used, a.reported = g.Used, true
 	}
 	admitted := min(g.Admitted, q.Wanted, len(a.waiting))
 	for _, w := range a.waiting[:max(admitted, 0)] {
