--- a/cmd/baobabctl/explain_test.go
+++ b/cmd/baobabctl/explain_test.go
@@ -25,7 +25,7 @@
 
 const explanationBody = `{"node":"n1","data_centre":"dc-a","version":7,"evacuated":["dc-c"],
 "route":{"name":"all","host":"h","prefix":"/all/","sharded":true,"idempotent":true,"max_attempts":2,"min_coverage":0.95},
-"account":{"name":"one","priority":2,"requests_per_s":7,"burst":9},"decision":"sent","admission":{"share":0.6,"next":true},
+"account":{"name":"one","priority":2,"per_second":7,"burst":9},"decision":"sent","admission":{"share":0.6,"next":true},
 "summary":{"parts":2,"by_decision":{"sent":1,"waits":1},"by_reason":{"overloaded":1},"no_local":["s1","s2"],"no_replica":["s2"],"data_centres":{"dc-b":0.5}},
 "groups":[{"group":0,"first":"s1","last":"s2","shards":2,"nodes":["n3","n4"],"reason":"group_in_data_centre"}],
 "parts":[{"service":"s1","weight":1,"decision":"sent","group":0,"replicas":[
--- a/core/forward/explanation.go
+++ b/core/forward/explanation.go
@@ -95,7 +95,7 @@
 type ExplainedAccount struct {
 	Name        string       `json:"name"`
 	Priority    int          `json:"priority"`
-	PerSecond   float64      `json:"requests_per_s"`
+	PerSecond   float64      `json:"per_second"`
 	Burst       float64      `json:"burst"`
 	HomeRegions []api.Region `json:"home_regions,omitempty"`
 	// Remaining is what is left of the quota in the present window, as this node last heard; nil
