--- a/entry/relay/startup.go
+++ b/entry/relay/startup.go
@@ -7,8 +7,8 @@
 
 const (
 	// startupWait is how long a request waits at a process that has just started for the
-	// configuration and the replicas. When 71 nodes started at once, the median time until both
-	// were known was 136 ms, and callers that were refused retried only once.
+	// configuration and the replicas. It is longer than a process takes to read them from another
+	// node; a caller that is refused may not retry often enough to be served at all.
 	startupWait = 300 * time.Millisecond
 	// startupPhase is the time after the start in which requests wait. A process that cannot
 	// serve by then will not be able to soon, so requests are refused at once.
