--- a/cmd/e2e/explain_test.go
+++ b/cmd/e2e/explain_test.go
@@ -21,9 +21,9 @@
 func commandPlatformNode(ts *testscript.TestScript, neg bool, args []string) {
 	store := standin.NewStore()
 	ts.Defer(store.Close)
-	store.Put("op/config", []byte(ts.ReadFile(args[0])))
+	store.PutConfiguration([]byte(ts.ReadFile(args[0])))
 	for _, dc := range args[1:] {
-		store.Put("op/evacuate/"+dc, []byte(`{}`))
+		store.Evacuate(dc)
 	}
 	for _, id := range []string{"a", "b"} {
 		r := standin.NewReplica(id, "s")
