--- a/core/forward/explanation.go
+++ b/core/forward/explanation.go
@@ -86,7 +86,7 @@
 	Priority    int          `json:"priority"`
 	MaxAttempts int          `json:"max_attempts"`
 	MinCoverage float64      `json:"min_coverage,omitempty"`
-	HomeRegions []api.Region `json:"home_regions,omitempty"`
+	HomeRegions []api.Region `json:"regions,omitempty"`
 	// KeyNeeded is set if a request without a key is refused.
 	KeyNeeded bool `json:"key_needed"`
 }
@@ -97,7 +97,7 @@
 	Priority    int          `json:"priority"`
 	PerSecond   float64      `json:"per_second"`
 	Burst       float64      `json:"burst"`
-	HomeRegions []api.Region `json:"home_regions,omitempty"`
+	HomeRegions []api.Region `json:"regions,omitempty"`
 	// Remaining is what is left of the quota in the present window, as this node last heard; nil
 	// if it does not know.
 	Remaining *float64 `json:"remaining,omitempty"`
