--- a/core/changefeed/bound_test.go
+++ b/core/changefeed/bound_test.go
@@ -148,20 +148,26 @@
 		before Health // reported by another source, elapsed ago
 		ago    time.Duration
 		last   Health
-		age    time.Duration
-		lost   bool
+		// advanced is set if the messages of both brought changes.
+		advanced bool
+		age      time.Duration
+		lost     bool
 	}{
-		{"another source reads a backlog", Health{Age: old, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old}, old, false},
-		{"another source reads a backlog, the last one fails", Health{Age: old, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old, Failing: true}, old, false},
-		{"the last source reads a backlog itself", Health{}, time.Hour, Health{Age: old, Direct: true}, old, false},
-		{"own data is confirmed", Health{}, time.Hour, Health{Age: old}, fresh, false},
-		{"nobody has heard of the store", Health{Age: old, Direct: true}, bounds.SourceTimeout, Health{Age: old}, old, true},
-		{"the source fails", Health{}, time.Hour, Health{Failing: true}, fresh, true},
+		{"another source reads a backlog", Health{Age: old, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old}, true, old, false},
+		{"another source reads a backlog, the last one fails", Health{Age: old, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old, Failing: true}, true, old, false},
+		{"another source is confirmed", Health{Age: fresh, Direct: true}, bounds.SourceTimeout / 2, Health{Age: old}, false, old, false},
+		{"the last source reads a backlog itself", Health{}, time.Hour, Health{Age: old, Direct: true}, true, old, false},
+		{"own data is confirmed", Health{}, time.Hour, Health{Age: old}, false, fresh, false},
+		{"nobody has heard of the store", Health{Age: old, Direct: true}, bounds.SourceTimeout, Health{Age: old}, true, old, true},
+		{"the source fails", Health{}, time.Hour, Health{Failing: true}, false, fresh, true},
+		// A source says so until its own call to the store has failed. Two nodes that follow each
+		// other would keep each other from reporting the loss.
+		{"the last source was answered long ago", Health{}, time.Hour, Health{Age: old, Direct: true}, false, old, true},
 	} {
 		c := NewChooser(Member{Node: "n"}, bounds)
 		now := time.Unix(1_000_000, 0)
-		c.ReportHealth(now.Add(-tc.ago), "other", tc.before)
-		c.ReportHealth(now, "last", tc.last)
+		c.ReportHealth(now.Add(-tc.ago), "other", tc.before, tc.advanced)
+		c.ReportHealth(now, "last", tc.last, tc.advanced)
 		if lost := c.StoreLost(now, tc.last, tc.age); lost != tc.lost {
 			t.Errorf("%s: lost is %v", tc.name, lost)
 		}
--- a/core/changefeed/chooser.go
+++ b/core/changefeed/chooser.go
@@ -279,9 +279,10 @@
 // about itself, and returns whether the source is trusted. A ranked source that is not
 // trusted is followed only as a last resort for Bounds.AvoidTime; an unranked one is not
 // followed at all in that time. An unranked source is trusted only if the store itself
-// answers it.
-func (c *Chooser) ReportHealth(now time.Time, source string, h Health) bool {
-	if h.Direct && !h.Failing {
+// answers it. advanced is set if the message of the source brought changes: a source with
+// outdated data that reads a backlog is answered, and one that only claims so may not be.
+func (c *Chooser) ReportHealth(now time.Time, source string, h Health, advanced bool) bool {
+	if h.Direct && !h.Failing && (advanced || !c.Outdated(h.Age)) {
 		c.answersOthersAt = now
 	}
 	trusted := c.trusted(h) && (h.Direct || c.isRankedPeer(source))
--- a/core/changefeed/model_test.go
+++ b/core/changefeed/model_test.go
@@ -241,7 +241,7 @@
 		n.chooser.SourceLost(m.now, n.source)
 		return
 	}
-	if n.chooser.ReportHealth(m.now, n.source, h) {
+	if n.chooser.ReportHealth(m.now, n.source, h, false) {
 		if at := m.now.Add(-h.Age); at.After(n.confirmedAt) {
 			n.confirmedAt = at
 		}
