--- a/core/forward/explanation.go
+++ b/core/forward/explanation.go
@@ -183,7 +183,7 @@
 	// together.
 	ColdMS        float64 `json:"cold_ms,omitempty"`
 	ColdSuspected bool    `json:"cold_suspected,omitempty"`
-	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
+	ColdPerSecond float64 `json:"cold_rate,omitempty"`
 	// Ramp is the share of its usual requests that the replica gets after a start.
 	Ramp       float64 `json:"ramp"`
 	RateLimit  float64 `json:"rate_limit,omitempty"`
--- a/core/forward/groups.go
+++ b/core/forward/groups.go
@@ -33,6 +33,8 @@
 	Address string
 	// Cores is the number of processor cores of the node; 0 if unknown.
 	Cores float64
+	// Missing holds the features that the node does not know.
+	Missing Feature
 }
 
 // nodeGroups holds the nodes that accept calls and the shards that this node runs on behalf of
--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// rankAllocators replaces the nodes among which allocators are chosen.
+// rankAllocators replaces the nodes among which allocators are chosen: those that know quotas, so
+// that each account has an allocator while older nodes run.
 func (e *Engine) rankAllocators(now time.Time, ev Members) {
 	if !e.quotas.hasNodeList {
 		e.quotas.hasNodeList = true
@@ -91,7 +92,7 @@
 	}
 	nodes := make([]quota.Node, 0, len(ev.Peers))
 	for _, p := range ev.Peers {
-		if p.Address != "" {
+		if p.Address != "" && !p.lacks(FeatureQuota) {
 			nodes = append(nodes, quota.Node{Name: p.Node, Cores: p.Cores})
 		}
 	}
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -260,7 +260,7 @@
 		Shards: shardNames(a.Subset.Shards), MaxAttempts: uint32(a.Subset.MaxAttempts), Used: uint32(a.Subset.PriorAttempts),
 		LeftUs: a.Remaining.Microseconds(), TargetUs: a.Target.Microseconds(),
 		Account: a.Message.Account, AccountPriority: int32(a.Message.AccountPriority),
-		HomeRegions: regionNames(a.Subset.HomeRegions),
+		Regions: regionNames(a.Subset.HomeRegions),
 	}
 }
 
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -86,7 +86,7 @@
 		Target:        time.Duration(q.GetTargetUs()) * time.Microsecond,
 		Subset: &forward.Subset{
 			Shards: serviceNames(q.GetShards()), MaxAttempts: int(q.GetMaxAttempts()), PriorAttempts: int(q.GetUsed()),
-			HomeRegions: regionsFrom(q.GetHomeRegions()),
+			HomeRegions: regionsFrom(q.GetRegions()),
 		},
 		Message: &forward.Message{
 			Host: q.GetHost(), Path: q.GetPath(), CallerRequest: q.GetCallerRequest(),
--- a/entry/relay/permits.go
+++ b/entry/relay/permits.go
@@ -39,7 +39,7 @@
 	defer cancel()
 	reply, err := nodepb.NewNodeClient(conn).RequestPermits(ctx, &nodepb.PermitRequest{
 		Replica: string(a.Replica), RateLimit: rateLimitToProto(a.Statement), Wanted: uint32(a.Wanted),
-		ColdPerSecond: a.ColdPerSecond,
+		ColdRate: a.ColdPerSecond,
 	})
 	if err != nil {
 		return ratelimit.Grant{}, err
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cold := m.GetColdPerSecond()
+	cold := m.GetColdRate()
 	if math.IsNaN(cold) || math.IsInf(cold, 0) || cold < 0 {
 		return nil, status.Errorf(codes.InvalidArgument, "invalid cold limit %v", m)
 	}
