--- a/core/account/account.go
+++ b/core/account/account.go
@@ -43,7 +43,7 @@
 }
 
 // NewDirectory returns a directory of the given accounts. If two accounts share a key, the
-// first one has it.
+// first one has it. An empty key belongs to nobody.
 func NewDirectory(accounts []Account) *Directory {
 	d := &Directory{
 		seed: maphash.MakeSeed(), byHash: make(map[uint64][]entry, len(accounts)), byName: make(map[string]*Account, len(accounts)),
@@ -52,6 +52,9 @@
 		a := &accounts[i]
 		d.byName[a.Name] = a
 		for _, key := range a.Keys {
+			if key == "" {
+				continue // a request without a key must not match it
+			}
 			hash := maphash.String(d.seed, key)
 			d.byHash[hash] = append(d.byHash[hash], entry{key: []byte(key), account: a})
 		}
--- a/core/account/account_test.go
+++ b/core/account/account_test.go
@@ -9,7 +9,7 @@
 // Guards against a key that is taken for one of another account or accepted although it is
 // only similar to one.
 func TestKeysBelongToOneAccount(t *testing.T) {
-	d := NewDirectory([]Account{{Name: "one", Keys: []string{"k1", "shared"}}, {Name: "two", Keys: []string{"k2", "shared"}}, {Name: "none"}})
+	d := NewDirectory([]Account{{Name: "one", Keys: []string{"k1", "shared"}}, {Name: "two", Keys: []string{"k2", "shared", ""}}, {Name: "none"}})
 	for key, want := range map[string]string{"k1": "one", "k2": "two", "shared": "one"} {
 		if a := d.ByKey([]byte(key)); a == nil || a.Name != want {
 			t.Errorf("key %q belongs to %v, want %s", key, a, want)
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -171,7 +171,7 @@
 }
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
-// a replica's registration, the waiting parts of a service, the liveness check of a replica, or
+// a replica's registration, the waiting parts of a service, the liveness check of a replica,
 // the end of a held evacuation, the end of the time in which a replica is cold, or the requests
 // of an account that wait to be admitted. Only the field of that item is set.
 type timer struct {
