--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -178,6 +178,7 @@
 // earlyBody is the length above which a body is long for a replica that rejects early.
 const earlyBody = 16 << 10
 
+// began records that a request begins to run.
 func (p *replica) began(id string, q *http.Request, body int) {
 	p.mu.Lock()
 	p.runs[id]++
@@ -221,6 +222,7 @@
 	return fmt.Sprintf("%x", sha256.Sum256([]byte(replica+"/"+id)))[:16]
 }
 
+// answer sends an answer with the given extra header fields, each of which ends with CRLF.
 func (p *replica) answer(conn net.Conn, status int, id, fields string, body []byte) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), id, fields, len(body), body)
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -89,6 +89,7 @@
 	}
 }
 
+// reply sends a body in JSON.
 func reply(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
