core/forward, nodepb: ranges are merged by the rule of the dividing node

Cause: a node that runs a range for another one cut its records by the route of its own configuration, which for up to half a second after a change is older. The call did not name the number of records.

Change: the call names the merge rule and the reply repeats it. A reply whose rule keeps too few records, or names none, is not used. Nodes name the feature merge_rule; older ones get no ranges from newer ones, and all records when they ask for a range.

--- a/core/forward/action.go
+++ b/core/forward/action.go
@@ -7,6 +7,7 @@
 	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/quota"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
+	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 // Action is an output of the engine, which the driver carries out.
@@ -90,6 +91,9 @@
 	// were answered, or 0.
 	MayHaveRun        bool
 	HalfAnsweredAfter time.Duration
+	// Rule is how Body was merged for a Subset. It is zero if the node that ran the Subset is of
+	// a version that does not say so.
+	Rule routing.Merge
 }
 
 // CallPeer asks another node to run a range of shards. The driver responds with
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
@@ -143,10 +144,24 @@
 			bodies = append(bodies, p.reply.Body)
 		}
 	}
-	m.Body = mergeRecords(r.route.Merge, bodies)
+	m.Rule = r.mergeRule()
+	m.Body = mergeRecords(m.Rule, bodies)
 	return m
 }
 
+// mergeRule returns how the records of the request are merged. The rule of a range is that of the
+// node that asks for it, whose configuration may be newer. A node of a version that names no rule
+// gets all records, since it merges them once more.
+func (r *request) mergeRule() routing.Merge {
+	switch {
+	case r.subset == nil:
+		return r.route.Merge
+	case r.subset.Merge.Known():
+		return r.subset.Merge
+	}
+	return routing.Merge{RecordBytes: r.route.Merge.RecordBytes, Records: math.MaxInt}
+}
+
 // missingReason returns why a part is missing, or ReasonNone if no part is.
 func (r *request) missingReason() api.Reason {
 	for i := range r.parts {
--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -40,6 +40,13 @@
 		e.callRefused(now, c, ev.Reason)
 		return
 	}
+	if len(ev.Proofs) > 0 && !ev.Rule.Keeps(d.request.route.Merge) {
+		// Records of the parts may be missing, so the parts cannot be used.
+		e.counts.Inc(count.Discarded, "merge_rule")
+		e.emit(CancelCall{Call: c.id})
+		e.callLost(now, CallLost{Call: c.id, Error: "records merged by another rule"})
+		return
+	}
 	if len(ev.Proofs) > 0 {
 		e.cancelOtherCalls(now, c)
 	}
--- a/core/forward/calls.go
+++ b/core/forward/calls.go
@@ -120,7 +120,10 @@
 func (c *call) subset() Subset {
 	sr := &c.divided.ranges[c.index]
 	r := c.divided.request
-	return Subset{Shards: r.route.Shards[sr.from:sr.to], MaxAttempts: r.maxAttempts, PriorAttempts: sr.usedAttempts, HomeRegions: r.homeRegions.regions}
+	return Subset{
+		Shards: r.route.Shards[sr.from:sr.to], MaxAttempts: r.maxAttempts, PriorAttempts: sr.usedAttempts,
+		HomeRegions: r.homeRegions.regions, Merge: r.route.Merge,
+	}
 }
 
 // acceptTimeout returns how long a node may take to accept a range.
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/ratelimit"
+	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 // These tests simulate more nodes than a replica accepts connections from, so that the nodes
@@ -63,6 +64,8 @@
 	sendTo func(node int, s Send)
 	// otherActions handles the actions that the fleet ignores if it is set.
 	otherActions func(node int, a Action)
+	// ignoresMergeRules holds the nodes of a version that merges by its own configuration.
+	ignoresMergeRules map[string]bool
 }
 
 // fleetEvent is an event to be delivered to a node, or do to be called if it is set.
@@ -209,6 +212,9 @@
 	f.next++
 	id := api.RequestID(f.next)
 	f.deliveredCalls[callKey(node, a.Call)] = fleetCall{node: to, id: id}
+	if f.ignoresMergeRules[a.Node] {
+		a.Subset.Merge = f.engines[to].table.Routes[0].Merge
+	}
 	f.later(time.Millisecond+f.slow[a.Node], to, Arrived{
 		Request: id, Message: a.Message, CallerTimeout: a.Remaining, Target: a.Target, Subset: &a.Subset,
 	})
@@ -270,6 +276,9 @@
 		if a.Merged != nil {
 			ev.Merged = *a.Merged
 		}
+		if f.ignoresMergeRules[nodeName(node)] {
+			ev.Rule = routing.Merge{}
+		}
 		f.later(time.Millisecond, from, ev)
 		return
 	}
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -91,6 +91,9 @@
 	// HomeRegions are the only regions that the request may reach, according to the node that
 	// asks; empty for all regions.
 	HomeRegions []api.Region
+	// Merge is how the records are merged, according to the node that asks. It is zero if that
+	// node is of a version that does not say so.
+	Merge routing.Merge
 }
 
 // ExtraAttemptsAllowed reports that no other node will be asked for a range, so that each shard may
--- a/core/forward/features.go
+++ b/core/forward/features.go
@@ -10,6 +10,9 @@
 	// FeatureExclusion means that a node that runs a range sends nothing to replicas in
 	// evacuated data centres or outside the home regions of the request.
 	FeatureExclusion
+	// FeatureMergeRule means that a node merges the records of a range by the rule that the
+	// dividing node names, not by that of its own configuration.
+	FeatureMergeRule
 )
 
 // lacks reports whether a node does not know a feature.
--- a/core/forward/nodechoice.go
+++ b/core/forward/nodechoice.go
@@ -60,10 +60,10 @@
 }
 
 // mayRunRange reports whether a range may be sent to another node: it was not tried for the range,
-// the request's body does not leave its home regions, and the node does not send parts to replicas
-// that are excluded here.
+// the request's body does not leave its home regions, and the node neither cuts the records by its
+// own configuration nor sends parts to replicas that are excluded here.
 func (e *Engine) mayRunRange(allowed homeRegions, p Peer, tried []string) bool {
-	if p.lacks(FeatureExclusion) && (allowed.restricted || e.EvacuatedDataCentres() > 0) {
+	if p.lacks(FeatureMergeRule) || p.lacks(FeatureExclusion) && (allowed.restricted || e.EvacuatedDataCentres() > 0) {
 		return false
 	}
 	return p.Node != e.settings.Node && !slices.Contains(tried, p.Node) && e.mayReach(allowed, p.DataCentre)
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -29,6 +29,15 @@
 	Records int
 }
 
+// Known reports whether the rule is set: a rule has records of at least one byte.
+func (m Merge) Known() bool { return m.RecordBytes > 0 }
+
+// Keeps reports whether an answer merged by m holds all records that merging it once more by
+// other would keep.
+func (m Merge) Keeps(other Merge) bool {
+	return m.RecordBytes == other.RecordBytes && m.Records >= other.Records
+}
+
 // Route describes where the requests with a host and path prefix are sent, and
 // how they may be handled.
 type Route struct {
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
@@ -260,10 +261,23 @@
 		Shards: shardNames(a.Subset.Shards), MaxAttempts: uint32(a.Subset.MaxAttempts), Used: uint32(a.Subset.PriorAttempts),
 		LeftUs: a.Remaining.Microseconds(), TargetUs: a.Target.Microseconds(),
 		Account: a.Message.Account, AccountPriority: int32(a.Message.AccountPriority),
-		Regions: regionNames(a.Subset.HomeRegions),
+		Regions: regionNames(a.Subset.HomeRegions), Merge: mergeRuleMessage(a.Subset.Merge),
 	}
 }
 
+// mergeRuleMessage converts a rule to its wire form.
+func mergeRuleMessage(m routing.Merge) *nodepb.MergeRule {
+	if !m.Known() {
+		return nil
+	}
+	return &nodepb.MergeRule{RecordBytes: int64(m.RecordBytes), Records: int64(m.Records)}
+}
+
+// mergeRuleFrom converts the rule in a message, which may be absent.
+func mergeRuleFrom(m *nodepb.MergeRule) routing.Merge {
+	return routing.Merge{RecordBytes: int(m.GetRecordBytes()), Records: int(m.GetRecords())}
+}
+
 // shardNames converts service names to their wire form.
 func shardNames(services []api.ServiceName) []string {
 	out := make([]string, len(services))
@@ -292,6 +306,7 @@
 		Merged: forward.Merged{
 			Proofs: r.GetProofs(), Body: r.GetRecords(), MayHaveRun: r.GetRan(),
 			HalfAnsweredAfter: time.Duration(r.GetHalfUs()) * time.Microsecond,
+			Rule:              mergeRuleFrom(r.GetMerge()),
 		},
 	}
 }
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -86,7 +86,7 @@
 		Target:        time.Duration(q.GetTargetUs()) * time.Microsecond,
 		Subset: &forward.Subset{
 			Shards: serviceNames(q.GetShards()), MaxAttempts: int(q.GetMaxAttempts()), PriorAttempts: int(q.GetUsed()),
-			HomeRegions: regionsFrom(q.GetRegions()),
+			HomeRegions: regionsFrom(q.GetRegions()), Merge: mergeRuleFrom(q.GetMerge()),
 		},
 		Message: &forward.Message{
 			Host: q.GetHost(), Path: q.GetPath(), CallerRequest: q.GetCallerRequest(),
@@ -104,6 +104,9 @@
 	if a.Merged != nil {
 		r.Proofs, r.Records, r.Ran = a.Merged.Proofs, a.Merged.Body, a.Merged.MayHaveRun
 		r.HalfUs = a.Merged.HalfAnsweredAfter.Microseconds()
+		if len(a.Merged.Proofs) > 0 {
+			r.Merge = mergeRuleMessage(a.Merged.Rule)
+		}
 	}
 	return r
 }
