core/forward: ranges refused by an older configuration run elsewhere

Callers got an answer without the shards of a range, or 401 with a key that the configuration holds: a node with an older configuration, in which the route is not public or has home regions, refused the range, and the dividing node took that for a range without answers. Found while reading the paths related to the merge rule.

Change: such a refusal counts as a different configuration, and another node is asked.

--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -36,7 +36,7 @@
 	}
 	c.acceptDeadline, c.responseDeadline = time.Time{}, time.Time{}
 	d.peerResponded = d.peerResponded || c.node != ""
-	if ev.Last && (ev.configurationDiffers() || e.evacuationsDiffer(c, ev)) {
+	if ev.Last && (ev.configurationDiffers() || e.exclusionsDiffer(c, ev)) {
 		e.callRefused(now, c, ev.Reason)
 		return
 	}
@@ -68,20 +68,25 @@
 	e.progressDivided(now, d)
 }
 
+// ran reports whether the request may have run in a part of the range.
+func (ev *CallReplied) ran() bool { return ev.MayHaveRun || len(ev.Proofs) > 0 }
+
 // configurationDiffers reports whether the node did not run the range because it knows a
-// different configuration or different replicas.
+// different configuration or different replicas. ReasonUnknownKey means that only this node's
+// configuration, which admitted the request, has its account or makes its route public.
 func (ev *CallReplied) configurationDiffers() bool {
 	switch ev.Reason {
-	case api.ReasonWrongEpoch, api.ReasonNoConfiguration, api.ReasonUnknownRoute, api.ReasonNoReplica:
-		return !ev.MayHaveRun && len(ev.Proofs) == 0
+	case api.ReasonWrongEpoch, api.ReasonNoConfiguration, api.ReasonUnknownRoute, api.ReasonNoReplica, api.ReasonUnknownKey:
+		return !ev.ran()
 	}
 	return false
 }
 
-// evacuationsDiffer reports whether another node did not run a range because of evacuations that
-// this node does not know, so that the range can run elsewhere.
-func (e *Engine) evacuationsDiffer(c *call, ev *CallReplied) bool {
-	if c.node == "" || ev.Reason != api.ReasonEvacuated || ev.MayHaveRun || len(ev.Proofs) > 0 {
+// exclusionsDiffer reports whether another node did not run a range because of evacuations or home
+// regions that this node does not know, so that the range can run elsewhere.
+func (e *Engine) exclusionsDiffer(c *call, ev *CallReplied) bool {
+	excluded := ev.Reason == api.ReasonEvacuated || ev.Reason == api.ReasonOutsideRegion
+	if c.node == "" || !excluded || ev.ran() {
 		return false
 	}
 	s := &c.divided.ranges[c.index]
@@ -99,8 +104,8 @@
 	d.reason = reason
 	switch {
 	case c.node == "":
-	case reason == api.ReasonEvacuated:
-		e.groups.balancer.Unsent(api.ReplicaName(c.node)) // the node can run other ranges
+	case reason == api.ReasonEvacuated || reason == api.ReasonOutsideRegion || reason == api.ReasonUnknownKey:
+		e.groups.balancer.Unsent(api.ReplicaName(c.node)) // the node can run ranges of other requests
 	default:
 		e.groups.balancer.Lost(now, api.ReplicaName(c.node))
 		e.groups.balancer.MarkSuspect(now, api.ReplicaName(c.node))
--- a/core/forward/mergerule_test.go
+++ b/core/forward/rangeconfig_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabsail/baobabsail/core/account"
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
@@ -173,3 +174,34 @@
 		})
 	}
 }
+
+// Guards against shards that are missing from an answer because the node that runs them has an older
+// configuration, in which the route is not public yet or has home regions that it has lost since:
+// another node can run them.
+func TestRangesRefusedByAnOlderConfigurationRunElsewhere(t *testing.T) {
+	for name, older := range map[string]func(*routing.Table){
+		"route not public":  func(t *routing.Table) { t.Routes[0].Public = false },
+		"with home regions": func(t *routing.Table) { t.Routes[0].HomeRegions = []api.Region{"west"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 13)
+			f.noSlowReplies = true
+			for i := range fleetNodes {
+				table := tableWithRecords(2, fewRecords, false)
+				table.Accounts = account.NewDirectory(nil)
+				table.Routes[0].Public = true
+				if i%3 != 0 {
+					older(table)
+				}
+				f.step(i, TableRead{Table: table})
+			}
+			for i := 0; i < fleetNodes; i += 3 {
+				id := f.request(i)
+				f.run(150 * time.Millisecond)
+				if covered := f.check(id); covered != fleetShards {
+					t.Errorf("node %d: %d of %d shards, %+v", i, covered, fleetShards, f.answers[id])
+				}
+			}
+		})
+	}
+}
