core/forward, platform: open requests are answered at the end of a shutdown

Orders whose body was complete late in the grace period were passed on and cut. Ranges that a node ran for others were cut once its own callers had gone.

Cause: only the servers knew when the process ends; the engine went on to wait and to send until the connections were closed.

Change: Stopping carries the time for answers. The engine refuses at once what can no longer be answered, sends an attempt only if twice the usual latency is left, and answers what is open 0.5 s before SIGKILL.

Evidence: on TestWaitingOrdersAreRefusedAtShutdown fails with 29 of 40 orders cut ('order 8, run false: EOF'), TestLateOrderIsNotPassedOnAtShutdown with 'the order has run 1 times: unexpected EOF', TestShutdownFinishesRangesOfOtherNodes with 'the range is cut'.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -16,7 +16,7 @@
 	delete(e.requests, r.id)
 	e.endProbation(now, r)
 	e.observeLoad(now, r)
-	answer := e.answer(r, reason)
+	answer := e.answer(now, r, reason)
 	for i := range r.parts {
 		e.releaseAttempts(now, r, &r.parts[i], reason == api.ReasonDeadline)
 	}
@@ -83,7 +83,7 @@
 }
 
 // answer builds the final answer.
-func (e *Engine) answer(r *request, reason api.Reason) Answer {
+func (e *Engine) answer(now time.Time, r *request, reason api.Reason) Answer {
 	a := Answer{Request: r.id, Route: r.route.Name, Reason: reason}
 	switch {
 	case r.route.Sharded() && r.hasMinCoverage(r.answered):
@@ -100,7 +100,7 @@
 		a.Reply = r.errorReply
 	case !r.ranAnywhere():
 		a.Outcome = api.NotRun
-		a.RetryAfter = retryAfter(reason)
+		a.RetryAfter = e.retryAfter(now, reason)
 	case r.errorReply != nil:
 		a.Outcome = api.Failed
 	default:
@@ -123,9 +123,12 @@
 }
 
 // retryAfter returns how long a refused caller should wait before it tries again.
-func retryAfter(reason api.Reason) time.Duration {
-	if reason == api.ReasonShed || reason == api.ReasonOverloaded {
+func (e *Engine) retryAfter(now time.Time, reason api.Reason) time.Duration {
+	switch reason {
+	case api.ReasonShed, api.ReasonOverloaded:
 		return shortRetryAfter
+	case api.ReasonShuttingDown:
+		return e.shutdownRetryAfter(now)
 	}
 	return longRetryAfter
 }
--- a/core/forward/arrival.go
+++ b/core/forward/arrival.go
@@ -66,6 +66,10 @@
 		e.refuse(now, ev, route, api.ReasonDeadline, 0)
 		return
 	}
+	if e.tooLateToSend(now, r) {
+		e.refuse(now, ev, route, api.ReasonShuttingDown, e.shutdownRetryAfter(now))
+		return
+	}
 	if reason := e.unservableReason(r); reason != api.ReasonNone {
 		e.refuse(now, ev, route, reason, longRetryAfter)
 		return
--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -76,7 +76,8 @@
 // configuration, which admitted the request, has its account or makes its route public.
 func (ev *CallReplied) configurationDiffers() bool {
 	switch ev.Reason {
-	case api.ReasonWrongEpoch, api.ReasonNoConfiguration, api.ReasonUnknownRoute, api.ReasonNoReplica, api.ReasonUnknownKey:
+	case api.ReasonWrongEpoch, api.ReasonNoConfiguration, api.ReasonUnknownRoute, api.ReasonNoReplica, api.ReasonUnknownKey,
+		api.ReasonShuttingDown:
 		return !ev.ran()
 	}
 	return false
--- a/core/forward/choice.go
+++ b/core/forward/choice.go
@@ -43,6 +43,9 @@
 // not for a hedge, which would take the permit of another request. One that asked for a pause
 // is not used before its end.
 func (e *Engine) choose(now time.Time, r *request, p *part, why purpose) (api.ReplicaName, api.Reason) {
+	if e.tooLateToSend(now, r) {
+		return "", api.ReasonShuttingDown
+	}
 	c := e.findCandidates(now, r, p, why)
 	name, ok := e.pick(now, r, c.best())
 	switch {
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -134,7 +134,7 @@
 		slices.Sort(d.halfTimes)
 		e.observeDividedLoad(now, r, d.halfTimes[len(d.halfTimes)/2])
 	}
-	a := d.answer(reason)
+	a := e.dividedAnswer(now, d, reason)
 	e.emit(a)
 	if a.Outcome == api.NotRun {
 		e.countRefused(r.message, false, reason)
@@ -147,8 +147,8 @@
 		"target_ms", r.targetTime.Sub(r.start).Milliseconds())
 }
 
-// answer builds the final answer.
-func (d *dividedRequest) answer(reason api.Reason) Answer {
+// dividedAnswer builds the final answer of a divided request.
+func (e *Engine) dividedAnswer(now time.Time, d *dividedRequest, reason api.Reason) Answer {
 	r := d.request
 	a := Answer{Request: r.id, Route: r.route.Name, Reason: reason}
 	switch {
@@ -160,7 +160,7 @@
 		}
 	case !d.mayHaveRun:
 		a.Outcome = api.NotRun
-		a.RetryAfter = retryAfter(reason)
+		a.RetryAfter = e.retryAfter(now, reason)
 	default:
 		a.Outcome = api.Unknown
 	}
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -156,8 +156,9 @@
 	// service.
 	fairness map[api.ServiceName]*fairShares
 	// quotas keeps the requests of client accounts within their quotas.
-	quotas quotas
-	timers timerqueue.Queue[timer]
+	quotas   quotas
+	shutdown shutdown
+	timers   timerqueue.Queue[timer]
 
 	// latencies holds the latency of each replica as core/locality uses it.
 	latencies map[api.ReplicaName]*locality.Latency
@@ -172,8 +173,9 @@
 
 // timer identifies what is due: a request, an attempt that may have stalled, the removal of
 // a replica's registration, the waiting parts of a service, the liveness check of a replica,
-// the end of a held evacuation, the end of the time in which a replica is cold, or the requests
-// of an account that wait to be admitted. Only the field of that item is set.
+// the end of a held evacuation, the end of the time in which a replica is cold, the requests of
+// an account that wait to be admitted, or the last answers of a shutdown. Only the field of that
+// item is set.
 type timer struct {
 	request       api.RequestID
 	attempt       AttemptID
@@ -183,6 +185,7 @@
 	dataCentre    api.DataCentre
 	coldReplica   api.ReplicaName
 	account       string
+	shutdown      bool
 }
 
 // New returns an Engine that has no configuration yet.
@@ -319,8 +322,7 @@
 		e.settings.Quota, e.settings.RevokeAfter = ev.Quota, ev.RevokeAfter
 		e.quotas.allocator.SetBounds(ev.Quota)
 	case Stopping:
-		e.limits.stopping = true
-		e.quotas.allocator.Stop()
+		e.stop(now, ev)
 	}
 	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
 		e.cleanedUpAt = now
@@ -376,6 +378,8 @@
 			e.coldEndDue(now, t.coldReplica)
 		case t.account != "":
 			e.admissionsDue(now, t.account)
+		case t.shutdown:
+			e.endOpenRequests(now)
 		case t.service != "":
 			e.resume(now, t.service)
 		case t.attempt != 0:
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -442,4 +442,10 @@
 }
 
 // Stopping reports that this process stops: other nodes can no longer call it.
-type Stopping struct{ event }
+type Stopping struct {
+	event
+	// AcceptFor is how long the load balancer may still send requests to this node.
+	AcceptFor time.Duration
+	// AnswerWithin is the time after which no more answers can be delivered; 0 means no limit.
+	AnswerWithin time.Duration
+}
--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -243,6 +243,10 @@
 		e.refuseWaiting(now, w, api.ReasonDeadline, 0)
 		return
 	}
+	if e.tooLateToSend(now, r) {
+		e.refuseWaiting(now, w, api.ReasonShuttingDown, e.shutdownRetryAfter(now))
+		return
+	}
 	if reason := e.unservableReason(r); reason != api.ReasonNone {
 		e.refuseWaiting(now, w, reason, longRetryAfter)
 		return
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -161,7 +161,11 @@
 // progress sends the hedges that are due, ends the request if possible, and sets its
 // next timer.
 func (e *Engine) progress(now time.Time, r *request) {
-	if e.requests[r.id] != r || e.finishIfDue(now, r) {
+	if e.requests[r.id] != r {
+		return
+	}
+	giveUpAt := e.giveUpLateParts(now, r)
+	if e.finishIfDue(now, r) {
 		return
 	}
 	if r.subset != nil && !r.partialSent && !now.Before(r.targetTime) {
@@ -174,7 +178,7 @@
 	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) {
 		r.hedgeAt = e.hedge(now, r)
 	}
-	wake = earliest(wake, r.hedgeAt)
+	wake = earliest(earliest(wake, giveUpAt), r.hedgeAt)
 	if r.wakeAt.IsZero() || wake.Before(r.wakeAt) {
 		r.wakeAt = wake
 		e.timers.Add(wake, timer{request: r.id})
--- a/core/retry/delay.go
+++ b/core/retry/delay.go
@@ -70,6 +70,15 @@
 	return min(max(wait, d.floor), remaining/capDivisor)
 }
 
+// Usual returns a quantile of the latencies of a service. ok is unset if none is known.
+func (d *Delay) Usual(service api.ServiceName, q float64) (latency time.Duration, ok bool) {
+	e := d.services[service]
+	if e == nil || e.Count() == 0 {
+		return 0, false
+	}
+	return e.Value(q), true
+}
+
 // Preserve returns a function that undoes what calls of Hedge for a service in the meantime have
 // changed.
 func (d *Delay) Preserve(service api.ServiceName) (restore func()) {
