core/routing: a change of the weights resets the credits of a route

Cause: the credits of the weighted round robin outlived the weights whose units they are in, and a service of weight 0 could still be chosen.

Change: the credits belong to one list of services with weights; only positive weights are chosen; a route starts at a random step, so that the first requests of many nodes follow the weights together. Credits of removed routes are dropped.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -201,7 +201,7 @@
 		source:          source,
 		rng:             rng,
 		counts:          counts,
-		splitter:        routing.NewSplitter(),
+		splitter:        routing.NewSplitter(rand.New(rand.NewPCG(s.Seed, 5))),
 		replicas:        balance.New(rng, s.DataCentre),
 		registry:        newRegistry(),
 		evacuations:     newEvacuations(),
@@ -407,6 +407,7 @@
 	e.counts.Inc(count.Config, "adopted")
 	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services),
 		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
+	e.splitter.Retain(t)
 	e.dropUnusedAdmissionControls()
 	e.adoptLimits(t)
 	e.applyColdLimits(now)
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -39,7 +39,7 @@
 // Guards against request counts that deviate from the weights over a short
 // sequence, also after the weights have changed.
 func TestSplitFollowsTheWeights(t *testing.T) {
-	s := NewSplitter()
+	s := newTestSplitter(1)
 	for _, weights := range [][]float64{{1, 1}, {90, 10}, {5, 3, 2}, {0, 1}} {
 		r := Route{Name: "r"}
 		total := 0.0
--- a/core/routing/split.go
+++ b/core/routing/split.go
@@ -1,18 +1,35 @@
 package routing
 
-import "github.com/baobabsail/baobabsail/core/api"
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/baobabsail/baobabsail/core/api"
+)
+
+// maxPhase is the number of steps of the round robin from which a route starts at a random one.
+const maxPhase = 1000
 
 // Splitter distributes the requests of a route among its services by smooth
 // weighted round robin, so that the counts follow the weights closely even over
 // short sequences of requests. It is not safe for concurrent use.
 type Splitter struct {
-	// credits holds the current weights of the services, by route name.
-	credits map[string]map[api.ServiceName]float64
+	rng *rand.Rand
+	// splits holds the state of each route with several services, by route name.
+	splits map[string]*split
+}
+
+// split is the state of the round robin of one route.
+type split struct {
+	services []WeightedService
+	// credits holds the current weights of the services, by index. They are in units of the
+	// weights, and so mean nothing for other weights.
+	credits []float64
 }
 
 // NewSplitter returns a splitter without state.
-func NewSplitter() *Splitter {
-	return &Splitter{credits: make(map[string]map[api.ServiceName]float64)}
+func NewSplitter(rng *rand.Rand) *Splitter {
+	return &Splitter{rng: rng, splits: make(map[string]*split)}
 }
 
 // Choose returns the service for the next request of a route. If no service has
@@ -21,38 +38,54 @@
 	if len(r.Services) == 1 {
 		return r.Services[0].Service
 	}
-	credits := s.creditsFor(r)
-	total := 0.0
-	best := r.Services[0].Service
-	for _, w := range r.Services {
-		if w.Weight <= 0 {
-			continue
-		}
-		total += w.Weight
-		credits[w.Service] += w.Weight
-		if credits[w.Service] > credits[best] {
-			best = w.Service
+	sp := s.splits[r.Name]
+	if sp == nil || !slices.Equal(sp.services, r.Services) {
+		sp = s.start(r.Services)
+		s.splits[r.Name] = sp
+	}
+	return r.Services[sp.next()].Service
+}
+
+// Retain removes the state of the routes that a table does not contain.
+func (s *Splitter) Retain(t *Table) {
+	named := make(map[string]bool, len(t.Routes))
+	for i := range t.Routes {
+		named[t.Routes[i].Name] = true
+	}
+	for name := range s.splits {
+		if !named[name] {
+			delete(s.splits, name)
 		}
 	}
-	credits[best] -= total
-	return best
 }
 
-// creditsFor returns the credits of a route. They are reset if the services of
-// the route have changed.
-func (s *Splitter) creditsFor(r *Route) map[api.ServiceName]float64 {
-	credits := s.credits[r.Name]
-	same := len(credits) == len(r.Services)
-	for _, w := range r.Services {
-		_, known := credits[w.Service]
-		same = same && known
+// start returns the state of a round robin at a random step. If all nodes started at the first
+// one, their first requests after a change of the weights would all go to the same service.
+func (s *Splitter) start(services []WeightedService) *split {
+	sp := &split{services: services, credits: make([]float64, len(services))}
+	for range s.rng.IntN(maxPhase) {
+		sp.next()
 	}
-	if !same {
-		credits = make(map[api.ServiceName]float64, len(r.Services))
-		for _, w := range r.Services {
-			credits[w.Service] = 0
+	return sp
+}
+
+// next returns the index of the service with the greatest credit among those with a positive
+// weight; 0 if there is none.
+func (sp *split) next() int {
+	total, best := 0.0, -1
+	for i, w := range sp.services {
+		if w.Weight <= 0 {
+			continue
+		}
+		total += w.Weight
+		sp.credits[i] += w.Weight
+		if best < 0 || sp.credits[i] > sp.credits[best] {
+			best = i
 		}
-		s.credits[r.Name] = credits
 	}
-	return credits
+	if best < 0 {
+		return 0
+	}
+	sp.credits[best] -= total
+	return best
 }
