core/forward: state of a former configuration is dropped when one is adopted

Callers of less important accounts were refused twice as often under overload after the most important account had been removed, and late retries were refused as over a quota that had been raised since, for up to 5 s. The state of removed routes was kept for ever. Found while reading the paths related to the credits of weights.

Change: an adopted configuration resets the seen priorities, forgets refusals by another quota, and drops hedge delays and admission state of removed routes.

--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"maps"
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/balance"
+	"github.com/baobabsail/baobabsail/core/baseline"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/locality"
 	"github.com/baobabsail/baobabsail/core/quantile"
@@ -407,8 +410,9 @@
 	e.counts.Inc(count.Config, "adopted")
 	e.log("config_adopted", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services),
 		"idle_timeout_ms", t.Limits.IdleTimeout.Milliseconds())
-	e.splitter.Retain(t)
 	e.dropUnusedAdmissionControls()
+	e.dropRemovedRoutes()
+	e.resetPriorities()
 	e.adoptLimits(t)
 	e.applyColdLimits(now)
 	e.adoptQuotas()
@@ -426,6 +430,28 @@
 	e.resumeAll(now)
 }
 
+// dropRemovedRoutes removes the state of routes that the configuration no longer contains.
+func (e *Engine) dropRemovedRoutes() {
+	names := e.table.RouteNames()
+	e.splitter.Retain(func(route string) bool { return names[route] })
+	e.delays.Retain(func(route api.ServiceName) bool { return names[string(route)] })
+	for _, c := range e.admissions {
+		maps.DeleteFunc(c.credits, func(route string, _ float64) bool { return !names[route] })
+		maps.DeleteFunc(c.baselines, func(route string, _ *baseline.Trend) bool { return !names[route] })
+	}
+}
+
+// resetPriorities forgets which priorities of routes and accounts were seen: a new configuration may
+// have others. Those in use are seen again with the next requests.
+func (e *Engine) resetPriorities() {
+	for _, f := range e.fairness {
+		f.topPriority = math.MaxInt
+	}
+	for _, c := range e.admissions {
+		c.topPriority = math.MaxInt
+	}
+}
+
 func (e *Engine) membersChanged(now time.Time, nodes int) {
 	if nodes >= e.nodeCount {
 		e.nodeCountAt = now
--- a/core/forward/quota.go
+++ b/core/forward/quota.go
@@ -62,6 +62,7 @@
 
 // adoptQuotas replaces the quotas by those of the current configuration.
 func (e *Engine) adoptQuotas() {
+	former := e.quotas.accounts
 	e.quotas.accounts = make(map[string]quota.Quota)
 	clear(e.quotas.callerTimeouts)
 	known := make(map[string]quota.Quota)
@@ -77,7 +78,9 @@
 	e.quotas.requester.Retain(e.quotas.accounts)
 	e.accountCounts.keep(func(name string) bool { _, ok := known[name]; return ok })
 	for name := range e.quotas.over {
-		if _, ok := e.quotas.accounts[name]; !ok {
+		// What was over the former quota may be within the present one.
+		before, now := former[name], e.quotas.accounts[name]
+		if before.PerSecond != now.PerSecond || before.Burst != now.Burst {
 			delete(e.quotas.over, name)
 		}
 	}
--- a/core/retry/delay.go
+++ b/core/retry/delay.go
@@ -85,6 +85,15 @@
 	return d.services[service].Preserve()
 }
 
+// Retain removes the services for which keep returns false.
+func (d *Delay) Retain(keep func(service api.ServiceName) bool) {
+	for service := range d.services {
+		if !keep(service) {
+			delete(d.services, service)
+		}
+	}
+}
+
 // Drop removes a service.
 func (d *Delay) Drop(service api.ServiceName) { delete(d.services, service) }
 
--- a/core/routing/split.go
+++ b/core/routing/split.go
@@ -46,14 +46,10 @@
 	return r.Services[sp.next()].Service
 }
 
-// Retain removes the state of the routes that a table does not contain.
-func (s *Splitter) Retain(t *Table) {
-	named := make(map[string]bool, len(t.Routes))
-	for i := range t.Routes {
-		named[t.Routes[i].Name] = true
-	}
+// Retain removes the state of the routes for which keep returns false.
+func (s *Splitter) Retain(keep func(route string) bool) {
 	for name := range s.splits {
-		if !named[name] {
+		if !keep(name) {
 			delete(s.splits, name)
 		}
 	}
--- a/core/routing/split_test.go
+++ b/core/routing/split_test.go
@@ -87,7 +87,7 @@
 	removed.Name = "removed"
 	s.Choose(kept)
 	s.Choose(removed)
-	s.Retain(table(*kept))
+	s.Retain(func(route string) bool { return route == kept.Name })
 	if len(s.splits) != 1 || s.splits["r"] == nil {
 		t.Errorf("state of %d routes is kept", len(s.splits))
 	}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -129,6 +129,15 @@
 	return t
 }
 
+// RouteNames returns the names of all routes.
+func (t *Table) RouteNames() map[string]bool {
+	names := make(map[string]bool, len(t.Routes))
+	for i := range t.Routes {
+		names[t.Routes[i].Name] = true
+	}
+	return names
+}
+
 // NormalHost returns a host name in lower case without its port.
 func NormalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
