entry/relay: a replica that reads nothing no longer stops the node

Cause: requests of up to 8 KiB were written without a deadline by the goroutine that drives the engine, to a connection whose buffer still held a long body.

Change: a request is written by one call that does not wait; a goroutine writes the rest. A connection on which the kernel has not delivered a long body is not kept.

--- a/entry/relay/callerconn.go
+++ b/entry/relay/callerconn.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -129,28 +127,6 @@
 	}
 }
 
-// kernelRTT returns the kernel's estimate of the round-trip time, or 0 if there is none.
-func kernelRTT(conn net.Conn) time.Duration {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var rtt time.Duration
-	err = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			rtt = time.Duration(info.Rtt) * time.Microsecond
-		}
-	})
-	if err != nil {
-		return 0
-	}
-	return rtt
-}
-
 // transitTime returns the time that the next request and its answer spend in transit. For
 // the first request it includes the opening of the connection.
 func (c *callerConn) transitTime() time.Duration {
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -39,7 +39,7 @@
 	shortIdle   bool // idle for maxSpareIdleTime at most
 	usableUntil time.Time
 	idleSince   time.Time
-	// writing is set while a long body is being written.
+	// writing is set while a goroutine writes a part of a request.
 	writing bool
 	// outOfSync is set after a response that does not belong to the current request: the
 	// connection is not reused.
@@ -107,30 +107,43 @@
 	return c.socket.SetReadDeadline(time.Time{}) == nil
 }
 
-// write sends a request. If that fails, the reading goroutine fails too and reports the
+// write sends a request. It does not wait for the replica: what the socket does not take at once
+// is written by a goroutine. If writing fails, the reading goroutine fails too and reports the
 // loss.
 func (c *conn) write(x *exchange) {
+	rest := [][]byte{x.head, x.wire.body}
 	if len(x.wire.body) <= asyncBodySize {
-		if _, err := c.socket.Write(append(x.head, x.wire.body...)); err != nil {
+		data := append(x.head, x.wire.body...)
+		n, err := writeNow(c.socket, data)
+		if err != nil {
 			c.abort()
+			return
 		}
-		return
+		if n == len(data) {
+			return
+		}
+		rest = [][]byte{data[n:]}
 	}
 	c.targets.mu.Lock()
 	c.writing = true
 	c.targets.mu.Unlock()
-	go func() {
-		_, err := c.socket.Write(x.head)
-		if err == nil {
-			_, err = c.socket.Write(x.wire.body)
-		}
-		c.targets.mu.Lock()
-		c.writing = false
-		c.targets.mu.Unlock()
-		if err != nil {
-			c.abort()
+	go c.writeRest(rest)
+}
+
+// writeRest writes the rest of a request and ends the connection if that fails.
+func (c *conn) writeRest(rest [][]byte) {
+	var err error
+	for _, data := range rest {
+		if _, err = c.socket.Write(data); err != nil {
+			break
 		}
-	}()
+	}
+	c.targets.mu.Lock()
+	c.writing = false
+	c.targets.mu.Unlock()
+	if err != nil {
+		c.abort()
+	}
 }
 
 // abort closes the connection, which makes its goroutine end.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -127,13 +127,16 @@
 func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte) error {
 	reply := c.classify(response, body)
 	c.resetBounds()
+	// A replica may answer before it has read a long body. The next request would wait behind
+	// the rest of it.
+	read := len(x.wire.body) <= asyncBodySize || delivered(c.socket)
 	c.targets.mu.Lock()
 	pending := c.current == x
 	c.current = nil
 	if pending {
 		delete(c.targets.attempts, x.attempt)
 	}
-	reusable := pending && !response.Close && !c.writing && !c.outOfSync && c.reader.Buffered() == 0
+	reusable := pending && !response.Close && !c.writing && read && !c.outOfSync && c.reader.Buffered() == 0
 	if reusable {
 		c.putIdle(idleReuseTime(response.Header))
 	}
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -34,8 +34,8 @@
 	// defaultAcceptWait is long enough for a replica in the same region to close a connection
 	// that exceeds its limit, and shorter than the time that the replica spends on a new one.
 	defaultAcceptWait = 2 * time.Millisecond
-	// asyncBodySize is the size above which a separate goroutine writes the body, because the
-	// target may answer before it has read all of it.
+	// asyncBodySize is the size above which a separate goroutine writes the whole request,
+	// because the target may answer before it has read all of the body.
 	asyncBodySize = 8 << 10
 )
 
