entry/relay, changes: closing a connection to a silent node no longer stops this one

The goroutine of the engine closed the connections to nodes that left the list, the end of a process those to all nodes one after the other, and a follower that to a source it gave up.

Change: a goroutine closes the connection.

Evidence: TestClosingAConnectionToASilentNodeDoesNotBlock fails on the code before ('the new list blocks') and passes.

--- a/entry/changes/follow.go
+++ b/entry/changes/follow.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return ErrEnded.Wrap(err, "node %s", s.Address)
 	}
-	defer func() { _ = conn.Close() }() // no other call uses the connection
+	defer nodeconn.Close(conn)
 	streamCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(s.FirstMessageTimeout, func() { cancel(ErrSilent.New("node %s", s.Address)) })
--- a/entry/internal/nodeconn/nodeconn.go
+++ b/entry/internal/nodeconn/nodeconn.go
@@ -32,3 +32,9 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: p.Backoff, MinConnectTimeout: p.Timeout}),
 		grpc.WithDefaultCallOptions(callOptions...))
 }
+
+// Close closes a connection without waiting: gRPC waits up to some seconds for a node that reads
+// nothing any more. Calls on the connection end.
+func Close(conn *grpc.ClientConn) {
+	go func() { _ = conn.Close() }() // nothing depends on the result
+}
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -67,16 +67,22 @@
 	}
 }
 
-// Close closes all connections.
+// Close closes all connections. It does not wait for that.
 func (n *Nodes) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for address, c := range n.conns {
-		_ = c.Close() // calls on it no longer matter
-		delete(n.conns, address)
+	for address := range n.conns {
+		n.closeConn(address)
 	}
 }
 
+// closeConn closes a connection, whose calls end and are reported as lost. The caller must hold
+// n.mu.
+func (n *Nodes) closeConn(address string) {
+	nodeconn.Close(n.conns[address])
+	delete(n.conns, address)
+}
+
 // call starts a call that asks a node to run a range of shards.
 func (n *Nodes) call(a forward.CallPeer) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Remaining+callGrace)
@@ -169,10 +175,9 @@
 func (n *Nodes) prepare(addresses []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for address, c := range n.conns {
+	for address := range n.conns {
 		if !slices.Contains(addresses, address) {
-			_ = c.Close() // its calls end and are reported as lost
-			delete(n.conns, address)
+			n.closeConn(address)
 		}
 	}
 	n.toConnect = addresses
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
@@ -204,3 +207,53 @@
 		t.Errorf("a node without replicas of the shards answers %+v", events.events)
 	}
 }
+
+// stallingConn is a connection whose writes block once it is stalled, as if its peer read nothing.
+type stallingConn struct {
+	net.Conn
+	stalled *atomic.Bool
+	closed  chan struct{}
+}
+
+func (c *stallingConn) Write(p []byte) (int, error) {
+	if c.stalled.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *stallingConn) Close() error {
+	defer func() { _ = recover() }() // closed before
+	close(c.closed)
+	return c.Conn.Close()
+}
+
+// Guards against a node that hangs while it closes its connection to a node that has left the list
+// and reads nothing any more.
+func TestClosingAConnectionToASilentNodeDoesNotBlock(t *testing.T) {
+	address := serveNode(t, func(s nodepb.Node_RunShardsServer) error {
+		if _, err := s.Recv(); err != nil {
+			return err
+		}
+		return s.Send(&nodepb.ShardsReply{Last: true})
+	})
+	var stalled atomic.Bool
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			socket, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return &stallingConn{Conn: socket, stalled: &stalled, closed: make(chan struct{})}, err
+		}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := &eventRecorder{}
+	n := NewNodes(events, testHeaders)
+	n.conns[address] = conn
+	n.call(testCall(1, address))
+	if ev, ok := events.wait(t, 0).(forward.CallReplied); !ok {
+		t.Fatalf("%+v", ev)
+	}
+	stalled.Store(true)
+	mustNotBlock(t, "the new list", func() { n.prepare(nil) })
+}
