core/forward: a replica that was found running may still be crashed by its request

Cause: an attempt that times out while its replica runs stayed marked as recorded, so that the end of its connection was attributed to nobody. Second, the probation of a request ended before its cancelled attempts were recorded.

Change: such an attempt may be lost again, the end of a connection replaces an unresolved time-out, and a probation ends after its attempts are released. While it lasts, the replica is checked every half second.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -14,12 +14,12 @@
 // costs the replica less than a new connection.
 func (e *Engine) finish(now time.Time, r *request, reason api.Reason) {
 	delete(e.requests, r.id)
-	e.endProbation(now, r)
 	e.observeLoad(now, r)
 	answer := e.answer(now, r, reason)
 	for i := range r.parts {
 		e.releaseAttempts(now, r, &r.parts[i], reason == api.ReasonDeadline)
 	}
+	e.endProbation(now, r) // unless an attempt that was cancelled may have crashed its replica
 	e.deliver(now, answer)
 	if answer.Outcome == api.NotRun {
 		e.countRefused(r.message, r.subset != nil, reason)
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -27,9 +27,12 @@
 	replicaUnresponsive bool
 	// detached is set once nobody waits for the answer any more.
 	detached bool
-	// stallTimerSet is set once a timer checks the attempt for a stall. countedAsLost is set
-	// once the attempt is recorded as one that may have crashed its replica.
-	stallTimerSet, countedAsLost bool
+	// stallTimerSet is set once a timer checks the attempt for a stall.
+	stallTimerSet bool
+	// countedAsLost is set while the attempt is recorded as one that may have crashed its
+	// replica, and after that crash. livenessChecked is set once a liveness check was scheduled
+	// for it.
+	countedAsLost, livenessChecked bool
 }
 
 // dispatch sends a part for the first time, or again after an attempt that never reached
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -219,3 +219,40 @@
 		}
 	}
 }
+
+// lateCrashKinds are the ways in which a replica crashes only some time after it has begun to run
+// a fatal request.
+func lateCrashKinds() []crashKind {
+	var kinds []crashKind
+	for _, silent := range []bool{false, true} {
+		for _, persistent := range []bool{false, true} {
+			for _, after := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+				kinds = append(kinds, crashKind{silent: silent, persistent: persistent, after: after, downtime: 2 * time.Second})
+			}
+		}
+	}
+	return kinds
+}
+
+// Guards against a fatal request that is never refused because it runs for a while before it
+// crashes its replica: it is found to run while its replica is alive, or is cancelled, before the
+// replica crashes (BUDGET).
+func TestFatalRequestThatCrashesItsReplicaLaterStops(t *testing.T) {
+	for _, kind := range lateCrashKinds() {
+		for _, size := range crashFleets {
+			for _, path := range []string{"/one/fatal", "/order/fatal", "/all/fatal"} {
+				for _, patience := range []time.Duration{800 * time.Millisecond, 2500 * time.Millisecond} {
+					t.Run(fmt.Sprint(size.nodes, " nodes, ", kind, ", ", path, ", callers wait ", patience), func(t *testing.T) {
+						f := newCrashFleet(t, 1, size, kind)
+						f.patience = patience
+						f.longTimeouts()
+						f.fatalRounds(60, path)
+						if f.crashes > 0 {
+							f.checkFatal()
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/core/forward/crashfleet_test.go
+++ b/core/forward/crashfleet_test.go
@@ -46,13 +46,24 @@
 	// silent is set if a crash does not end the connections to the replica.
 	silent   bool
 	downtime time.Duration
+	// after is the time for which the fatal request runs before it crashes its replica.
+	after time.Duration
+	// persistent is set if the replica goes on with a request whose connection was closed.
+	persistent bool
 }
 
 func (k crashKind) String() string {
+	text := "reset"
 	if k.silent {
-		return fmt.Sprint("silent, back after ", k.downtime)
+		text = "silent"
 	}
-	return fmt.Sprint("reset, back after ", k.downtime)
+	if k.after > 0 {
+		text = fmt.Sprint(text, " after ", k.after)
+	}
+	if k.persistent {
+		text += ", goes on when cancelled"
+	}
+	return fmt.Sprint(text, ", back after ", k.downtime)
 }
 
 // crashFleet is a fleet of nodes with simulated replicas that can crash.
@@ -208,7 +219,7 @@
 	case s.Message.Fingerprint == fatal && !f.harmless:
 		f.fatalArrived(s.Message.CallerRequest)
 		r.working[a] = true
-		f.crash(s.Replica)
+		f.crashLater(a, s.Replica)
 	default:
 		r.working[a] = true
 		if r.slow {
@@ -255,11 +266,29 @@
 	}
 }
 
-func (f *crashFleet) fatalArrived(id string) {
-	f.crashes++
-	if f.crashes == 3 {
-		f.thirdCrashAt = f.now
+// crashLater lets a fatal attempt crash its replica, unless another one crashes it first or the
+// replica stops its work because it is cancelled.
+func (f *crashFleet) crashLater(a *sentAttempt, name api.ReplicaName) {
+	r := f.replicas[name]
+	processStart := r.reg.ProcessStart
+	crash := func() {
+		if f.now.Before(r.downUntil) || r.reg.ProcessStart != processStart || !r.working[a] && !f.kind.persistent {
+			return
+		}
+		f.crashes++
+		if f.crashes == 3 {
+			f.thirdCrashAt = f.now
+		}
+		f.crash(name)
+	}
+	if f.kind.after == 0 {
+		crash()
+		return
 	}
+	f.schedule(f.kind.after, crash)
+}
+
+func (f *crashFleet) fatalArrived(id string) {
 	if !f.thirdCrashAt.IsZero() && f.now.Sub(f.thirdCrashAt) > stabilityWindow && f.countsAsLate() {
 		f.lateRetries[id] = true
 	}
--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -33,6 +33,9 @@
 	// lostAttemptTTL is how long a lost attempt is kept if no check tells whether the process
 	// ended.
 	lostAttemptTTL = 10 * time.Second
+	// probationCheckInterval is the time between two checks of a replica that runs a request on
+	// probation, from its stall time on.
+	probationCheckInterval = 500 * time.Millisecond
 	// maxLivenessChecks limits how many lost attempts of one request are followed by a
 	// liveness check. Several crashes during one request count as one, so that few checks are
 	// enough.
@@ -49,6 +52,7 @@
 // lostAttempt is an attempt that may have crashed its replica: its connection ended before
 // the answer, or it timed out.
 type lostAttempt struct {
+	attempt *attempt
 	request *request
 	at      time.Time
 	// timedOut is set if the connection did not end: nothing came from the replica in time.
@@ -75,25 +79,36 @@
 }
 
 // recordLostAttempt records a lost attempt that may have crashed its replica and schedules a
-// liveness check of the replica.
+// liveness check of the replica. An attempt may be lost twice: it times out while its replica
+// runs, and its connection ends or it is cancelled later.
 func (e *Engine) recordLostAttempt(now time.Time, a *attempt, timedOut bool) {
 	r := a.request
 	entry := e.registry.entries[a.replica]
-	if r.replicaAnswered || a.countedAsLost || entry == nil {
+	if r.replicaAnswered || entry == nil {
+		return
+	}
+	l := lostAttempt{attempt: a, request: r, at: now, timedOut: timedOut, expiresAt: now.Add(lostAttemptTTL)}
+	switch {
+	case a.countedAsLost && timedOut:
+		return
+	case a.countedAsLost:
+		e.connectionEndedAfterTimeout(l)
 		return
 	}
-	a.countedAsLost = true
-	l := lostAttempt{request: r, at: now, timedOut: timedOut, expiresAt: now.Add(lostAttemptTTL)}
 	if entry.ProcessStart != a.processStart {
 		// The replica has restarted since: the process that got the attempt has ended.
+		a.countedAsLost = true
 		e.attributeCrash(now, a.replica, a.processStart, []lostAttempt{l})
 		return
 	}
-	if r.livenessChecks >= maxLivenessChecks {
+	if !a.livenessChecked && r.livenessChecks >= maxLivenessChecks {
 		e.counts.Inc(count.Loss, "unchecked")
 		return
 	}
-	r.livenessChecks++
+	if !a.livenessChecked {
+		r.livenessChecks++
+	}
+	a.countedAsLost, a.livenessChecked = true, true
 	r.unresolvedLosses++
 	p := e.possibleCrashes[a.replica]
 	if p == nil {
@@ -104,6 +119,21 @@
 	e.timers.Add(now.Add(livenessCheckDelay), timer{livenessCheck: a.replica})
 }
 
+// connectionEndedAfterTimeout replaces the unresolved timeout of an attempt by the end of its
+// connection, which is stronger evidence and needs another check.
+func (e *Engine) connectionEndedAfterTimeout(l lostAttempt) {
+	p := e.possibleCrashes[l.attempt.replica]
+	if p == nil {
+		return // the crash was attributed
+	}
+	for i := range p.lostAttempts {
+		if p.lostAttempts[i].attempt == l.attempt {
+			p.lostAttempts[i] = l
+			e.timers.Add(l.at.Add(livenessCheckDelay), timer{livenessCheck: l.attempt.replica})
+		}
+	}
+}
+
 // recordTimedOutAttempt records an attempt that got no answer in time as lost, unless it
 // cannot have crashed the replica: it was never written, the replica already failed to answer
 // earlier attempts, or replicas have answered its content before. The last exception is
@@ -170,6 +200,9 @@
 			return false
 		}
 		e.counts.Inc(count.Loss, reason)
+		if reason == lossProcessRunning {
+			e.foundRunning(now, l.attempt)
+		}
 		e.resolveLostAttempt(now, l.request)
 		return true
 	})
@@ -178,6 +211,16 @@
 	}
 }
 
+// foundRunning handles an attempt whose replica runs although the attempt was lost. It may crash
+// the replica later, if it is still in flight. On probation the replica is checked again and
+// again, since other nodes run the request until the verdict.
+func (e *Engine) foundRunning(now time.Time, a *attempt) {
+	a.countedAsLost = false
+	if a.request.onProbation && e.attempts[a.id] == a {
+		e.timers.Add(now.Add(probationCheckInterval), timer{attempt: a.id})
+	}
+}
+
 // resolveLostAttempt records that a lost attempt of a request is resolved: it was dropped or
 // its replica has crashed. It ends the probation run of a finished request once all of its
 // lost attempts are resolved.
--- a/core/forward/request.go
+++ b/core/forward/request.go
@@ -293,12 +293,12 @@
 		return
 	}
 	delete(e.requests, id)
-	e.endProbation(now, r)
 	for i := range r.parts {
 		// Another node that no longer needs the rest of a subset usually has its answer,
 		// so the attempts of a subset may finish.
 		e.releaseAttempts(now, r, &r.parts[i], r.subset == nil)
 	}
+	e.endProbation(now, r)
 	e.counts.Inc(count.SearchEnded, api.ReasonCallerGone)
 	e.log("request_abandoned", "id", r.message.CallerRequest, "route", r.route.Name,
 		"after_ms", now.Sub(r.start).Milliseconds(), "covered", r.answered)
--- a/core/forward/shutdown_test.go
+++ b/core/forward/shutdown_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -122,10 +121,11 @@
 	t.Run("divided", func(t *testing.T) {
 		f := newFleet(t, 21)
 		f.longTimeouts()
+		f.patience = testPatience
 		for i := 1; i < fleetNodes; i++ {
 			f.unresponsive[nodeName(i)] = true
 		}
-		id := f.requestLong(0)
+		id := f.request(0)
 		f.step(0, Stopping{AcceptFor: testAcceptFor, AnswerWithin: testAnswerWithin})
 		f.run(testAnswerWithin + time.Second)
 		if _, ok := f.answers[id]; !ok {
@@ -152,37 +152,28 @@
 
 // longTimeouts gives the routes of all nodes a timeout of testPatience.
 func (f *fleet) longTimeouts() {
-	for i := range fleetNodes {
-		table := (&harness{accepted: f.size.accepted}).newTable(2, fleetShards)
-		table.Routes[0].Timeout = testPatience
+	for i := range f.size.nodes {
+		table := (&harness{accepted: f.size.accepted}).newTable(2, f.size.shards)
+		for r := range table.Routes {
+			table.Routes[r].Timeout = testPatience
+		}
 		f.step(i, TableRead{Table: table})
 	}
 }
 
-// requestLong sends a request to a node whose caller waits for testPatience.
-func (f *fleet) requestLong(node int) string {
-	f.next++
-	id := fmt.Sprint("id-", f.next)
-	f.reached[id] = map[api.ServiceName]map[api.ReplicaName]bool{}
-	f.step(node, Arrived{
-		Request: api.RequestID(f.next), CallerTimeout: testPatience,
-		Message: &Message{Host: "h", Path: "/all/x", CallerRequest: id, Fingerprint: api.Fingerprint(f.next)},
-	})
-	return id
-}
-
 // Guards against shards that are missing from an answer because the node that was to run them stops
 // and refuses the range: another node can run it.
 func TestRangesRefusedByAStoppingNodeRunElsewhere(t *testing.T) {
 	f := newFleet(t, 22)
 	f.noSlowReplies = true
 	f.longTimeouts()
+	f.patience = testPatience
 	for i := 1; i < fleetNodes; i += 2 {
 		f.step(i, Stopping{AcceptFor: testAcceptFor, AnswerWithin: testAnswerWithin})
 	}
 	f.run(testAnswerWithin - time.Millisecond)
 	for i := 0; i < fleetNodes; i += 2 {
-		id := f.requestLong(i)
+		id := f.request(i)
 		f.run(300 * time.Millisecond)
 		if covered := f.check(id); covered != fleetShards {
 			t.Errorf("node %d: %d of %d shards, %+v", i, covered, fleetShards, f.answers[id])
