core/forward: a dropped loss of an attempt may be followed by another one

Change: the mark is removed whenever the record is.

Measured: the tests of fatal and innocent requests of core/forward pass (35 s).

--- a/core/forward/losses.go
+++ b/core/forward/losses.go
@@ -200,8 +200,9 @@
 			return false
 		}
 		e.counts.Inc(count.Loss, reason)
+		l.attempt.countedAsLost = false // it may crash its replica later
 		if reason == lossProcessRunning {
-			e.foundRunning(now, l.attempt)
+			e.checkAgainOnProbation(now, l.attempt)
 		}
 		e.resolveLostAttempt(now, l.request)
 		return true
@@ -211,11 +212,10 @@
 	}
 }
 
-// foundRunning handles an attempt whose replica runs although the attempt was lost. It may crash
-// the replica later, if it is still in flight. On probation the replica is checked again and
-// again, since other nodes run the request until the verdict.
-func (e *Engine) foundRunning(now time.Time, a *attempt) {
-	a.countedAsLost = false
+// checkAgainOnProbation schedules the next check of a replica that was found running, if it runs a
+// request on probation. The verdict must not wait for the deadline of the request, since other
+// nodes run it until then.
+func (e *Engine) checkAgainOnProbation(now time.Time, a *attempt) {
 	if a.request.onProbation && e.attempts[a.id] == a {
 		e.timers.Add(now.Add(probationCheckInterval), timer{attempt: a.id})
 	}
