--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -241,10 +241,10 @@
 	for _, kind := range lateCrashKinds() {
 		for _, size := range crashFleets {
 			for _, path := range []string{"/one/fatal", "/order/fatal", "/all/fatal"} {
-				for _, patience := range []time.Duration{800 * time.Millisecond, 2500 * time.Millisecond} {
-					t.Run(fmt.Sprint(size.nodes, " nodes, ", kind, ", ", path, ", callers wait ", patience), func(t *testing.T) {
+				for _, callerTimeout := range []time.Duration{800 * time.Millisecond, 2500 * time.Millisecond} {
+					t.Run(fmt.Sprint(size.nodes, " nodes, ", kind, ", ", path, ", callers wait ", callerTimeout), func(t *testing.T) {
 						f := newCrashFleet(t, 1, size, kind)
-						f.patience = patience
+						f.callerTimeout = callerTimeout
 						f.longTimeouts()
 						f.fatalRounds(60, path)
 						if f.crashes > 0 {
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -64,8 +64,8 @@
 	sendTo func(node int, s Send)
 	// otherActions handles the actions that the fleet ignores if it is set.
 	otherActions func(node int, a Action)
-	// patience is how long callers wait for an answer.
-	patience time.Duration
+	// callerTimeout is how long callers wait for an answer.
+	callerTimeout time.Duration
 	// ignoresMergeRules holds the nodes of a version that merges by its own configuration.
 	ignoresMergeRules map[string]bool
 }
@@ -107,7 +107,7 @@
 		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
 		deliveredCalls: map[string]fleetCall{}, reached: map[string]map[api.ServiceName]map[api.ReplicaName]bool{},
 		answers: map[string]Answer{}, usedCalls: map[string]bool{}, pings: map[string]bool{},
-		answeredAt: map[string]time.Time{}, permitRequests: map[CallID]int{}, patience: 800 * time.Millisecond,
+		answeredAt: map[string]time.Time{}, permitRequests: map[CallID]int{}, callerTimeout: 800 * time.Millisecond,
 	}
 	f.dataCentre = dataCentre
 	for i := range size.nodes {
@@ -328,7 +328,7 @@
 	id := fmt.Sprint("id-", f.next)
 	f.reached[id] = map[api.ServiceName]map[api.ReplicaName]bool{}
 	f.step(node, Arrived{
-		Request: api.RequestID(f.next), CallerTimeout: f.patience,
+		Request: api.RequestID(f.next), CallerTimeout: f.callerTimeout,
 		Message: &Message{Host: "h", Path: path, CallerRequest: id, Fingerprint: fingerprint},
 	})
 	return id
--- a/core/forward/shutdown_test.go
+++ b/core/forward/shutdown_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -11,23 +10,23 @@
 const (
 	testAcceptFor    = 2500 * time.Millisecond
 	testAnswerWithin = 5500 * time.Millisecond
-	// testPatience is longer than the shutdown.
-	testPatience = 30 * time.Second
+	// longCallerTimeout is longer than the shutdown.
+	longCallerTimeout = 30 * time.Second
 )
 
 // longRunning returns a harness whose routes to one replica of two slots have a timeout of
-// testPatience. The replica has answered a work order in the given time, if it is not 0.
+// longCallerTimeout. The replica has answered a work order in the given time, if it is not 0.
 func longRunning(t *testing.T, usual time.Duration) *harness {
 	h := newHarness(t, nil)
 	h.accepted = 3 // the node may use two of them
 	table := h.newTable(1, 1)
 	for i := range table.Routes {
-		table.Routes[i].Timeout = testPatience
+		table.Routes[i].Timeout = longCallerTimeout
 	}
 	h.step(TableRead{Table: table})
 	h.replicas(1, 1)
 	if usual > 0 {
-		id := h.requestFor("/order/x", testPatience)
+		id := h.requestFor("/order/x", longCallerTimeout)
 		h.advance(usual)
 		h.ok(h.takeSends()[0], "aa")
 		h.answer(id)
@@ -44,7 +43,7 @@
 	h := longRunning(t, time.Second)
 	var ids []api.RequestID
 	for range 6 {
-		ids = append(ids, h.requestFor("/order/x", testPatience))
+		ids = append(ids, h.requestFor("/order/x", longCallerTimeout))
 	}
 	running := h.takeSends()
 	if len(running) != 2 {
@@ -77,22 +76,22 @@
 // when the load balancer sends it to another node.
 func TestArrivalsDuringAShutdown(t *testing.T) {
 	for name, c := range map[string]struct {
-		usual, at, patience time.Duration
-		status              int
+		usual, at, callerTimeout time.Duration
+		refused                  bool
 	}{
-		"quick, early":           {20 * time.Millisecond, time.Second, testPatience, http.StatusOK},
-		"quick, late":            {20 * time.Millisecond, 5400 * time.Millisecond, testPatience, http.StatusOK},
-		"quick, at the end":      {20 * time.Millisecond, 5490 * time.Millisecond, testPatience, http.StatusServiceUnavailable},
-		"slow, early":            {4 * time.Second, 500 * time.Millisecond, testPatience, http.StatusServiceUnavailable},
-		"unknown, early":         {0, 2 * time.Second, testPatience, http.StatusOK},
-		"unknown, late":          {0, 3 * time.Second, testPatience, http.StatusServiceUnavailable},
-		"ends before the answer": {0, 3 * time.Second, time.Second, http.StatusOK},
+		"quick, early":           {20 * time.Millisecond, time.Second, longCallerTimeout, false},
+		"quick, late":            {20 * time.Millisecond, 5400 * time.Millisecond, longCallerTimeout, false},
+		"quick, at the end":      {20 * time.Millisecond, 5490 * time.Millisecond, longCallerTimeout, true},
+		"slow, early":            {4 * time.Second, 500 * time.Millisecond, longCallerTimeout, true},
+		"unknown, early":         {0, 2 * time.Second, longCallerTimeout, false},
+		"unknown, late":          {0, 3 * time.Second, longCallerTimeout, true},
+		"ends before the answer": {0, 3 * time.Second, time.Second, false},
 	} {
 		h := longRunning(t, c.usual)
 		h.stop()
 		h.advance(c.at)
-		id := h.requestFor("/order/x", c.patience)
-		if c.status == http.StatusOK {
+		id := h.requestFor("/order/x", c.callerTimeout)
+		if !c.refused {
 			if len(h.takeSends()) != 1 {
 				t.Errorf("%s: %+v", name, h.answers[id])
 			}
@@ -121,7 +120,7 @@
 	t.Run("divided", func(t *testing.T) {
 		f := newFleet(t, 21)
 		f.longTimeouts()
-		f.patience = testPatience
+		f.callerTimeout = longCallerTimeout
 		for i := 1; i < fleetNodes; i++ {
 			f.unresponsive[nodeName(i)] = true
 		}
@@ -135,10 +134,10 @@
 	t.Run("some parts", func(t *testing.T) {
 		h := newHarness(t, nil)
 		table := h.newTable(1, 4)
-		table.Routes[0].Timeout, table.Routes[0].TargetLatency = testPatience, 0
+		table.Routes[0].Timeout, table.Routes[0].TargetLatency = longCallerTimeout, 0
 		h.step(TableRead{Table: table})
 		h.replicas(4, 1)
-		id := h.requestFor("/all/x", testPatience)
+		id := h.requestFor("/all/x", longCallerTimeout)
 		for _, s := range h.takeSends()[:3] {
 			h.ok(s, "aa")
 		}
@@ -150,12 +149,12 @@
 	})
 }
 
-// longTimeouts gives the routes of all nodes a timeout of testPatience.
+// longTimeouts gives the routes of all nodes a timeout of longCallerTimeout.
 func (f *fleet) longTimeouts() {
 	for i := range f.size.nodes {
 		table := (&harness{accepted: f.size.accepted}).newTable(2, f.size.shards)
 		for r := range table.Routes {
-			table.Routes[r].Timeout = testPatience
+			table.Routes[r].Timeout = longCallerTimeout
 		}
 		f.step(i, TableRead{Table: table})
 	}
@@ -167,7 +166,7 @@
 	f := newFleet(t, 22)
 	f.noSlowReplies = true
 	f.longTimeouts()
-	f.patience = testPatience
+	f.callerTimeout = longCallerTimeout
 	for i := 1; i < fleetNodes; i += 2 {
 		f.step(i, Stopping{AcceptFor: testAcceptFor, AnswerWithin: testAnswerWithin})
 	}
--- a/core/routing/split.go
+++ b/core/routing/split.go
@@ -7,7 +7,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 )
 
-// maxPhase is the number of steps of the round robin from which a route starts at a random one.
+// maxPhase is the number of steps of the round robin among which the start of a route is drawn.
 const maxPhase = 1000
 
 // Splitter distributes the requests of a route among its services by smooth
