--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -66,6 +66,7 @@
 	conns  map[net.Conn]bool
 	seq    int
 	born   int64
+	down   bool
 }
 
 const serverSlots = 2
@@ -106,17 +107,23 @@
 	})
 }
 
-// crash closes the listener and resets all connections, as the end of a process does.
-func (s *server) crash() {
-	_ = s.listener.Close()
+// crash closes the listener and resets all connections, as the end of a process does. It reports
+// false if the server is down already.
+func (s *server) crash() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
+	s.down = true
+	_ = s.listener.Close()
 	for c := range s.conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
 		_ = c.Close()
 	}
+	return true
 }
 
 // restart listens again at the same address, as a new process.
@@ -126,7 +133,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.listener, s.seq, s.born = l, 0, time.Now().UnixMilli()
+	s.listener, s.seq, s.born, s.down = l, 0, time.Now().UnixMilli(), false
 	s.mu.Unlock()
 	go s.accept(l)
 	return nil
