--- a/review/rig-2/fatal.go
+++ b/review/rig-2/fatal.go
@@ -21,7 +21,8 @@
 	fatalMore = time.Second
 	entryTTL  = 3600 * time.Millisecond
 	// fatalWork is how long a server takes for an ordinary request.
-	fatalWork = 100 * time.Millisecond
+	fatalWork   = 100 * time.Millisecond
+	fatalBudget = 2500 * time.Millisecond
 	// ordinaryClients send requests with pauses of ordinaryGap, and one caller sends the content
 	// that becomes fatal with pauses of fatalGap.
 	ordinaryClients = 24
@@ -106,7 +107,9 @@
 func (c *fatalCase) client(kind string, gap time.Duration, end time.Time, path func() string) {
 	for time.Now().Before(end) {
 		n := c.sys.nodes[rand.IntN(len(c.sys.nodes))]
-		r := send(n.address(), http.MethodGet, path(), nil, 2500*time.Millisecond)
+		id, target := newID(), path()
+		c.rec.line("send %s to %s: %s", id, n.name, target)
+		r := send(n.address(), id, http.MethodGet, target, nil, fatalBudget)
 		c.rec.line("answer %s (%s) from %s: %d", r.id, kind, n.name, r.status)
 		c.mu.Lock()
 		c.statuses[fmt.Sprintf("%s %d", kind, r.status)]++
--- a/review/rig-2/limit.go
+++ b/review/rig-2/limit.go
@@ -139,8 +139,10 @@
 	c.mu.Lock()
 	c.sentBy[id] = n.name
 	c.mu.Unlock()
+	c.rec.line("send %s to %s", id, n.name)
 	conn, err := net.DialTimeout("tcp", n.address(), time.Second)
 	if err != nil {
+		c.rec.line("no connection for %s: %v", id, err)
 		return
 	}
 	defer func() { _ = conn.Close() }()
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -61,7 +61,6 @@
 	slots             chan struct{}
 	// handle answers one request on a connection and reports whether it stays open.
 	handle func(s *server, c net.Conn, q *request) bool
-	ran    atomic.Int64
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	seq    int
@@ -191,20 +190,6 @@
 	return fmt.Sprintf("%x.%s", sum[:6], s.id)
 }
 
-// sound answers as a sound server does after some work.
-func sound(work time.Duration, bytes int) func(*server, net.Conn, *request) bool {
-	return func(s *server, c net.Conn, q *request) bool {
-		s.ran.Add(1)
-		time.Sleep(work)
-		body := make([]byte, bytes)
-		for i := range body {
-			body[i] = 'a' + byte((i+int(s.born))%26)
-		}
-		respond(c, 200, http.Header{"X-Request-Id": {q.id}, "X-Server-Stamp": {stamp(s, q.id)}}, body)
-		return true
-	}
-}
-
 // node is one process of baobabd.
 type node struct {
 	name, ip, zone string
@@ -212,7 +197,6 @@
 	starts         int
 	cmd            *exec.Cmd
 	ended          chan struct{}
-	exit           atomic.Value
 }
 
 const (
@@ -290,7 +274,7 @@
 	n.cmd, n.ended = cmd, make(chan struct{})
 	n.starts++
 	go func(ended chan struct{}) {
-		n.exit.Store(fmt.Sprint(cmd.Wait()))
+		_ = cmd.Wait() // a killed process is expected
 		close(ended)
 	}(n.ended)
 	return nil
@@ -307,15 +291,6 @@
 	<-n.ended
 }
 
-func (n *node) alive() bool {
-	select {
-	case <-n.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // ready asks the node as the platform does.
 func (n *node) ready() bool {
 	client := http.Client{Timeout: time.Second}
@@ -419,8 +394,7 @@
 }
 
 // send sends one request on a new connection and waits for its answer.
-func send(address, method, path string, body []byte, budget time.Duration) result {
-	id := newID()
+func send(address, id, method, path string, body []byte, budget time.Duration) result {
 	begun := time.Now()
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -76,13 +76,7 @@
 	s.drop(key)
 }
 
-// keys returns the keys with a prefix in ascending order.
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sorted(prefix, "")
-}
-
+// sorted returns the keys with a prefix after a key, in ascending order.
 func (s *store) sorted(prefix, after string) []string {
 	var keys []string
 	for k := range s.items {
