--- a/review/rig-2/fatal.go
+++ b/review/rig-2/fatal.go
@@ -146,17 +146,20 @@
 	c.crashes[path] = append(c.crashes[path], time.Now())
 	c.mu.Unlock()
 	c.rec.line("crash of %s", s.id)
-	down := fatalDown + jitter(fatalMore)/2
-	if down > entryTTL {
-		time.AfterFunc(entryTTL, func() { c.sys.store.remove("servers/" + s.id) })
+	time.AfterFunc(entryTTL, func() { c.sys.store.remove("servers/" + s.id) })
+	time.AfterFunc(fatalDown+jitter(fatalMore)/2, func() { c.start(s) })
+}
+
+// start starts the next process of a server that crashed. It has a new id.
+func (c *fatalCase) start(s *server) {
+	id := fmt.Sprintf("i-%s", newID())
+	next, err := s.successor(id)
+	for err != nil {
+		time.Sleep(20 * time.Millisecond)
+		next, err = s.successor(id)
 	}
-	time.AfterFunc(down, func() {
-		for s.restart() != nil {
-			time.Sleep(20 * time.Millisecond)
-		}
-		s.register(c.sys.store, "ready")
-		c.rec.line("start of %s", s.id)
-	})
+	next.register(c.sys.store, "ready")
+	c.rec.line("start of %s at the address of %s", id, s.id)
 }
 
 // judge counts the late retries of each content.
--- a/review/rig-2/limit.go
+++ b/review/rig-2/limit.go
@@ -17,7 +17,7 @@
 	// limitPerSecond is what each server names as its limit, and limitRate the requests a second
 	// of all clients.
 	limitPerSecond = 20
-	limitRate      = 110.0
+	limitRate      = 90.0
 	// quietShare is the share of the requests of an ordinary machine that reach the slow one: the
 	// platform spreads clients unevenly.
 	quietShare = 0.1
