review: case 10, a service that the configuration lacks for a moment gets a new retry budget

A node deletes the retry budget of a service that a version of the configuration lacks, with what was spent in the last window. When the next version has the service again, the budget starts anew.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -23,7 +23,7 @@
 		fmt.Println("usage: rig CASE RECORD")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(*record) (int, error){"limit": limit, "fatal": fatal, "silent": silent}
+	cases := map[string]func(*record) (int, error){"limit": limit, "fatal": fatal, "readd": readd, "silent": silent}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Println("no such case")
