crowd, hostile, e2e: clients outside the limits, tests that show the fault

What callers saw: a process runs out of memory, or of descriptors, while clients outside the limits stay connected. This commit changes no product code.

--- a/cmd/e2e/system_test.go
+++ b/cmd/e2e/system_test.go
@@ -30,6 +30,9 @@
 	// targets holds one process for each target, by name.
 	targets map[string]*process
 	nodes   []*process
+	// nodeSettings are further settings of the nodes that are started next, each with a comma
+	// before it.
+	nodeSettings string
 }
 
 const (
@@ -122,8 +125,8 @@
 	file := s.writeFile(name+".json", fmt.Sprintf(`{"name": %q, "data_centre": "dc", "vm": "vm-%s",
 		"callers": {"listen": "127.0.0.1:0"}, "operators": {"listen": "127.0.0.1:0"},
 		"peers": {"listen": "127.0.0.1:0", "list": [%s]},
-		"platform": {"stores": ["http://%s"]}, "shutdown": {"accept_for": "2s"}}`,
-		name, name, strings.Join(peers, ","), s.platform.listenFields["store"]))
+		"platform": {"stores": ["http://%s"]}, "shutdown": {"accept_for": "2s"}%s}`,
+		name, name, strings.Join(peers, ","), s.platform.listenFields["store"], s.nodeSettings))
 	n := s.start("baobabd", "run", file)
 	s.nodes = append(s.nodes, n)
 	s.t.Cleanup(func() { s.logCounters(n) })
