connlimit, connguard, relay: what callers' connections hold together is bounded

What callers saw: clients that send heads without end, or bodies that stop short of their end, ended a process, which ran out of memory or of descriptors for others.

Cause: each connection had bounds of its own (1 MiB of head, the configured body, no time-out in the middle of a body or a response), and nothing bounded their sum.

Change: core/connlimit divides the process's memory (limits.memory_mb) and descriptors (limits.fd_limit) and decides, without sockets or clocks, which connection is closed for another one: silent ones, then idle ones, then the one whose request takes longest; never one whose request has been passed on. entry/connguard applies it to connections, heads, bodies, responses and the kernel's buffers. A refusal (431, 503 with Retry-After) is made before a request is passed on. The configured time for a head now applies.

Tests that changed: TestRequestOnConnectionClosedAsIdle closes a real connection while net/http handles its request, since the flag that it set is gone; TestShutdownClosesIdleConnections asks the guard for expired connections.

--- a/core/count/count.go
+++ b/core/count/count.go
@@ -66,6 +66,11 @@
 	Evacuation Kind = "evacuation"
 	// Quota counts requests for admissions of accounts with a quota, and the responses.
 	Quota Kind = "quota"
+	// ClientConnection counts connections of clients that were closed or refused because of the
+	// limits of the process, by reason.
+	ClientConnection Kind = "client_connection"
+	// PeerCall counts calls of other nodes that were refused because of those limits.
+	PeerCall Kind = "peer_call"
 	// AccountAdmitted counts the requests of callers that were sent, by account. The others
 	// count those that were refused: because the account was over its quota, because its quota
 	// could not be determined, for lack of capacity, and for other reasons.
--- /dev/null
+++ b/entry/connguard/body.go
@@ -0,0 +1,109 @@
+package connguard
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/baobabsail/baobabsail/core/connlimit"
+)
+
+// ErrNoMemory means that the requests being read leave no memory for a body. The request has not
+// run.
+var ErrNoMemory = errors.New("no memory for the body")
+
+// bodyCopies is the number of copies of a body in memory while it is read: io.ReadAll collects
+// pieces and then joins them.
+const bodyCopies = 2
+
+// largeBodyBytes is how much of a body is read before the receive buffer is enlarged: with the usual
+// one, a distant client would need many round trips.
+const largeBodyBytes = 8 << 10
+
+// ReadBody reads the body of a request whose head has been read, at most limit bytes and one more,
+// and keeps its memory reserved until the response.
+func (c *Conn) ReadBody(r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(c.Body(r.Body), limit+1))
+	if err == nil {
+		c.shrink(int64(len(body)))
+	}
+	return body, err
+}
+
+// Body returns a reader that reserves memory for what it reads. Its error is ErrNoMemory if there
+// is none.
+func (c *Conn) Body(body io.Reader) io.Reader {
+	if c == nil {
+		return body
+	}
+	return &bodyReader{source: body, conn: c}
+}
+
+// bodyReader reserves memory for the body that it reads.
+type bodyReader struct {
+	source io.Reader
+	conn   *Conn
+	read   int64
+	// grown is set once the receive buffer has been enlarged.
+	grown bool
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	b.read += int64(n)
+	switch {
+	case !b.grown && b.read >= largeBodyBytes && err == nil:
+		b.grown = b.conn.growBuffer()
+	case b.grown && err != nil:
+		b.conn.resetBuffer()
+	}
+	if n > 0 && !b.conn.reserve(int64(bodyCopies*n)) {
+		b.conn.guard.add(detailNoMemory, 1)
+		return 0, ErrNoMemory
+	}
+	return n, err
+}
+
+// shrink gives back the memory beyond that of the head and a body of a length.
+func (c *Conn) shrink(bodyBytes int64) {
+	if c == nil {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.Shrink(c.id, max(0, c.headMemory-freeHeadBytes)+bodyBytes)
+}
+
+// Handler returns a handler that reports to the guard what each request does: it is read until the
+// end of its body, and then runs until the first byte of the response.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := FromRequest(r)
+		if !c.BeginBody() {
+			panic(http.ErrAbortHandler) // the client would get no response
+		}
+		if r.Body == nil || r.Body == http.NoBody {
+			if !c.BeginRun() {
+				panic(http.ErrAbortHandler)
+			}
+		} else if c != nil {
+			r.Body = &runAtEOF{ReadCloser: r.Body, reader: c.Body(r.Body), conn: c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// runAtEOF is a body at whose end its request counts as running.
+type runAtEOF struct {
+	io.ReadCloser
+	reader io.Reader
+	conn   *Conn
+}
+
+func (b *runAtEOF) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err == io.EOF && !b.conn.enter(connlimit.Running) {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,15 +15,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/connlimit"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/entry/connguard"
+	"github.com/baobabsail/baobabsail/entry/telemetry"
 )
 
 const (
-	// headerTimeout bounds the time to read the header of a request. The HeaderTimeout of the
-	// configured limits is not applied.
-	headerTimeout = 15 * time.Second
-	// maxHeaderBytes bounds the header in addition to the configured limit.
-	maxHeaderBytes = 1 << 20
 	// headReserve is the space in bytes for the header fields that are added to each attempt.
 	headReserve = 160
 	// fieldOverhead is the number of bytes that a header field has beside its name and value.
@@ -30,6 +29,9 @@
 	// defaultMaxBodyBytes bounds a body if the configuration sets no limit or is not known
 	// yet.
 	defaultMaxBodyBytes = 1 << 20
+	// memoryRetryAfter is when a caller may repeat a request that was refused for lack of memory,
+	// in seconds. By then the silent connections among the others count as such.
+	memoryRetryAfter = "1"
 )
 
 // wireRequest is a caller's request in the form that is sent to targets.
@@ -70,23 +72,22 @@
 	headers  Headers
 	observer Observer
 	server   *http.Server
-	closing  atomic.Bool
+	// guard bounds what the connections hold, and for how long.
+	guard   *connguard.Guard
+	closing atomic.Bool
 
+	mu       sync.Mutex
 	listener net.Listener // guarded by mu
-
-	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
 }
 
-// NewCallerServer returns a server for callers. Serve starts it.
-func NewCallerServer(loop *Loop, headers Headers, observer Observer) *CallerServer {
-	c := &CallerServer{loop: loop, headers: headers, observer: observer, conns: make(map[net.Conn]*callerConn)}
+// NewCallerServer returns a server for callers whose connections stay within limits. Serve starts
+// it.
+func NewCallerServer(loop *Loop, headers Headers, observer Observer, limits connlimit.Limits, counts *telemetry.Counts) *CallerServer {
+	c := &CallerServer{loop: loop, headers: headers, observer: observer}
+	c.guard = connguard.New(connguard.Config{Limits: limits, Request: c.requestLimits, Counts: counts})
 	c.server = &http.Server{
-		Handler:           c,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         c.connState,
-		ConnContext:       c.connContext,
+		Handler:     c,
+		ConnContext: callerContext,
 		// Forward OPTIONS * like any other request; net/http would answer it itself.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -98,16 +99,28 @@
 	c.mu.Lock()
 	c.listener = l
 	c.mu.Unlock()
-	return c.server.Serve(l)
+	return c.guard.Serve(c.server, l)
+}
+
+// requestLimits returns the bounds of the current configuration for what a caller may send.
+func (c *CallerServer) requestLimits() connguard.RequestLimits {
+	limits := c.loop.Limits()
+	if limits == nil {
+		return connguard.RequestLimits{}
+	}
+	return connguard.RequestLimits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
+// Usage returns what the connections of callers hold.
+func (c *CallerServer) Usage() connguard.Usage { return c.guard.Usage() }
+
 // CloseAfterAnswers makes the server close each connection after its next answer.
 func (c *CallerServer) CloseAfterAnswers() { c.closing.Store(true) }
 
 // ServeHTTP forwards one request.
 func (c *CallerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := requestConn(r)
-	if conn.closed.Load() {
+	if !conn.guarded.BeginBody() {
 		// The connection was closed as idle while the request arrived. The caller would
 		// get no answer, so the request must not be forwarded.
 		panic(http.ErrAbortHandler)
@@ -117,20 +130,27 @@
 	}
 	// The limits for header and body are part of the configuration.
 	waited := c.loop.awaitStartup(r.Context(), c.timeLeft(r))
-	body, status := c.readRequest(r)
+	body, status := c.readRequest(conn, r)
 	if status != 0 {
 		w.Header().Set("Connection", "close")
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", memoryRetryAfter)
+		}
 		w.WriteHeader(status)
 		return
 	}
 	start := time.Now().Add(-waited)
 	message := c.buildMessage(r, body)
+	if !conn.guarded.BeginRun() {
+		panic(http.ErrAbortHandler) // closed while the body arrived, as above
+	}
 	id, answers := c.loop.register()
 	c.loop.Post(forward.Arrived{
 		Request: id, Message: message, CallerTimeout: c.timeLeft(r), Transit: conn.transitTime() + waited,
 	})
 	select {
 	case a := <-answers:
+		conn.guarded.BeginResponse(answerBytes(&a))
 		c.writeAnswer(w, r, &a)
 		if !a.TargetTime.IsZero() {
 			c.loop.Post(forward.AnswerSent{Late: c.loop.now().Sub(a.TargetTime)})
@@ -146,11 +166,11 @@
 
 // readRequest returns the body of a request that is within the limits, or the HTTP status
 // of the refusal.
-func (c *CallerServer) readRequest(r *http.Request) ([]byte, int) {
+func (c *CallerServer) readRequest(conn *callerConn, r *http.Request) ([]byte, int) {
 	if limits := c.loop.Limits(); limits != nil && limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	}
-	return c.readBody(r)
+	return c.readBody(conn, r)
 }
 
 // headerSize returns the length of the request URI and the header fields.
@@ -165,7 +185,7 @@
 }
 
 // readBody returns the body, or the HTTP status of the refusal.
-func (c *CallerServer) readBody(r *http.Request) ([]byte, int) {
+func (c *CallerServer) readBody(conn *callerConn, r *http.Request) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
@@ -176,8 +196,10 @@
 	if r.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := conn.guarded.ReadBody(r, limit)
 	switch {
+	case errors.Is(err, connguard.ErrNoMemory):
+		return nil, http.StatusServiceUnavailable
 	case err != nil:
 		return nil, http.StatusBadRequest
 	case int64(len(body)) > limit:
@@ -338,6 +360,17 @@
 	_, _ = w.Write(reply.Body) // a caller that has disconnected is detected by its connection
 }
 
+// answerBytes returns the memory of an answer's body.
+func answerBytes(a *forward.Answer) int {
+	switch {
+	case a.Merged != nil:
+		return len(a.Merged.Body)
+	case a.Reply != nil:
+		return len(a.Reply.Body)
+	}
+	return 0
+}
+
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/entry/relay/callers_test.go
+++ b/entry/relay/callers_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabsail/baobabsail/core/connlimit"
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
@@ -21,7 +22,7 @@
 	t.Helper()
 	loop := NewLoop(forward.New(forward.Settings{BudgetWindow: time.Second}), discard{}, discard{})
 	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders))
-	c := NewCallerServer(loop, testHeaders, discard{})
+	c := NewCallerServer(loop, testHeaders, discard{}, testLimits, nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -34,22 +35,45 @@
 // Guards against forwarding a request on a connection that this node has just closed as
 // idle: the request would run, but its caller would get no answer.
 func TestRequestOnConnectionClosedAsIdle(t *testing.T) {
-	c, _ := newCallerServer(t)
-	cc := &callerConn{}
-	cc.closed.Store(true)
-	r := httptest.NewRequest("GET", "/x", nil)
-	r = r.WithContext(context.WithValue(r.Context(), callerConnKey{}, cc))
-	defer func() {
-		if v := recover(); v != http.ErrAbortHandler {
-			t.Errorf("recovered %v, want http.ErrAbortHandler", v)
-		}
-		if n := registered(c.loop); n != 0 {
-			t.Errorf("%d requests were forwarded, want 0", n)
-		}
-	}()
-	c.ServeHTTP(httptest.NewRecorder(), r)
+	c, address := newCallerServer(t)
+	// net/http is about to handle a request when the sweep closes its connection.
+	handling, closed := make(chan struct{}), make(chan struct{})
+	recovered := make(chan any, 1)
+	c.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() { recovered <- recover() }()
+		close(handling)
+		<-closed
+		c.ServeHTTP(w, r)
+	})
+	conn := dialRequest(t, address)
+	defer func() { _ = conn.Close() }()
+	<-handling
+	c.guard.CloseUnused(0)
+	close(closed)
+	if v := <-recovered; v != http.ErrAbortHandler {
+		t.Errorf("recovered %v, want http.ErrAbortHandler", v)
+	}
+	if n := registered(c.loop); n != 0 {
+		t.Errorf("%d requests were forwarded, want 0", n)
+	}
+}
+
+// dialRequest opens a connection and sends a request on it.
+func dialRequest(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	return conn
 }
 
+// testLimits are far above what the tests need.
+var testLimits = connlimit.Limits{Conns: 1000, Bytes: 64 << 20}
+
 // Guards against idle connections that are never closed, against closing a connection in
 // use, and against a shutdown that waits for idle connections.
 func TestShutdownClosesIdleConnections(t *testing.T) {
@@ -67,7 +91,7 @@
 			t.Fatalf("response %v, error %v", response, err)
 		}
 		_ = response.Body.Close()
-		if left := c.closeUnused(time.Now().Add(-time.Minute), time.Time{}); left != 1 {
+		if left := c.guard.Expire(time.Now()); left != 1 {
 			t.Fatalf("%d connections remain, want 1", left)
 		}
 	}
--- a/entry/relay/cutoff_test.go
+++ b/entry/relay/cutoff_test.go
@@ -116,7 +116,7 @@
 	loop.Post(forward.TableRead{Table: routing.NewTable(1, []routing.Route{route}, []routing.Service{{Name: "s"}}, routing.Limits{})})
 	loop.Post(forward.Members{Nodes: 1})
 	loop.Post(forward.ReplicaRegistered{Registration: forward.Registration{Replica: "r", Service: "s", Address: replica, Slots: 2, Sequence: 1, ProcessStart: 1}})
-	server := httptest.NewServer(NewCallerServer(loop, testHeaders, discardObserver{}))
+	server := httptest.NewServer(NewCallerServer(loop, testHeaders, discardObserver{}, testLimits, nil))
 	t.Cleanup(server.Close)
 	return server.URL
 }
--- a/entry/relay/query_bench_test.go
+++ b/entry/relay/query_bench_test.go
@@ -101,7 +101,7 @@
 		}})
 	}
 	loop.Post(forward.TableRead{Table: routing.NewTable(1, []routing.Route{route}, services, routing.Limits{})})
-	callers := NewCallerServer(loop, testHeaders, discard{})
+	callers := NewCallerServer(loop, testHeaders, discard{}, testLimits, nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
