relay, nodeconn: bounds for the connections and calls of other nodes

What was seen: 700 connections with 500 calls each, whose message does not end, took 4,359 MiB of a process of 128 MiB. Found by reading the paths related to the callers' port.

Cause: gRPC bounds neither connections nor calls of a server, and starts a goroutine with buffers for each call.

Change: both are bounded from the memory and the descriptors of the process, and so are the requests in calls.

--- a/entry/relay/bounds.go
+++ b/entry/relay/bounds.go
@@ -26,8 +26,8 @@
 	return n, err
 }
 
-// memoryBudget bounds the memory of all response bodies that are being read. It is safe for
-// concurrent use.
+// memoryBudget bounds the memory of several users together, such as all response bodies that are
+// being read. It is safe for concurrent use.
 type memoryBudget struct {
 	limit int64
 	used  atomic.Int64
--- a/entry/relay/callers_test.go
+++ b/entry/relay/callers_test.go
@@ -71,8 +71,11 @@
 	return conn
 }
 
-// testLimits are far above what the tests need.
-var testLimits = connlimit.Limits{Conns: 1000, Bytes: 64 << 20}
+// Limits far above what the tests need.
+var (
+	testLimits     = connlimit.Limits{Conns: 1000, Bytes: 64 << 20}
+	testNodeLimits = NodeServerLimits{Calls: 1000, RequestBytes: 64 << 20}
+)
 
 // Guards against idle connections that are never closed, against closing a connection in
 // use, and against a shutdown that waits for idle connections.
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -186,7 +186,7 @@
 	}
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2"}), discardLog{}, nil)
 	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders))
-	server := NewNodeServer(loop, testHeaders)
+	server := NewNodeServer(loop, testHeaders, testNodeLimits, nil)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	defer server.Stop()
 	events := &eventRecorder{}
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -9,7 +9,10 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
+	"github.com/baobabsail/baobabsail/entry/telemetry"
 	"github.com/baobabsail/baobabsail/wire/convert"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 	"github.com/baobabsail/baobabsail/wire/peerpb"
@@ -20,12 +23,37 @@
 	nodepb.UnimplementedNodeServer
 	loop    *Loop
 	headers Headers
+	counts  *telemetry.Counts
+	// requests bounds the memory of the requests whose ranges of shards are being run.
+	requests memoryBudget
 }
 
+// maxNodeStreams bounds the calls on one connection at the same time.
+const maxNodeStreams = 250
+
+// NodeServerLimits bounds what the calls of other nodes hold together.
+type NodeServerLimits struct {
+	// Calls is the number of calls at the same time.
+	Calls int
+	// RequestBytes is the memory of the requests in them.
+	RequestBytes int64
+}
+
+// Details of counters of kind count.PeerCall.
+const (
+	detailTooManyCalls api.Reason = "too_many"
+	detailNoMemory     api.Reason = "no_memory"
+)
+
 // NewNodeServer returns a gRPC server for calls from other nodes.
-func NewNodeServer(loop *Loop, headers Headers) *grpc.Server {
-	server := grpc.NewServer(grpc.ReadBufferSize(nodeBufferSize), grpc.WriteBufferSize(nodeBufferSize))
-	nodepb.RegisterNodeServer(server, &NodeServer{loop: loop, headers: headers})
+func NewNodeServer(loop *Loop, headers Headers, limits NodeServerLimits, counts *telemetry.Counts) *grpc.Server {
+	options := nodeconn.ServerOptions(limits.Calls, func() { counts.Inc(count.PeerCall, detailTooManyCalls) })
+	options = append(options, grpc.MaxConcurrentStreams(maxNodeStreams),
+		grpc.ReadBufferSize(nodeBufferSize), grpc.WriteBufferSize(nodeBufferSize))
+	server := grpc.NewServer(options...)
+	nodepb.RegisterNodeServer(server, &NodeServer{
+		loop: loop, headers: headers, counts: counts, requests: memoryBudget{limit: limits.RequestBytes},
+	})
 	return server
 }
 
@@ -35,6 +63,13 @@
 	if err != nil {
 		return err
 	}
+	size := int64(len(q.GetHead()) + len(q.GetBody()))
+	if !s.requests.reserve(size) {
+		// The other node asks another one, whatever its version.
+		s.counts.Inc(count.PeerCall, detailNoMemory)
+		return status.Error(codes.ResourceExhausted, "no memory for the request")
+	}
+	defer s.requests.release(size)
 	if err := stream.Send(&nodepb.ShardsReply{}); err != nil {
 		return err
 	}
--- a/entry/relay/permits_test.go
+++ b/entry/relay/permits_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewNodeServer(loop, testHeaders)
+	server := NewNodeServer(loop, testHeaders, testNodeLimits, nil)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	t.Cleanup(server.Stop)
 	return loop, listener.Addr().String()
