entry, settings: bounds for callers, operators and peers of baobabd run

What was seen: with clients outside the limits, baobabd run took up to 841 MiB for bodies and 3,757 MiB for calls of peers, with a crowd of 700. Found by reading the paths related to the callers' port of baobabd platform.

Cause: limits.max_concurrent_requests bounds requests that are being served; bodies are read first, connections have no bound, and the other listeners have none at all.

Change: two settings, limits.memory (1GiB) and limits.descriptors (8192), and the guards of baobabd platform on the three listeners. A body without memory is refused with 429 (overloaded), statements with 503; neither has run.

--- a/cmd/baobabd/main.go
+++ b/cmd/baobabd/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/baobabsail/baobabsail/cmd/internal/program"
+	"github.com/baobabsail/baobabsail/core/connlimit"
 	"github.com/baobabsail/baobabsail/entry"
 	"github.com/baobabsail/baobabsail/entry/settings"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
@@ -86,6 +87,7 @@
 func serve(ctx context.Context, s *settings.Settings, logOutput io.Writer) int {
 	log := telemetry.NewLogger(logOutput, string(s.LogLevel))
 	defer log.Close()
+	debug.SetMemoryLimit(connlimit.ForProcess(int64(s.Limits.Memory), int(s.Limits.Descriptors)).HeapBytes)
 	node, err := entry.Start(s, entry.Options{Log: log})
 	if err != nil {
 		log.Error("start_failed", "error", err.Error())
--- a/entry/callerhttp/server.go
+++ b/entry/callerhttp/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/entry/connguard"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
 	"github.com/kataras/iris/v12"
 )
@@ -166,11 +167,14 @@
 
 func (s *server) refuseMalformed(ctx iris.Context, err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		s.refuse(ctx, http.StatusRequestEntityTooLarge, api.ReasonMalformed, err.Error())
-		return
+	case errors.Is(err, connguard.ErrNoMemory):
+		s.refuse(ctx, http.StatusTooManyRequests, api.ReasonOverloaded, err.Error())
+	default:
+		s.refuse(ctx, http.StatusBadRequest, api.ReasonMalformed, err.Error())
 	}
-	s.refuse(ctx, http.StatusBadRequest, api.ReasonMalformed, err.Error())
 }
 
 // refuse rejects a request before it reaches the node, and counts it as refused.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/baobabsail/baobabsail/core/fanout"
 	"github.com/baobabsail/baobabsail/core/node"
 	"github.com/baobabsail/baobabsail/entry/callerhttp"
+	"github.com/baobabsail/baobabsail/entry/connguard"
 	"github.com/baobabsail/baobabsail/entry/driver"
 	"github.com/baobabsail/baobabsail/entry/operatorhttp"
 	"github.com/baobabsail/baobabsail/entry/peer"
@@ -58,6 +59,7 @@
 
 	callerServer, operatorServer                   *http.Server
 	peerServer                                     *grpc.Server
+	guards                                         guards
 	callerListener, operatorListener, peerListener net.Listener
 
 	// after is time.After; tests replace it.
@@ -70,6 +72,7 @@
 // stays open.
 func Start(s *settings.Settings, o Options) (*Entry, error) {
 	e := &Entry{settings: s, log: o.Log, counts: telemetry.NewCounts(), after: time.After}
+	e.guards = newGuards(s.Limits, e.counts)
 	if err := connectPlatform(s, &o); err != nil {
 		return nil, err
 	}
@@ -102,13 +105,14 @@
 	for _, l := range []struct {
 		key     string
 		address string
+		listen  func(address string) (net.Listener, error)
 		to      *net.Listener
 	}{
-		{"callers.listen", string(e.settings.Callers.Listen), &e.callerListener},
-		{"operators.listen", string(e.settings.Operators.Listen), &e.operatorListener},
-		{"peers.listen", string(e.settings.Peers.Listen), &e.peerListener},
+		{"callers.listen", string(e.settings.Callers.Listen), connguard.Listen, &e.callerListener},
+		{"operators.listen", string(e.settings.Operators.Listen), connguard.Listen, &e.operatorListener},
+		{"peers.listen", string(e.settings.Peers.Listen), connguard.ListenForPeers, &e.peerListener},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := l.listen(l.address)
 		if err != nil {
 			return fmt.Errorf("%s: %w", l.key, err)
 		}
@@ -156,7 +160,7 @@
 		Metrics:      e.metrics.Handler(),
 		MaxBodyBytes: int64(s.Limits.MaxRequestBytes),
 	}))
-	e.peerServer = peer.NewServer(e.driver, e.counts, peer.DefaultMaxMessageBytes)
+	e.peerServer = peer.NewServer(e.driver, e.counts, peer.DefaultMaxMessageBytes, e.guards.limits.PeerCalls)
 	return nil
 }
 
@@ -206,23 +210,12 @@
 	return max(1, binary.LittleEndian.Uint64(b[:]))
 }
 
-func (e *Entry) httpServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler,
-		// ReadTimeout covers reading header and body. net/http removes the deadline while
-		// the handler runs.
-		ReadTimeout:    e.settings.Limits.ReadTimeout.Std(),
-		MaxHeaderBytes: int(e.settings.Limits.MaxHeaderBytes),
-		IdleTimeout:    idleTimeout,
-	}
-}
-
 // serve starts the goroutines of the driver, the servers and the metrics exporter.
 func (e *Entry) serve(ctx context.Context) {
 	e.running.Go(func() { e.driver.Run(ctx) })
-	e.running.Go(func() { e.logServeError("callers", e.callerServer.Serve(e.callerListener)) })
-	e.running.Go(func() { e.logServeError("operators", e.operatorServer.Serve(e.operatorListener)) })
-	e.running.Go(func() { e.logServeError("peers", e.peerServer.Serve(e.peerListener)) })
+	e.running.Go(func() { e.logServeError("callers", e.guards.callers.Serve(e.callerServer, e.callerListener)) })
+	e.running.Go(func() { e.logServeError("operators", e.guards.operators.Serve(e.operatorServer, e.operatorListener)) })
+	e.running.Go(func() { e.logServeError("peers", e.peerServer.Serve(e.guards.peers.PeerListener(e.peerListener))) })
 	exporter := &telemetry.Exporter{
 		Read:        e.sample,
 		Metrics:     e.metrics,
--- a/entry/operatorhttp/server.go
+++ b/entry/operatorhttp/server.go
@@ -15,6 +15,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/event"
 	"github.com/baobabsail/baobabsail/core/node"
+	"github.com/baobabsail/baobabsail/entry/connguard"
 	"github.com/baobabsail/baobabsail/entry/driver"
 )
 
@@ -84,6 +85,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		writeJSON(w, http.StatusRequestEntityTooLarge, invalidAnswer(err.Error()))
+	case errors.Is(err, connguard.ErrNoMemory):
+		writeJSON(w, http.StatusServiceUnavailable, refusedAnswer(api.ReasonOverloaded))
 	case err != nil:
 		writeJSON(w, http.StatusBadRequest, invalidAnswer(err.Error()))
 	default:
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -46,7 +46,7 @@
 }
 
 func serveOn(t *testing.T, l net.Listener, f *fakeReceiver, counts *telemetry.Counts) string {
-	s := NewServer(f, counts, DefaultMaxMessageBytes)
+	s := NewServer(f, counts, DefaultMaxMessageBytes, 1000)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
 	return l.Addr().String()
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -9,6 +9,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
 	"github.com/baobabsail/baobabsail/wire/convert"
 	"github.com/baobabsail/baobabsail/wire/peerpb"
@@ -28,12 +29,13 @@
 
 // Values of the detail of counters of kind count.Peer.
 const (
-	detailMalformed   api.Reason = "malformed"
-	detailInboxFull   api.Reason = "inbox_full"
-	detailQueueFull   api.Reason = "queue_full"
-	detailUndelivered api.Reason = "undelivered"
-	detailPartFailed  api.Reason = "part_failed"
-	detailWorkFailed  api.Reason = "work_failed"
+	detailMalformed    api.Reason = "malformed"
+	detailInboxFull    api.Reason = "inbox_full"
+	detailQueueFull    api.Reason = "queue_full"
+	detailUndelivered  api.Reason = "undelivered"
+	detailTooManyCalls api.Reason = "too_many" // of kind count.PeerCall
+	detailPartFailed   api.Reason = "part_failed"
+	detailWorkFailed   api.Reason = "work_failed"
 )
 
 // Receiver handles the requests of peers. *driver.Driver implements it.
@@ -50,13 +52,15 @@
 	counts   *telemetry.Counts
 }
 
-// NewServer returns a gRPC server for the peers' listener.
-func NewServer(receiver Receiver, counts *telemetry.Counts, maxMessageBytes int) *grpc.Server {
-	s := grpc.NewServer(
+// NewServer returns a gRPC server for the peers' listener. It serves maxCalls calls at the same time,
+// over all connections.
+func NewServer(receiver Receiver, counts *telemetry.Counts, maxMessageBytes, maxCalls int) *grpc.Server {
+	options := nodeconn.ServerOptions(maxCalls, func() { counts.Inc(count.PeerCall, detailTooManyCalls) })
+	s := grpc.NewServer(append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
-	)
+	)...)
 	peerpb.RegisterPeerServer(s, &server{receiver: receiver, counts: counts})
 	return s
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -63,6 +63,10 @@
 	MaxHeaderBytes        Size     `json:"max_header_bytes"`
 	MaxConcurrentRequests Count    `json:"max_concurrent_requests"`
 	ReadTimeout           Duration `json:"read_timeout"`
+	// Memory and Descriptors are what the process may use; the limits of its connections and of
+	// the requests on them follow from both.
+	Memory      Memory `json:"memory"`
+	Descriptors Count  `json:"descriptors"`
 }
 
 // Shutdown holds the time limits of a graceful shutdown.
@@ -99,6 +103,8 @@
 			MaxHeaderBytes:        16 << 10,
 			MaxConcurrentRequests: 2000,
 			ReadTimeout:           Duration(5 * time.Second),
+			Memory:                1 << 30,
+			Descriptors:           8192,
 		},
 		Shutdown: Shutdown{
 			// Load balancers of the platform notice a failed readiness check
--- a/entry/settings/values.go
+++ b/entry/settings/values.go
@@ -70,6 +70,24 @@
 	return nil
 }
 
+// Memory is a number of bytes with a unit that a process needs at least to run.
+type Memory int64
+
+// minMemory is the least memory that a process gets along with.
+const minMemory = 64 * int64(units.MiB)
+
+func (m *Memory) parse(text string) error {
+	v, err := units.ParseStrictBytes(text)
+	if err != nil {
+		return fmt.Errorf("%q is not a size with a unit of MiB or GiB", text)
+	}
+	if v < minMemory {
+		return errors.New("must be at least 64MiB")
+	}
+	*m = Memory(v)
+	return nil
+}
+
 // Count is a whole number above 0.
 type Count int
 
