entry/relay: a response with an invalid status ends its connection

What callers saw: where a replica in trouble answers with status 000, the body of that answer is taken for the next response. If it looks like one, the caller gets it with status 200, also as a part of a merged answer and through another node; 600 and 999 were passed on as they are. Status 000 itself did not reach callers.

Cause: the reader of a connection took every status below 200 for that of an interim response, which has no body.

Change: a status outside 100 to 599, or 101, ends the connection and loses the attempt.

--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -21,7 +21,36 @@
 	maxFramedBytes = 2 * maxReplyBytes
 )
 
-var errUnsolicited = errors.New("received bytes without a pending request")
+var (
+	errUnsolicited   = errors.New("received bytes without a pending request")
+	errInvalidStatus = errors.New("received a response with an invalid status")
+)
+
+// maxStatus is the greatest status of RFC 9110, section 15.
+const maxStatus = 599
+
+// statusKind says what a status means for the reader of a connection.
+type statusKind int
+
+const (
+	// invalidStatus: the bytes are no response to a request of ours. What follows cannot be told
+	// apart from a response.
+	invalidStatus statusKind = iota
+	// interimStatus: the response has no body, and another one follows.
+	interimStatus
+	finalStatus
+)
+
+// kindOfStatus classifies a status. A switch of protocols is invalid, since no request asks for it.
+func kindOfStatus(status int) statusKind {
+	switch {
+	case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+		return invalidStatus
+	case status < http.StatusOK:
+		return interimStatus
+	}
+	return finalStatus
+}
 
 // wireReply is a replica's response as it was received.
 type wireReply struct {
@@ -72,8 +101,12 @@
 	if err != nil {
 		return err
 	}
-	if response.StatusCode < http.StatusOK {
-		return nil // an interim response; the final one follows
+	switch kindOfStatus(response.StatusCode) {
+	case invalidStatus:
+		return errInvalidStatus
+	case interimStatus:
+		return nil // the final response follows
+	case finalStatus:
 	}
 	body, err := c.readBody(response)
 	if err != nil {
