forward, relay: a node without room for a call is not suspected

What callers would see: while a few clients send large requests that are divided, nodes refuse each other's calls for lack of memory, take each other for lost, and the requests of others are not divided any more. Found by reading what the limit of calls does on the node that is refused; not seen outside the tests.

Cause: a refused call was a lost call, which makes the other node suspect. The copies of requests in calls to other nodes had no bound at all.

Change: the copies are bounded like the requests that run for others; a call without room here or there is reported as refused (peer_full), and its range runs elsewhere, at last on the node that divides. Calls that run requests leave a quarter of the calls to the short ones by which nodes agree on permits and quotas, so that a crowd of requests does not make a second node grant a limit. A node of the last version gets the status RESOURCE_EXHAUSTED, which it takes for a lost call.

Measured: TestRangesOfFullNodesRunElsewhere fails without the change of core/forward (no shard answered) and passes; TestCallWithoutRoom covers the three cases in entry/relay.

--- a/core/api/request.go
+++ b/core/api/request.go
@@ -169,6 +169,8 @@
 	ReasonQuotaUnknown     Reason = "quota_unknown"
 	ReasonEvacuated        Reason = "evacuated"
 	ReasonOutsideRegion    Reason = "outside_home_region"
+	// ReasonPeerFull: another node, or this one, had no room for a call to it.
+	ReasonPeerFull Reason = "peer_full"
 )
 
 // MissingShard is a shard that an answer does not cover, with the reason.
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -179,8 +179,8 @@
 			memory, descriptors = defaultMemoryBytes, defaultDescriptors
 		}
 		sum := p.Callers.Bytes + int64(p.Callers.Conns)*connMemoryBytes + p.ResponseBytes +
-			p.Peers.Bytes + int64(p.Peers.Conns)*peerConnMemoryBytes + int64(p.PeerCalls)*callMemoryBytes + 2*p.Operators.Bytes
-		if limit := memory / 4 * 3; sum > limit {
+			2*p.Peers.Bytes + int64(p.Peers.Conns)*peerConnMemoryBytes + int64(p.PeerCalls)*callMemoryBytes + 2*p.Operators.Bytes
+		if limit := memory / 100 * 75; sum > limit {
 			t.Errorf("%d MB: the shares are %d bytes, want at most %d", k.megabytes, sum, limit)
 		}
 		if conns := p.Callers.Conns + p.Peers.Conns + 2*p.Operators.Conns; conns > descriptors-reservedDescriptors {
--- a/core/connlimit/shares.go
+++ b/core/connlimit/shares.go
@@ -33,13 +33,13 @@
 	// heapShare is the part of the process's memory that the runtime may use before it collects
 	// garbage more often.
 	heapShare = 0.6
-	// Shares of the process's memory. What remains, 0.28, is for the process itself.
+	// Shares of the process's memory. What remains, 0.25, is for the process itself.
 	callerConnShare  = 0.25
 	callerBytesShare = 0.12
 	responseShare    = 0.15
 	peerConnShare    = 0.1
 	peerCallShare    = 0.05
-	peerBytesShare   = 0.03
+	peerBytesShare   = 0.03 // for each direction of calls
 	operatorShare    = 0.01 // for each of two listeners
 
 	// reservedDescriptors are for files.
--- a/core/forward/callreplies.go
+++ b/core/forward/callreplies.go
@@ -35,8 +35,8 @@
 		return
 	}
 	c.acceptDeadline, c.responseDeadline = time.Time{}, time.Time{}
-	d.peerResponded = d.peerResponded || c.node != ""
-	if ev.Last && (ev.configurationDiffers() || e.exclusionsDiffer(c, ev)) {
+	d.peerResponded = d.peerResponded || c.node != "" && ev.Reason != api.ReasonPeerFull
+	if ev.Last && (ev.Reason == api.ReasonPeerFull || ev.configurationDiffers() || e.exclusionsDiffer(c, ev)) {
 		e.callRefused(now, c, ev.Reason)
 		return
 	}
@@ -105,7 +105,7 @@
 	d.reason = reason
 	switch {
 	case c.node == "":
-	case reason == api.ReasonEvacuated || reason == api.ReasonOutsideRegion || reason == api.ReasonUnknownKey:
+	case reason == api.ReasonEvacuated || reason == api.ReasonOutsideRegion || reason == api.ReasonUnknownKey || reason == api.ReasonPeerFull:
 		e.groups.balancer.Unsent(api.ReplicaName(c.node)) // the node can run ranges of other requests
 	default:
 		e.groups.balancer.Lost(now, api.ReplicaName(c.node))
--- a/core/forward/calls_test.go
+++ b/core/forward/calls_test.go
@@ -109,6 +109,37 @@
 	}
 }
 
+// Guards against answers that lack the ranges of nodes without room for calls, and against nodes
+// that get no ranges any more because they had no room for one of a large request.
+func TestRangesOfFullNodesRunElsewhere(t *testing.T) {
+	f := newFleet(t, 7)
+	f.needAllShards()
+	f.full = map[string]bool{}
+	for i := 1; i < f.size.nodes; i++ {
+		f.full[nodeName(i)] = true
+	}
+	id := f.request(0)
+	f.run(time.Second)
+	if a := f.answers[id]; a.Outcome != api.Answered || f.check(id) != fleetShards {
+		t.Errorf("all others full: %v %q with %d shards", a.Outcome, a.Reason, f.check(id))
+	}
+	f.full, f.calls = nil, 0
+	f.pings = map[string]bool{}
+	id = f.request(0)
+	f.run(time.Second)
+	if a := f.answers[id]; a.Outcome != api.Answered || f.check(id) != fleetShards {
+		t.Errorf("afterwards: %v %q with %d shards", a.Outcome, a.Reason, f.check(id))
+	}
+	for key, ping := range f.pings {
+		if ping {
+			t.Errorf("call %s is a ping to a node that is in order", key)
+		}
+	}
+	if f.calls < 3 {
+		t.Errorf("%d calls to other nodes, want one for each of 3 ranges", f.calls)
+	}
+}
+
 // Guards against requests that miss their target while a lost node that is the only one of
 // its group in a data centre is still listed: the same group in another data centre must
 // run its range.
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -66,6 +66,8 @@
 	otherActions func(node int, a Action)
 	// callerTimeout is how long callers wait for an answer.
 	callerTimeout time.Duration
+	// full holds the nodes that have no room for calls.
+	full map[string]bool
 	// ignoresMergeRules holds the nodes of a version that merges by its own configuration.
 	ignoresMergeRules map[string]bool
 }
@@ -207,6 +209,10 @@
 		}
 		return
 	}
+	if f.full[a.Node] {
+		f.later(2*time.Millisecond, node, CallReplied{Call: a.Call, Last: true, Reason: api.ReasonPeerFull})
+		return
+	}
 	var to int
 	if _, err := fmt.Sscanf(a.Node, "n%d", &to); err != nil || to == node {
 		f.t.Fatalf("%s calls %q", nodeName(node), a.Node)
--- a/entry/internal/nodeconn/server.go
+++ b/entry/internal/nodeconn/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +19,20 @@
 	handshakeTimeout = 5 * time.Second
 )
 
-// ServerOptions returns options that bound what the calls of other nodes hold: at most maxCalls at
-// the same time, over all connections. onRefused is called for each call beyond these.
-func ServerOptions(maxCalls int, onRefused func()) []grpc.ServerOption {
-	l := &callLimiter{limit: int64(maxCalls), onRefused: onRefused}
+// CallLimits bounds the calls of other nodes that are in progress at the same time, over all
+// connections.
+type CallLimits struct {
+	// Max is the number of calls.
+	Max int
+	// RequestMethods are the methods that run requests of callers. They leave a quarter of the
+	// calls to the short ones by which nodes coordinate.
+	RequestMethods []string
+}
+
+// ServerOptions returns options that bound what the calls of other nodes hold. onRefused is called
+// for each call beyond the limits.
+func ServerOptions(limits CallLimits, onRefused func()) []grpc.ServerOption {
+	l := &callLimiter{limits: limits, onRefused: onRefused}
 	return []grpc.ServerOption{
 		grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.ConnectionTimeout(handshakeTimeout),
@@ -31,14 +42,18 @@
 
 // callLimiter counts the calls in progress.
 type callLimiter struct {
-	limit     int64
+	limits    CallLimits
 	calls     atomic.Int64
 	onRefused func()
 }
 
 // admit is called before anything of a call is kept, and refuses it beyond the limit.
-func (l *callLimiter) admit(ctx context.Context, _ *tap.Info) (context.Context, error) {
-	if l.calls.Add(1) > l.limit {
+func (l *callLimiter) admit(ctx context.Context, call *tap.Info) (context.Context, error) {
+	limit := l.limits.Max
+	if slices.Contains(l.limits.RequestMethods, call.FullMethodName) {
+		limit = limit / 4 * 3
+	}
+	if l.calls.Add(1) > int64(limit) {
 		l.calls.Add(-1)
 		l.onRefused()
 		return nil, status.Error(codes.ResourceExhausted, "too many calls")
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -55,7 +55,10 @@
 // NewServer returns a gRPC server for the peers' listener. It serves maxCalls calls at the same time,
 // over all connections.
 func NewServer(receiver Receiver, counts *telemetry.Counts, maxMessageBytes, maxCalls int) *grpc.Server {
-	options := nodeconn.ServerOptions(maxCalls, func() { counts.Inc(count.PeerCall, detailTooManyCalls) })
+	calls := nodeconn.CallLimits{
+		Max: maxCalls, RequestMethods: []string{peerpb.Peer_RunPart_FullMethodName, peerpb.Peer_RunWork_FullMethodName},
+	}
+	options := nodeconn.ServerOptions(calls, func() { counts.Inc(count.PeerCall, detailTooManyCalls) })
 	s := grpc.NewServer(append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
--- a/entry/relay/admissions_test.go
+++ b/entry/relay/admissions_test.go
@@ -30,7 +30,7 @@
 func TestRequestsAreAdmittedByAnotherNode(t *testing.T) {
 	loop, address := serveLoop(t)
 	events := &eventRecorder{}
-	nodes := NewNodes(events, testHeaders)
+	nodes := NewNodes(events, testHeaders, testCallBytes)
 	defer nodes.Close()
 	nodes.admitRequests(admissionsOf("n2", address, 3))
 	if ev, ok := events.wait(t, 0).(forward.AdmissionAnswered); !ok || !ev.Grant.NotAllocator || ev.Grant.Admitted != 0 {
@@ -62,7 +62,7 @@
 	t.Cleanup(server.Stop)
 	for supported, address := range map[bool]string{true: "127.0.0.1:1", false: listener.Addr().String()} {
 		events := &eventRecorder{}
-		nodes := NewNodes(events, testHeaders)
+		nodes := NewNodes(events, testHeaders, testCallBytes)
 		defer nodes.Close()
 		nodes.admitRequests(admissionsOf("n3", address, 1))
 		if ev, ok := events.wait(t, 0).(forward.AdmissionFailed); !ok || ev.Supported != supported || ev.Ask.Node != "n3" || ev.Error == "" {
--- a/entry/relay/badstatus_test.go
+++ b/entry/relay/badstatus_test.go
@@ -56,7 +56,7 @@
 	good := serve(t, func(_, _ int, r *http.Request) string { return responseTo(r, "0123456789abcdef") })
 	bad := serve(t, func(_, _ int, r *http.Request) string { return badStatusReply(status, r) })
 	loop := NewLoop(forward.New(forward.Settings{Node: "n1", FirstStart: true, BudgetWindow: time.Second}), discardLog{}, discardNotices{})
-	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders))
+	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
 	routes := []routing.Route{
 		{
 			Name: "one", Host: "h", Prefix: "/one/", Services: []routing.WeightedService{{Service: "bad", Weight: 1}},
@@ -121,7 +121,7 @@
 		go func() { _ = server.Serve(l) }() // ends with Stop
 		t.Cleanup(server.Stop)
 		events := &eventRecorder{}
-		nodes := NewNodes(events, testHeaders)
+		nodes := NewNodes(events, testHeaders, testCallBytes)
 		t.Cleanup(nodes.Close)
 		call := testCall(1, l.Addr().String())
 		call.Remaining, call.Target, call.Message.Path = 600*time.Millisecond, 300*time.Millisecond, "/all/x"
--- a/entry/relay/callers_test.go
+++ b/entry/relay/callers_test.go
@@ -21,7 +21,7 @@
 func newCallerServer(t *testing.T) (*CallerServer, string) {
 	t.Helper()
 	loop := NewLoop(forward.New(forward.Settings{BudgetWindow: time.Second}), discard{}, discard{})
-	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders))
+	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
 	c := NewCallerServer(loop, testHeaders, discard{}, testLimits, nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,6 +74,7 @@
 // Limits far above what the tests need.
 var (
 	testLimits     = connlimit.Limits{Conns: 1000, Bytes: 64 << 20}
+	testCallBytes  = int64(64 << 20)
 	testNodeLimits = NodeServerLimits{Calls: 1000, RequestBytes: 64 << 20}
 )
 
--- a/entry/relay/cutoff_test.go
+++ b/entry/relay/cutoff_test.go
@@ -108,7 +108,7 @@
 func serveOrders(t *testing.T, replica string) string {
 	t.Helper()
 	loop := NewLoop(forward.New(forward.Settings{Node: "n1", FirstStart: true, BudgetWindow: time.Second}), discardLog{}, discardNotices{})
-	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders))
+	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
 	route := routing.Route{
 		Name: "order", Host: "h", Prefix: "/", Services: []routing.WeightedService{{Service: "s", Weight: 1}},
 		Timeout: 5 * time.Second, MaxAttempts: 2,
--- a/entry/relay/identity_test.go
+++ b/entry/relay/identity_test.go
@@ -33,7 +33,7 @@
 	if h := head(); strings.Contains(h, "k-1") || strings.Count(h, "X-Account") != 1 || !strings.Contains(h, "X-Account: one\r\n") || !strings.Contains(h, "X-Other: kept") {
 		t.Errorf("with an account: %q", h)
 	}
-	nodes := NewNodes(make(events, 1), testHeaders)
+	nodes := NewNodes(make(events, 1), testHeaders, testCallBytes)
 	q := nodes.shardsRequest(forward.CallPeer{Message: m})
 	if h := string(q.GetHead()); q.GetAccount() != "one" || strings.Contains(h, "k-1") || !strings.Contains(h, "X-Account: one\r\n") {
 		t.Errorf("to another node: %q", h)
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -10,6 +10,8 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
@@ -40,6 +42,9 @@
 type Nodes struct {
 	sink    EventSink
 	headers Headers
+	// requests bounds the copies of requests in calls, which exist until the other node has read
+	// them.
+	requests memoryBudget
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
@@ -59,10 +64,12 @@
 	stream nodepb.Node_RunShardsClient // nil until the call is sent
 }
 
-// NewNodes returns an empty pool of connections.
-func NewNodes(sink EventSink, headers Headers) *Nodes {
+// NewNodes returns an empty pool of connections. The requests in calls in progress take at most
+// callBytes together.
+func NewNodes(sink EventSink, headers Headers, callBytes int64) *Nodes {
 	return &Nodes{
-		sink: sink, headers: headers, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
+		requests: memoryBudget{limit: callBytes},
+		sink:     sink, headers: headers, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
 		pendingNotices: make(map[string]forward.SendNotices),
 	}
 }
@@ -90,8 +97,15 @@
 	n.mu.Lock()
 	n.calls[a.Call] = c
 	n.mu.Unlock()
+	size := callBytes(a.Message)
+	if !n.requests.reserve(size) {
+		cancel()
+		n.endFull(a.Call)
+		return
+	}
 	go func() {
 		defer cancel()
+		defer n.requests.release(size)
 		lost := n.runCall(ctx, c, a)
 		n.mu.Lock()
 		_, active := n.calls[a.Call]
@@ -103,6 +117,26 @@
 	}()
 }
 
+// endFull ends a call that had no room on this node or on the other one.
+func (n *Nodes) endFull(id forward.CallID) {
+	n.mu.Lock()
+	_, active := n.calls[id]
+	delete(n.calls, id)
+	n.mu.Unlock()
+	if active {
+		n.sink.Post(forward.CallReplied{Call: id, Last: true, Reason: api.ReasonPeerFull})
+	}
+}
+
+// callBytes returns the memory of a request in a call.
+func callBytes(m *forward.Message) int64 {
+	wire, ok := m.Wire.(*wireRequest)
+	if !ok {
+		return 0 // a ping
+	}
+	return int64(len(wire.head) + len(wire.body))
+}
+
 // runCall carries out one call. It returns how the call was lost, or nil after the last
 // reply.
 func (n *Nodes) runCall(ctx context.Context, c *nodeCall, a forward.CallPeer) *forward.CallLost {
@@ -117,12 +151,15 @@
 	if !n.markSent(a.Call, c, stream) {
 		return nil
 	}
-	if err := stream.Send(n.shardsRequest(a)); err != nil {
+	if err := stream.Send(n.shardsRequest(a)); err != nil && !errors.Is(err, io.EOF) { // Recv returns the reason for io.EOF
 		return &forward.CallLost{Call: a.Call, Error: err.Error()}
 	}
 	for first := true; ; first = false {
 		reply, err := stream.Recv()
 		switch {
+		case first && status.Code(err) == codes.ResourceExhausted:
+			n.endFull(a.Call)
+			return nil
 		case errors.Is(err, io.EOF):
 			return &forward.CallLost{Call: a.Call, Error: "stream ended before the last reply"}
 		case err != nil:
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -106,7 +106,7 @@
 		return s.Send(&nodepb.ShardsReply{Proofs: []string{"p2"}, Records: []byte("bb"), Last: true, Ran: true, Reason: "no_replica"})
 	})
 	events := &eventRecorder{}
-	n := NewNodes(events, testHeaders)
+	n := NewNodes(events, testHeaders, testCallBytes)
 	defer n.Close()
 	n.call(testCall(4, address))
 	if ev, ok := events.wait(t, 0).(forward.CallAccepted); !ok || ev.Call != 4 {
@@ -137,7 +137,7 @@
 		return s.Context().Err()
 	})
 	events := &eventRecorder{}
-	n := NewNodes(events, testHeaders)
+	n := NewNodes(events, testHeaders, testCallBytes)
 	defer n.Close()
 	n.call(testCall(1, silent))
 	<-received
@@ -168,7 +168,7 @@
 	address := listener.Addr().String()
 	_ = listener.Close() // frees the port
 	events := &eventRecorder{}
-	n := NewNodes(events, testHeaders)
+	n := NewNodes(events, testHeaders, testCallBytes)
 	defer n.Close()
 	n.call(testCall(1, address))
 	if ev, ok := events.wait(t, 0).(forward.CallLost); !ok || !ev.Unsent {
@@ -185,12 +185,12 @@
 		t.Fatal(err)
 	}
 	loop := NewLoop(forward.New(forward.Settings{Node: "n2"}), discardLog{}, nil)
-	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders))
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
 	server := NewNodeServer(loop, testHeaders, testNodeLimits, nil)
 	go func() { _ = server.Serve(listener) }() // ends with Stop
 	defer server.Stop()
 	events := &eventRecorder{}
-	n := NewNodes(events, testHeaders)
+	n := NewNodes(events, testHeaders, testCallBytes)
 	defer n.Close()
 	n.call(forward.CallPeer{Call: 1, Address: listener.Addr().String(), Message: &forward.Message{}, Remaining: 5 * time.Second})
 	reply, ok := events.wait(t, 1).(forward.CallReplied)
@@ -208,6 +208,42 @@
 	}
 }
 
+// Guards against a node that counts as lost because it, or this one, has no room for a request.
+func TestCallWithoutRoom(t *testing.T) {
+	loop := NewLoop(forward.New(forward.Settings{Node: "n2"}), discardLog{}, nil)
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
+	for _, k := range []struct {
+		what   string
+		limits NodeServerLimits
+		own    int64
+	}{
+		{"calls of the other node", NodeServerLimits{Calls: 0, RequestBytes: testCallBytes}, testCallBytes},
+		{"memory of the other node", NodeServerLimits{Calls: 10, RequestBytes: 1}, testCallBytes},
+		{"memory of this node", testNodeLimits, 1},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := NewNodeServer(loop, testHeaders, k.limits, nil)
+		go func() { _ = server.Serve(listener) }() // ends with Stop
+		events := &eventRecorder{}
+		n := NewNodes(events, testHeaders, k.own)
+		n.call(testCall(1, listener.Addr().String()))
+		reply, ok := events.wait(t, 0).(forward.CallReplied)
+		if !ok || !reply.Last || reply.Reason != api.ReasonPeerFull {
+			t.Errorf("%s: %+v", k.what, events.events[0])
+		}
+		for end := time.Now().Add(10 * time.Second); n.requests.used.Load() != 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %d bytes are still in use", k.what, n.requests.used.Load())
+			}
+		}
+		n.Close()
+		server.Stop()
+	}
+}
+
 // stallingConn is a connection whose writes block once it is stalled, as if its peer read nothing.
 type stallingConn struct {
 	net.Conn
@@ -248,7 +284,7 @@
 		t.Fatal(err)
 	}
 	events := &eventRecorder{}
-	n := NewNodes(events, testHeaders)
+	n := NewNodes(events, testHeaders, testCallBytes)
 	n.conns[address] = conn
 	n.call(testCall(1, address))
 	if ev, ok := events.wait(t, 0).(forward.CallReplied); !ok {
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -47,7 +47,8 @@
 
 // NewNodeServer returns a gRPC server for calls from other nodes.
 func NewNodeServer(loop *Loop, headers Headers, limits NodeServerLimits, counts *telemetry.Counts) *grpc.Server {
-	options := nodeconn.ServerOptions(limits.Calls, func() { counts.Inc(count.PeerCall, detailTooManyCalls) })
+	calls := nodeconn.CallLimits{Max: limits.Calls, RequestMethods: []string{nodepb.Node_RunShards_FullMethodName}}
+	options := nodeconn.ServerOptions(calls, func() { counts.Inc(count.PeerCall, detailTooManyCalls) })
 	options = append(options, grpc.MaxConcurrentStreams(maxNodeStreams),
 		grpc.ReadBufferSize(nodeBufferSize), grpc.WriteBufferSize(nodeBufferSize))
 	server := grpc.NewServer(options...)
--- a/entry/relay/notify_test.go
+++ b/entry/relay/notify_test.go
@@ -18,7 +18,7 @@
 	loop.Post(forward.TableRead{Table: routing.NewTable(1, routes, []routing.Service{{Name: "s"}}, routing.Limits{})})
 	loop.Post(forward.ReplicaRegistered{Registration: forward.Registration{Replica: "r", Service: "s", Address: "127.0.0.1:1", Slots: 1}})
 
-	sender := NewNodes(&eventRecorder{}, testHeaders)
+	sender := NewNodes(&eventRecorder{}, testHeaders, testCallBytes)
 	defer sender.Close()
 	notice := gossip.Notice{Kind: gossip.NoticeConvicted, Replica: "r", Fingerprint: 5, Crashes: 2, Version: 1, TimeToLive: time.Hour}
 	sender.queueNotices(forward.SendNotices{Addresses: []string{address}, Notices: []gossip.Notice{notice}})
@@ -39,7 +39,7 @@
 // Guards against a failure to send notices to a node that is not reported anywhere.
 func TestFailedNotificationIsReported(t *testing.T) {
 	events := &eventRecorder{}
-	n := NewNodes(events, testHeaders)
+	n := NewNodes(events, testHeaders, testCallBytes)
 	defer n.Close()
 	n.queueNotices(forward.SendNotices{Addresses: []string{"127.0.0.1:1"}, Notices: []gossip.Notice{{Kind: gossip.NoticeCleared, Version: 1}}})
 	if ev, ok := events.wait(t, 0).(forward.NoticesUndelivered); !ok || ev.Address != "127.0.0.1:1" || ev.Notices != 1 || ev.Error == "" {
--- a/entry/relay/permits_test.go
+++ b/entry/relay/permits_test.go
@@ -15,7 +15,7 @@
 func serveLoop(t *testing.T) (loop *Loop, address string) {
 	t.Helper()
 	loop = NewLoop(forward.New(forward.Settings{Node: "n2", BudgetWindow: time.Second}), discardLog{}, noPublisher{})
-	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders))
+	loop.Connect(NewTargets(loop, Headers{}, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -38,7 +38,7 @@
 func TestPermitsAreGrantedByAnotherNode(t *testing.T) {
 	_, address := serveLoop(t)
 	events := &eventRecorder{}
-	nodes := NewNodes(events, testHeaders)
+	nodes := NewNodes(events, testHeaders, testCallBytes)
 	defer nodes.Close()
 	nodes.requestPermits(permitsFor(5, "n2", address, 3))
 	first, ok := events.wait(t, 0).(forward.PermitsGranted)
@@ -56,7 +56,7 @@
 // that another node is asked.
 func TestLostAllocatorIsReported(t *testing.T) {
 	events := &eventRecorder{}
-	nodes := NewNodes(events, testHeaders)
+	nodes := NewNodes(events, testHeaders, testCallBytes)
 	defer nodes.Close()
 	nodes.requestPermits(permitsFor(5, "n3", "127.0.0.1:1", 1))
 	if ev, ok := events.wait(t, 0).(forward.PermitsFailed); !ok || ev.Node != "n3" || ev.Replica != "r" || ev.Error == "" {
@@ -78,7 +78,7 @@
 func TestColdLimitReachesTheAllocator(t *testing.T) {
 	_, address := serveLoop(t)
 	events := &eventRecorder{}
-	nodes := NewNodes(events, testHeaders)
+	nodes := NewNodes(events, testHeaders, testCallBytes)
 	defer nodes.Close()
 	nodes.requestPermits(forward.RequestPermits{
 		Node: "n2", Address: address,
--- a/entry/relay/query_bench_test.go
+++ b/entry/relay/query_bench_test.go
@@ -86,7 +86,7 @@
 		DataCentre: "dc-a", BudgetWindow: 10 * time.Second, BudgetShare: 0.2, FirstStart: true,
 	})
 	loop := NewLoop(engine, discard{}, discard{})
-	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders))
+	loop.Connect(NewTargets(loop, testHeaders, testBodyMemory), NewNodes(loop, testHeaders, testCallBytes))
 	route := routing.Route{
 		Name: "all", Host: "h", Prefix: "/all/", MinCoverage: 1, Idempotent: true, MaxAttempts: 2,
 		Timeout: 5 * time.Second, TargetLatency: 5 * time.Second, Merge: routing.Merge{RecordBytes: 16, Records: 20},
--- a/entry/relay/subset_test.go
+++ b/entry/relay/subset_test.go
@@ -12,7 +12,7 @@
 // Guards against home regions that are lost on the way to the node that runs a range, and against
 // a range without any that becomes restricted.
 func TestHomeRegionsReachTheNodeThatRunsARange(t *testing.T) {
-	n := NewNodes(make(events, 1), testHeaders)
+	n := NewNodes(make(events, 1), testHeaders, testCallBytes)
 	for _, regions := range [][]api.Region{nil, {"eu", "uk"}} {
 		q := n.shardsRequest(forward.CallPeer{
 			Message: &forward.Message{Path: "/x", Wire: &wireRequest{}}, Subset: forward.Subset{HomeRegions: regions},
@@ -26,7 +26,7 @@
 // Guards against a merge rule that is lost on the way to the node that runs a range or back, so
 // that records are missing, and against one that a node of an older version seems to name.
 func TestMergeRuleReachesTheNodeThatRunsARangeAndComesBack(t *testing.T) {
-	n := NewNodes(make(events, 1), testHeaders)
+	n := NewNodes(make(events, 1), testHeaders, testCallBytes)
 	for _, rule := range []routing.Merge{{}, {RecordBytes: 16, Records: 50}, {RecordBytes: 16}} {
 		q := n.shardsRequest(forward.CallPeer{
 			Message: &forward.Message{Path: "/x", Wire: &wireRequest{}}, Subset: forward.Subset{Merge: rule},
