connguard: bound the connections that wait to be accepted

Cause: net listens with the kernel's greatest backlog, 4,096 connections, each of which receives up to 32 KiB before the process sees it: on a slow machine 128 MiB that count as the process's memory.

Change: 256 connections for each listener of clients and nodes.

--- a/core/connlimit/shares.go
+++ b/core/connlimit/shares.go
@@ -21,6 +21,9 @@
 	// SocketBufferBytes is the size that is set for the receive and the send buffer of a
 	// connection. The kernel allows twice as much, for its own structures.
 	SocketBufferBytes = 16 << 10
+	// AcceptBacklog is the number of connections that may wait to be accepted.
+	AcceptBacklog = 256
+
 	kernelBufferBytes = 2 * SocketBufferBytes
 	// connMemoryBytes is the memory of a connection without its request: two buffers of the kernel,
 	// and goroutines and buffers of the process. peerConnMemoryBytes is that of a connection of
--- a/entry/connguard/listen.go
+++ b/entry/connguard/listen.go
@@ -47,5 +47,24 @@
 			}
 		})
 	}}
-	return c.Listen(context.Background(), "tcp", address)
+	l, err := c.Listen(context.Background(), "tcp", address)
+	if err == nil {
+		limitBacklog(l)
+	}
+	return l, err
+}
+
+// limitBacklog bounds the connections that wait to be accepted. The kernel receives on these too,
+// and net allows as many as the kernel does: thousands.
+func limitBacklog(l net.Listener) {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return // the listener is closed
+	}
+	// A kernel that refuses keeps the backlog that it has.
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), connlimit.AcceptBacklog) })
 }
