connlimit: connections are left for callers while requests wait

Cause: a connection whose request runs is never closed, and requests could run on all of them.

Change: requests run on three quarters of the connections at most, the second and further ones of a connection only on one half; beyond that they are refused with 503 and Retry-After, and their connection is closed. Callers retry on new connections, where they find room.

TestFirstRequestsFindRoom and the property test cover the bounds.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -46,6 +46,13 @@
 	smallBytes = 16 << 10
 	// largeNumerator / largeDenominator is the share of the memory for requests of any size.
 	largeNumerator, largeDenominator = 3, 4
+	// runningNumerator / runningDenominator is the share of the connections whose requests may
+	// run at the same time. Since these are not closed, others must be left for new callers.
+	runningNumerator, runningDenominator = 3, 4
+	// reusedNumerator / reusedDenominator is that share for further requests of a connection.
+	// Callers retry on new connections, where they find room beside clients that send one
+	// request after the other.
+	reusedNumerator, reusedDenominator = 1, 2
 )
 
 // conn is the state of an open connection.
@@ -56,8 +63,8 @@
 	held int64
 	// since is when the phase began, progressAt when the last byte moved.
 	since, progressAt time.Time
-	// used is set after the first request.
-	used bool
+	// used is set with the first byte of a request, served after the first response.
+	used, served bool
 }
 
 // Table holds the open connections of a listener. It is not safe for concurrent use.
@@ -65,8 +72,10 @@
 	limits Limits
 	lastID ID
 	held   int64
-	conns  []*conn
-	index  map[ID]int // positions in conns
+	// running is the number of connections in the phase Running.
+	running int
+	conns   []*conn
+	index   map[ID]int // positions in conns
 }
 
 // New returns a Table without connections.
@@ -102,6 +111,7 @@
 		return
 	}
 	t.release(t.conns[i])
+	t.setPhase(t.conns[i], Idle)
 	last := len(t.conns) - 1
 	t.conns[i] = t.conns[last]
 	t.index[t.conns[i].id] = i
@@ -119,13 +129,34 @@
 	}
 	if phase == Idle {
 		t.release(c)
+		c.served = c.served || c.phase == Running || c.phase == Writing
 	} else {
 		c.used = true
 	}
-	c.phase, c.since, c.progressAt = phase, now, now
+	t.setPhase(c, phase)
+	c.since, c.progressAt = now, now
 	return true
 }
 
+// RoomToRun reports whether the request of a connection may run beside the others.
+func (t *Table) RoomToRun(id ID) bool {
+	limit := t.limits.Conns * runningNumerator / runningDenominator
+	if c := t.conn(id); c != nil && c.served {
+		limit = t.limits.Conns * reusedNumerator / reusedDenominator
+	}
+	return t.running < max(1, limit)
+}
+
+func (t *Table) setPhase(c *conn, phase Phase) {
+	if c.phase == Running {
+		t.running--
+	}
+	if phase == Running {
+		t.running++
+	}
+	c.phase = phase
+}
+
 // Phase returns the phase of a connection, and whether it is still open.
 func (t *Table) Phase(id ID) (Phase, bool) {
 	c := t.conn(id)
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -68,6 +68,32 @@
 	}
 }
 
+// Guards against clients that send one request after the other and leave no room to run for new
+// callers.
+func TestFirstRequestsFindRoom(t *testing.T) {
+	table := New(Limits{Conns: 4, Bytes: 1 << 20})
+	var ids []ID
+	for range 4 {
+		id, _, _ := table.Open(at(0))
+		ids = append(ids, id)
+	}
+	for _, id := range ids[:3] {
+		for _, phase := range []Phase{ReadingHead, Running, Writing, Idle} {
+			table.Enter(id, phase, at(1))
+		}
+	}
+	for i, want := range []bool{true, true, false} {
+		if got := table.RoomToRun(ids[i]); got != want {
+			t.Errorf("next request %d: room to run %v, want %v", i, got, want)
+		} else if got {
+			table.Enter(ids[i], Running, at(2))
+		}
+	}
+	if !table.RoomToRun(ids[3]) {
+		t.Error("a first request finds no room")
+	}
+}
+
 // Guards against timeouts that close connections too early, or not at all.
 func TestTimeouts(t *testing.T) {
 	timeouts := Timeouts{Idle: 10 * time.Second, Head: 3 * time.Second, Silence: 5 * time.Second}
@@ -160,6 +186,15 @@
 			for _, bytes := range held {
 				sum += bytes
 			}
+			running := 0
+			for _, phase := range phases {
+				if phase == Running {
+					running++
+				}
+			}
+			if table.RoomToRun(0) != (running < 3) {
+				r.Fatalf("room to run: %v beside %d of 4", table.RoomToRun(0), running)
+			}
 			if table.Len() != len(phases) || table.Len() > limits.Conns || table.Held() != sum {
 				r.Fatalf("%d connections hold %d bytes, want %d with %d", table.Len(), table.Held(), len(phases), sum)
 			}
--- a/entry/callerhttp/server.go
+++ b/entry/callerhttp/server.go
@@ -170,7 +170,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		s.refuse(ctx, http.StatusRequestEntityTooLarge, api.ReasonMalformed, err.Error())
-	case errors.Is(err, connguard.ErrNoMemory):
+	case errors.Is(err, connguard.ErrNoMemory), errors.Is(err, connguard.ErrTooMany):
 		s.refuse(ctx, http.StatusTooManyRequests, api.ReasonOverloaded, err.Error())
 	default:
 		s.refuse(ctx, http.StatusBadRequest, api.ReasonMalformed, err.Error())
--- a/entry/connguard/body.go
+++ b/entry/connguard/body.go
@@ -4,13 +4,21 @@
 	"errors"
 	"io"
 	"net/http"
+)
 
-	"github.com/baobabsail/baobabsail/core/connlimit"
+// Errors of a request that must not run.
+var (
+	// ErrNoMemory means that the requests being read leave no memory for a body.
+	ErrNoMemory = errors.New("no memory for the body")
+	// ErrTooMany means that too many requests are running.
+	ErrTooMany = errors.New("too many requests are running")
+	// ErrClosed means that the connection was closed before its request had been read.
+	ErrClosed = errors.New("the connection was closed")
 )
 
-// ErrNoMemory means that the requests being read leave no memory for a body. The request has not
-// run.
-var ErrNoMemory = errors.New("no memory for the body")
+// RetryAfterSeconds is when a client may repeat a request that was refused for lack of room. By
+// then the silent connections among the others count as such.
+const RetryAfterSeconds = "1"
 
 // bodyCopies is the number of copies of a body in memory while it is read: io.ReadAll collects
 // pieces and then joins them.
@@ -82,14 +90,21 @@
 		if !c.BeginBody() {
 			panic(http.ErrAbortHandler) // the client would get no response
 		}
-		if r.Body == nil || r.Body == http.NoBody {
-			if !c.BeginRun() {
-				panic(http.ErrAbortHandler)
-			}
-		} else if c != nil {
+		if c != nil && r.Body != nil && r.Body != http.NoBody {
 			r.Body = &runAtEOF{ReadCloser: r.Body, reader: c.Body(r.Body), conn: c}
+			next.ServeHTTP(w, r)
+			return
+		}
+		switch err := c.BeginRun(); err {
+		case nil:
+			next.ServeHTTP(w, r)
+		case ErrTooMany:
+			w.Header().Set("Retry-After", RetryAfterSeconds)
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
@@ -98,12 +113,18 @@
 	io.ReadCloser
 	reader io.Reader
 	conn   *Conn
+	// ended is set once the request counts as running.
+	ended bool
 }
 
 func (b *runAtEOF) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if err == io.EOF && !b.conn.enter(connlimit.Running) {
-		return 0, io.ErrUnexpectedEOF
+	if err != io.EOF || b.ended {
+		return n, err
 	}
-	return n, err
+	if err := b.conn.BeginRun(); err != nil {
+		return 0, err
+	}
+	b.ended = true
+	return n, io.EOF
 }
--- a/entry/connguard/conn.go
+++ b/entry/connguard/conn.go
@@ -123,7 +123,7 @@
 	c.guard.add(detail, 1)
 	text, fields := http.StatusText(status), ""
 	if status == http.StatusServiceUnavailable {
-		fields = "Retry-After: 1\r\n"
+		fields = "Retry-After: " + RetryAfterSeconds + "\r\n"
 	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) // fails only if the connection is closed
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
@@ -199,9 +199,26 @@
 // was closed meanwhile; the request must then not be passed on.
 func (c *Conn) BeginBody() bool { return c == nil || c.enter(connlimit.ReadingBody) }
 
-// BeginRun records that a request has been read as a whole, and returns false like BeginBody. The
-// connection is not closed from now on until the response.
-func (c *Conn) BeginRun() bool { return c == nil || c.enter(connlimit.Running) }
+// BeginRun records that a request has been read as a whole and runs from now on. The connection is
+// not closed until the response. The error is ErrClosed if the connection was closed meanwhile, and
+// ErrTooMany if too many requests are running; the request must then not be passed on.
+func (c *Conn) BeginRun() error {
+	if c == nil {
+		return nil
+	}
+	now := time.Now()
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.table.RoomToRun(c.id) {
+		g.add(detailTooMany, 1)
+		return ErrTooMany
+	}
+	if !g.table.Enter(c.id, connlimit.Running, now) {
+		return ErrClosed
+	}
+	return nil
+}
 
 // BeginResponse records that a response of a length is being written.
 func (c *Conn) BeginResponse(length int) {
--- a/entry/connguard/guard.go
+++ b/entry/connguard/guard.go
@@ -40,6 +40,7 @@
 	detailReplaced     api.Reason = "replaced"
 	detailMemoryClosed api.Reason = "memory_closed"
 	detailNoMemory     api.Reason = "no_memory"
+	detailTooMany      api.Reason = "too_many"
 	detailHeadTooLarge api.Reason = "head_too_large"
 	detailTimeout      api.Reason = "timeout"
 )
--- a/entry/operatorhttp/server.go
+++ b/entry/operatorhttp/server.go
@@ -85,7 +85,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		writeJSON(w, http.StatusRequestEntityTooLarge, invalidAnswer(err.Error()))
-	case errors.Is(err, connguard.ErrNoMemory):
+	case errors.Is(err, connguard.ErrNoMemory), errors.Is(err, connguard.ErrTooMany):
 		writeJSON(w, http.StatusServiceUnavailable, refusedAnswer(api.ReasonOverloaded))
 	case err != nil:
 		writeJSON(w, http.StatusBadRequest, invalidAnswer(err.Error()))
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -29,9 +29,6 @@
 	// defaultMaxBodyBytes bounds a body if the configuration sets no limit or is not known
 	// yet.
 	defaultMaxBodyBytes = 1 << 20
-	// memoryRetryAfter is when a caller may repeat a request that was refused for lack of memory,
-	// in seconds. By then the silent connections among the others count as such.
-	memoryRetryAfter = "1"
 )
 
 // wireRequest is a caller's request in the form that is sent to targets.
@@ -132,16 +129,17 @@
 	waited := c.loop.awaitStartup(r.Context(), c.timeLeft(r))
 	body, status := c.readRequest(conn, r)
 	if status != 0 {
-		w.Header().Set("Connection", "close")
-		if status == http.StatusServiceUnavailable {
-			w.Header().Set("Retry-After", memoryRetryAfter)
-		}
-		w.WriteHeader(status)
+		refuse(w, status)
 		return
 	}
 	start := time.Now().Add(-waited)
 	message := c.buildMessage(r, body)
-	if !conn.guarded.BeginRun() {
+	switch err := conn.guarded.BeginRun(); err {
+	case nil:
+	case connguard.ErrTooMany:
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	default:
 		panic(http.ErrAbortHandler) // closed while the body arrived, as above
 	}
 	id, answers := c.loop.register()
@@ -164,6 +162,15 @@
 	}
 }
 
+// refuse answers a request that is not passed on and closes its connection.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", connguard.RetryAfterSeconds)
+	}
+	w.WriteHeader(status)
+}
+
 // readRequest returns the body of a request that is within the limits, or the HTTP status
 // of the refusal.
 func (c *CallerServer) readRequest(conn *callerConn, r *http.Request) ([]byte, int) {
