connguard, connlimit: reserve memory for large bodies in steps

A body was accounted for at each read of 4 KiB, each of which looked through all connections while memory was short. Now 32 KiB are reserved at a time once 8 KiB have been read, the receive buffer is enlarged only once, and connections are put into order only if closing them would help.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -294,11 +294,16 @@
 		return nil
 	}
 	var lower []*conn
+	var available int64
 	for _, other := range t.conns {
 		if other != c && closable(other) && other.held > 0 && precedes(other, c, now) {
 			lower = append(lower, other)
+			available += other.held
 		}
 	}
+	if available < need {
+		return nil
+	}
 	slices.SortFunc(lower, func(a, b *conn) int { return compare(a, b, now) })
 	for _, other := range lower {
 		if need <= 0 {
@@ -307,9 +312,6 @@
 		need -= other.held
 		victims = append(victims, other.id)
 	}
-	if need > 0 {
-		return nil
-	}
 	t.closeAll(victims)
 	return victims
 }
--- a/entry/connguard/body.go
+++ b/entry/connguard/body.go
@@ -24,9 +24,13 @@
 // pieces and then joins them.
 const bodyCopies = 2
 
-// largeBodyBytes is how much of a body is read before the receive buffer is enlarged: with the usual
-// one, a distant client would need many round trips.
-const largeBodyBytes = 8 << 10
+const (
+	// largeBodyBytes is how much of a body is read before it counts as large. The receive buffer
+	// is then enlarged: with the usual one, a distant client would need many round trips.
+	largeBodyBytes = 8 << 10
+	// reserveStepBytes is how much memory is reserved at a time for a large body.
+	reserveStepBytes = 32 << 10
+)
 
 // ReadBody reads the body of a request whose head has been read, at most limit bytes and one more,
 // and keeps its memory reserved until the response.
@@ -51,27 +55,45 @@
 type bodyReader struct {
 	source io.Reader
 	conn   *Conn
-	read   int64
-	// grown is set once the receive buffer has been enlarged.
-	grown bool
+	// read is the length so far, reserved the memory for it.
+	read, reserved int64
+	// large is set once the body counts as large, grown if the receive buffer was enlarged.
+	large, grown bool
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
 	b.read += int64(n)
-	switch {
-	case !b.grown && b.read >= largeBodyBytes && err == nil:
+	if !b.large && b.read >= largeBodyBytes && err == nil {
+		b.large = true
 		b.grown = b.conn.growBuffer()
-	case b.grown && err != nil:
+	}
+	if b.grown && err != nil {
 		b.conn.resetBuffer()
 	}
-	if n > 0 && !b.conn.reserve(int64(bodyCopies*n)) {
+	if !b.reserve() {
 		b.conn.guard.add(detailNoMemory, 1)
 		return 0, ErrNoMemory
 	}
 	return n, err
 }
 
+// reserve takes memory for what has been read and reports whether there was enough.
+func (b *bodyReader) reserve() bool {
+	missing := bodyCopies*b.read - b.reserved
+	if missing <= 0 {
+		return true
+	}
+	if b.large {
+		missing = max(missing, reserveStepBytes)
+	}
+	if !b.conn.reserve(missing) {
+		return false
+	}
+	b.reserved += missing
+	return true
+}
+
 // shrink gives back the memory beyond that of the head and a body of a length.
 func (c *Conn) shrink(bodyBytes int64) {
 	if c == nil {
