connguard: a response counts while it is written, on every listener

The memory of a response was taken by the callers' server of baobabd platform only, for the whole time until its connection became idle. A connection now takes it for each part that is being written and gives it back afterwards, so that baobabd run's callers and operators are covered as well.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -214,6 +214,13 @@
 	return victims
 }
 
+// Release gives back memory that Hold has taken.
+func (t *Table) Release(id ID, bytes int64) {
+	if c := t.conn(id); c != nil {
+		t.hold(c, -min(bytes, c.held))
+	}
+}
+
 // Shrink gives back the memory of a connection's request beyond bytes.
 func (t *Table) Shrink(id ID, bytes int64) {
 	if c := t.conn(id); c != nil && c.held > bytes {
--- a/entry/connguard/conn.go
+++ b/entry/connguard/conn.go
@@ -23,6 +23,9 @@
 	headCopies = 2
 	// freeHeadBytes is the memory of a head that the share of each connection covers.
 	freeHeadBytes = 8 << 10
+	// freeWriteBytes is the part of a response that the share of each connection covers: the buffer
+	// of net/http.
+	freeWriteBytes = 4 << 10
 	// writePieceBytes is how much is written at once, so that progress shows.
 	writePieceBytes = 64 << 10
 	// discardBufferBytes is the size of the buffer for what a client sends after a refusal.
@@ -143,7 +146,8 @@
 
 // Write implements net.Conn. It writes long data in pieces, which show whether the client reads.
 func (c *Conn) Write(p []byte) (written int, err error) {
-	c.writing()
+	c.beginWrite(len(p))
+	defer c.endWrite(len(p))
 	for {
 		piece := p[:min(len(p), writePieceBytes)]
 		n, err := c.Conn.Write(piece)
@@ -156,16 +160,33 @@
 	}
 }
 
-// writing records that a response begins, unless the request is still being read.
-func (c *Conn) writing() {
+// beginWrite records that a part of a response is being written, and takes its memory. The part
+// begins the response unless the request is still being read.
+func (c *Conn) beginWrite(length int) {
 	now := time.Now()
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	if phase, open := c.guard.table.Phase(c.id); open && phase == connlimit.Running {
-		c.guard.table.Enter(c.id, connlimit.Writing, now)
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if phase, open := g.table.Phase(c.id); open && phase == connlimit.Running {
+		g.table.Enter(c.id, connlimit.Writing, now)
+	}
+	g.table.Progress(c.id, now)
+	if length <= freeWriteBytes {
 		return
 	}
-	c.guard.table.Progress(c.id, now)
+	victims := g.table.Hold(c.id, int64(length), now)
+	g.add(detailMemoryClosed, len(victims))
+	g.closeAll(victims)
+}
+
+// endWrite gives back the memory of a part that has been written.
+func (c *Conn) endWrite(length int) {
+	if length <= freeWriteBytes {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.Release(c.id, int64(length))
 }
 
 func (c *Conn) progress() {
@@ -220,21 +241,6 @@
 	return nil
 }
 
-// BeginResponse records that a response of a length is being written.
-func (c *Conn) BeginResponse(length int) {
-	if c == nil {
-		return
-	}
-	now := time.Now()
-	g := c.guard
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.table.Enter(c.id, connlimit.Writing, now)
-	victims := g.table.Hold(c.id, int64(length), now)
-	g.add(detailMemoryClosed, len(victims))
-	g.closeAll(victims)
-}
-
 // NetConn returns the connection beneath.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
--- a/entry/relay/callers.go
+++ b/entry/relay/callers.go
@@ -148,7 +148,6 @@
 	})
 	select {
 	case a := <-answers:
-		conn.guarded.BeginResponse(answerBytes(&a))
 		c.writeAnswer(w, r, &a)
 		if !a.TargetTime.IsZero() {
 			c.loop.Post(forward.AnswerSent{Late: c.loop.now().Sub(a.TargetTime)})
@@ -367,17 +366,6 @@
 	_, _ = w.Write(reply.Body) // a caller that has disconnected is detected by its connection
 }
 
-// answerBytes returns the memory of an answer's body.
-func answerBytes(a *forward.Answer) int {
-	switch {
-	case a.Merged != nil:
-		return len(a.Merged.Body)
-	case a.Reply != nil:
-		return len(a.Reply.Body)
-	}
-	return 0
-}
-
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
