connguard, entry: decoded bodies count with the memory that they take

What was seen: complete searches of 1 MiB with 350,000 empty conditions took 212 MiB of a process of 128 MiB, baobabd run.

Cause: a body counted with twice its length; an empty object of three bytes takes 48 bytes decoded, and more while its list grows.

Change: 128 bytes for each object are added for bodies that are decoded. baobabd platform does not decode bodies.

--- a/cmd/e2e/crowd_test.go
+++ b/cmd/e2e/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,9 +40,14 @@
 		{"bodies without their end", "callers", search.Body(crowdBodyBytes, 1)},
 		{"small chunks", "callers", search.Chunks(crowdBodyBytes, 16, "")},
 		{"responses that are not read", "callers", search.Pipelined(2000)},
+		{"complete bodies of many conditions", "callers", search.Text(manyConditions(), 1)},
+		{"answers of searches that are not read", "callers", search.Text(`{"service":"readings","limit":500}`, 100).Unread()},
 		{"operators, bodies without their end", "operators", crowd.Request{
 			Host: "localhost", Path: "/v1/statements", Fields: "Content-Type: application/json\r\n",
 		}.Body(crowdBodyBytes, 1)},
+		{"operators, complete scripts", "operators", crowd.Request{
+			Host: "localhost", Path: "/v1/statements", Fields: "Content-Type: application/json\r\n",
+		}.Text(manyStatements(), 1)},
 		{"operators, silent", "operators", crowd.Silent()},
 		{"peers, silent", "peers", crowd.Silent()},
 		{"peers, header without end", "peers", search.EndlessFields()},
@@ -51,6 +57,19 @@
 	}
 }
 
+// manyConditions returns a search of the greatest length whose conditions take far more memory than
+// its text.
+func manyConditions() string {
+	const head, condition, end = `{"service":"readings","conditions":[`, `{},`, `{}]}`
+	return head + strings.Repeat(condition, (crowdBodyBytes-len(head)-len(end))/len(condition)) + end
+}
+
+// manyStatements returns a script of the greatest length.
+func manyStatements() string {
+	const head, statement, end = `{"who":"ana","text":"`, `show services;`, `show services"}`
+	return head + strings.Repeat(statement, (crowdBodyBytes-len(head)-len(end))/len(statement)) + end
+}
+
 // endureCrowd checks the bounds of a node while a crowd stays at one of its listeners.
 func endureCrowd(t *testing.T, listener string, client crowd.Client) {
 	s := newSystem(t, 2, 0, 1)
--- a/entry/connguard/body.go
+++ b/entry/connguard/body.go
@@ -1,6 +1,7 @@
 package connguard
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -20,11 +21,13 @@
 // then the silent connections among the others count as such.
 const RetryAfterSeconds = "1"
 
-// bodyCopies is the number of copies of a body in memory while it is read: io.ReadAll collects
-// pieces and then joins them.
-const bodyCopies = 2
-
 const (
+	// bodyCopies is the number of copies of a body in memory while it is read: io.ReadAll collects
+	// pieces and then joins them.
+	bodyCopies = 2
+	// jsonObjectBytes is the memory of a decoded JSON object without its text. An empty object in
+	// an array has three bytes of text.
+	jsonObjectBytes = 128
 	// largeBodyBytes is how much of a body is read before it counts as large. The receive buffer
 	// is then enlarged: with the usual one, a distant client would need many round trips.
 	largeBodyBytes = 8 << 10
@@ -32,31 +35,43 @@
 	reserveStepBytes = 32 << 10
 )
 
+// Cost returns the memory that a part of a body takes until the response.
+type Cost func(part []byte) int64
+
+// BytesCost is the Cost of a body that is kept as it is.
+func BytesCost(part []byte) int64 { return bodyCopies * int64(len(part)) }
+
+// JSONCost is the Cost of a body that is decoded.
+func JSONCost(part []byte) int64 {
+	return BytesCost(part) + jsonObjectBytes*int64(bytes.Count(part, []byte("{")))
+}
+
 // ReadBody reads the body of a request whose head has been read, at most limit bytes and one more,
 // and keeps its memory reserved until the response.
 func (c *Conn) ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(c.Body(r.Body), limit+1))
+	body, err := io.ReadAll(io.LimitReader(c.body(r.Body, BytesCost), limit+1))
 	if err == nil {
 		c.shrink(int64(len(body)))
 	}
 	return body, err
 }
 
-// Body returns a reader that reserves memory for what it reads. Its error is ErrNoMemory if there
+// body returns a reader that reserves memory for what it reads. Its error is ErrNoMemory if there
 // is none.
-func (c *Conn) Body(body io.Reader) io.Reader {
+func (c *Conn) body(body io.Reader, cost Cost) io.Reader {
 	if c == nil {
 		return body
 	}
-	return &bodyReader{source: body, conn: c}
+	return &bodyReader{source: body, conn: c, cost: cost}
 }
 
 // bodyReader reserves memory for the body that it reads.
 type bodyReader struct {
 	source io.Reader
 	conn   *Conn
-	// read is the length so far, reserved the memory for it.
-	read, reserved int64
+	cost   Cost
+	// read is the length so far, needed the memory for it, of which reserved has been taken.
+	read, needed, reserved int64
 	// large is set once the body counts as large, grown if the receive buffer was enlarged.
 	large, grown bool
 }
@@ -64,6 +79,7 @@
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
 	b.read += int64(n)
+	b.needed += b.cost(p[:n])
 	if !b.large && b.read >= largeBodyBytes && err == nil {
 		b.large = true
 		b.grown = b.conn.growBuffer()
@@ -80,7 +96,7 @@
 
 // reserve takes memory for what has been read and reports whether there was enough.
 func (b *bodyReader) reserve() bool {
-	missing := bodyCopies*b.read - b.reserved
+	missing := b.needed - b.reserved
 	if missing <= 0 {
 		return true
 	}
@@ -105,15 +121,15 @@
 }
 
 // Handler returns a handler that reports to the guard what each request does: it is read until the
-// end of its body, and then runs until the first byte of the response.
-func Handler(next http.Handler) http.Handler {
+// end of its body, and then runs until the first byte of the response. cost is that of the bodies.
+func Handler(next http.Handler, cost Cost) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromRequest(r)
 		if !c.BeginBody() {
 			panic(http.ErrAbortHandler) // the client would get no response
 		}
 		if c != nil && r.Body != nil && r.Body != http.NoBody {
-			r.Body = &runAtEOF{ReadCloser: r.Body, reader: c.Body(r.Body), conn: c}
+			r.Body = &runAtEOF{ReadCloser: r.Body, reader: c.body(r.Body, cost), conn: c}
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/entry/connguard/connguard_test.go
+++ b/entry/connguard/connguard_test.go
@@ -30,7 +30,7 @@
 			return
 		}
 		<-run
-	}))}
+	}), BytesCost)}
 	go func() { _ = g.Serve(server, l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return g, l.Addr().String()
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -32,7 +32,7 @@
 
 func (e *Entry) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: connguard.Handler(handler),
+		Handler: connguard.Handler(handler, connguard.JSONCost),
 		// ReadTimeout covers reading header and body. net/http removes the deadline while
 		// the handler runs.
 		ReadTimeout:    e.settings.Limits.ReadTimeout.Std(),
--- a/standin/crowd/scripts.go
+++ b/standin/crowd/scripts.go
@@ -112,9 +112,18 @@
 
 // Pipelined sends count requests at once and reads no response.
 func (r Request) Pipelined(count int) Client {
-	client := write(strings.Repeat(r.head("GET", "\r\n"), count))
-	client.IgnoresResponses = true
-	return client
+	return write(strings.Repeat(r.head("GET", "\r\n"), count)).Unread()
+}
+
+// Text sends count requests with a body at once.
+func (r Request) Text(body string, count int) Client {
+	return write(strings.Repeat(r.head("POST", fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)))+body, count))
+}
+
+// Unread makes a client read no responses.
+func (c Client) Unread() Client {
+	c.IgnoresResponses = true
+	return c
 }
 
 // Idle sends a request, reads the response and keeps the connection open.
