--- a/entry/connguard/guard.go
+++ b/entry/connguard/guard.go
@@ -14,6 +14,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/connlimit"
 	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/entry/internal/periodic"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
 )
 
@@ -107,24 +108,10 @@
 	s.ConnState = g.connState
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go g.sweep(ctx)
+	go periodic.Run(ctx, sweepInterval, func(now time.Time) { g.Expire(now) })
 	return s.Serve(&listener{Listener: l, guard: g, wrap: g.httpConn})
 }
 
-// sweep closes connections that exceed a timeout, until ctx is done.
-func (g *Guard) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			g.Expire(now)
-		}
-	}
-}
-
 // Expire closes the connections that have exceeded a timeout and returns how many remain.
 func (g *Guard) Expire(now time.Time) (remaining int) {
 	limits := g.request()
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/entry/internal/periodic"
 )
 
 const (
@@ -159,21 +160,7 @@
 
 // SweepIdle periodically closes idle connections that are expired or spare, until ctx
 // is done.
-func (t *Targets) SweepIdle(ctx context.Context) { every(ctx, poolSweepInterval, t.sweep) }
-
-// every calls f at each interval until ctx is done.
-func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			f(now)
-		}
-	}
-}
+func (t *Targets) SweepIdle(ctx context.Context) { periodic.Run(ctx, poolSweepInterval, t.sweep) }
 
 func (t *Targets) sweep(now time.Time) {
 	t.mu.Lock()
