--- a/cmd/baobab-soak/main.go
+++ b/cmd/baobab-soak/main.go
@@ -36,6 +36,7 @@
 	Correlated bool          `help:"Pause most nodes, and cut others from the store, at the same time as well."`
 	Halves     bool          `help:"Let shards of a route change with each configuration, and check that no node goes back to an older one."`
 	Accounts   bool          `help:"Let configurations name client accounts, whose keys change."`
+	Clients    bool          `help:"Let clients outside the limits stay connected to nodes as well."`
 	Conns      int           `default:"50" help:"Connections that each target accepts. Few, compared with the nodes, make nodes run requests for each other."`
 	Binary     string        `default:"target/baobabd" help:"Program to run."`
 	Old        string        `help:"Another version of the program. Every second node starts with it, and each restart of a node changes its version."`
@@ -99,6 +100,7 @@
 		MaxConnections:    a.Conns,
 		AlternatingShards: a.Halves,
 		Accounts:          a.Accounts,
+		Clients:           a.Clients,
 		Dir:               dir,
 	})
 	if err != nil {
