forward, ratelimit, relay: nodes that disagree on the allocator stay within one limit

Cause: two faults that need each other. A call between nodes that timed out left its connection in use, so that a node with a silent or slow connection to the allocator used the next node for good, while the others stayed with the first one. And every node that was asked granted 0.9 of the limit, whatever its place in the order of the nodes, so that two of them granted 1.8.

Change: each node grants the share of its own place: the first one all, the standby 0.2, a successor of nodes that do not respond 0.5 (all if their processes have ended), and 0.2 in sum is divided among nodes that no allocator answers. A node waits 100 ms for a response as before, but the call goes on for a second: a late grant counts, and shows that the node lives. A node that is passed over is asked again every 500 ms. The pool of connections replaces a connection on which a call got no response within 100 ms by a new one, at most once a second, then at intervals that double up to 64 s; the old one stays until the new one is open. The new events permits_delayed, allocator_gone, allocator_back and node_connection_replaced tell a delay, a loss and a silent connection apart.

--- a/core/forward/action.go
+++ b/core/forward/action.go
@@ -157,12 +157,15 @@
 }
 
 // RequestPermits asks the node that is the allocator of a replica for permits. The driver
-// responds with PermitsGranted or PermitsFailed.
+// responds with PermitsGranted or PermitsFailed, before which a PermitsDelayed may come.
 type RequestPermits struct {
 	action
 	ratelimit.Request
 	Node    string
 	Address string
+	// Recheck is set if no request of a caller waits for the response. There is no
+	// PermitsDelayed then.
+	Recheck bool
 }
 
 // GrantPermits is the response to a PermitsRequested.
--- a/core/forward/divide.go
+++ b/core/forward/divide.go
@@ -201,6 +201,7 @@
 			e.groups.balancer.Remove(api.ReplicaName(node))
 		}
 	}
+	e.limits.health.Retain(func(node string) bool { return e.groups.addresses[node] != "" })
 	for _, list := range e.groups.nodes {
 		for _, p := range list {
 			e.groups.balancer.Set(now, api.ReplicaName(p.Node), balance.Spec{Address: p.Address, DataCentre: p.DataCentre, Slots: 1})
--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -19,8 +19,10 @@
 	fleetNodes    = 18
 	fleetShards   = 16
 	fleetReplicas = 2
-	// permitTimeout is how long a node waits for the response of an allocator.
-	permitTimeout = 100 * time.Millisecond
+	// permitTimeout is how long requests wait for the response of an allocator, and
+	// permitCallTimeout how long a node does.
+	permitTimeout     = 100 * time.Millisecond
+	permitCallTimeout = time.Second
 )
 
 // fleet simulates several engines that are connected by a network and send requests to
@@ -38,6 +40,9 @@
 	// unresponsive holds the nodes that receive calls but never respond, unreachable the nodes
 	// that calls do not reach.
 	unresponsive, unreachable map[string]bool
+	// permitDelay returns how long a request for permits, or its response, takes from one node to
+	// another; negative if it gets lost.
+	permitDelay func(from, to string) time.Duration
 	// slow holds the extra delay with which a node receives calls.
 	slow map[string]time.Duration
 	// noSlowReplies is set if no replica replies late.
@@ -56,10 +61,12 @@
 	pings      map[string]bool // IDs of calls that are pings
 	// refusedRanges is the number of ranges refused because the node did not know the shards.
 	refusedRanges int
-	// permitRequests holds the nodes that wait for permits by the ID of their request.
-	permitRequests map[CallID]int
+	// permitRequests holds the requests for permits without a response by their ID.
+	permitRequests map[CallID]fleetPermitRequest
 	// onPermitRequest is called for each request for permits if it is set.
 	onPermitRequest func()
+	// onPermitRequestTo is called with the node that is asked if it is set.
+	onPermitRequestTo func(node string)
 	// sendTo handles Send actions in place of send if it is set.
 	sendTo func(node int, s Send)
 	// otherActions handles the actions that the fleet ignores if it is set.
@@ -92,6 +99,15 @@
 	id   api.RequestID
 }
 
+// fleetPermitRequest is a request for permits of one node to another, whose response takes the time
+// back.
+type fleetPermitRequest struct {
+	from          int
+	to            string
+	back          time.Duration
+	late, recheck bool
+}
+
 func nodeName(i int) string { return fmt.Sprintf("n%02d", i) }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -109,9 +125,10 @@
 		slow: map[string]time.Duration{}, pausedUntil: map[int]time.Time{},
 		deliveredCalls: map[string]fleetCall{}, reached: map[string]map[api.ServiceName]map[api.ReplicaName]bool{},
 		answers: map[string]Answer{}, usedCalls: map[string]bool{}, pings: map[string]bool{},
-		answeredAt: map[string]time.Time{}, permitRequests: map[CallID]int{}, callerTimeout: 800 * time.Millisecond,
+		answeredAt: map[string]time.Time{}, permitRequests: map[CallID]fleetPermitRequest{}, callerTimeout: 800 * time.Millisecond,
 	}
 	f.dataCentre = dataCentre
+	f.permitDelay = func(string, string) time.Duration { return time.Millisecond }
 	for i := range size.nodes {
 		f.engines = append(f.engines, f.newEngine(i, seed+uint64(i)))
 		f.configure(i, f.peers())
@@ -236,8 +253,19 @@
 	if f.onPermitRequest != nil {
 		f.onPermitRequest()
 	}
-	if f.unreachable[a.Node] || f.unresponsive[a.Node] {
-		f.later(permitTimeout, node, PermitsFailed{Node: a.Node, Replica: a.Replica})
+	if f.onPermitRequestTo != nil {
+		f.onPermitRequestTo(a.Node)
+	}
+	toDelay, backDelay := f.permitDelay(nodeName(node), a.Node), f.permitDelay(a.Node, nodeName(node))
+	lost := toDelay < 0 || backDelay < 0 || f.unreachable[a.Node] || f.unresponsive[a.Node]
+	late := lost || toDelay+backDelay >= permitTimeout
+	if late && !a.Recheck {
+		f.later(permitTimeout, node, PermitsDelayed{Node: a.Node, Replica: a.Replica})
+	}
+	if lost {
+		f.later(permitCallTimeout, node, PermitsFailed{Node: a.Node, Replica: a.Replica, Late: !a.Recheck, Recheck: a.Recheck})
+	}
+	if toDelay < 0 || f.unreachable[a.Node] || f.unresponsive[a.Node] {
 		return
 	}
 	var to int
@@ -245,14 +273,17 @@
 		f.t.Fatalf("%s asks %q for permits", nodeName(node), a.Node)
 	}
 	f.next++
-	f.permitRequests[CallID(f.next)] = node
-	f.later(time.Millisecond, to, PermitsRequested{Request: a.Request, Call: CallID(f.next)})
+	f.permitRequests[CallID(f.next)] = fleetPermitRequest{from: node, to: a.Node, back: backDelay, late: late, recheck: a.Recheck}
+	f.later(toDelay, to, PermitsRequested{Request: a.Request, Call: CallID(f.next)})
 }
 
 // grantPermits delivers the response of an allocator to the node that asked it.
 func (f *fleet) grantPermits(a GrantPermits) {
-	f.later(time.Millisecond, f.permitRequests[a.Call], PermitsGranted{Grant: a.Grant})
+	r := f.permitRequests[a.Call]
 	delete(f.permitRequests, a.Call)
+	if r.back >= 0 {
+		f.later(r.back, r.from, PermitsGranted{Grant: a.Grant, Node: r.to, Late: r.late, Recheck: r.recheck})
+	}
 }
 
 // cancelCall cancels a call on the node that runs it.
--- a/core/forward/engine.go
+++ b/core/forward/engine.go
@@ -311,6 +311,11 @@
 		e.permitsRequested(now, ev)
 	case PermitsGranted:
 		e.permitsGranted(now, ev)
+	case NodeConnReplaced:
+		e.counts.Inc(count.Connection, "node_replaced")
+		e.log("node_connection_replaced", "address", ev.Address)
+	case PermitsDelayed:
+		e.permitsDelayed(now, ev)
 	case PermitsFailed:
 		e.permitsFailed(now, ev)
 	case AdmissionRequested:
@@ -330,7 +335,7 @@
 	if now.Sub(e.cleanedUpAt) >= cleanupInterval {
 		e.cleanedUpAt = now
 		e.quarantine.Tick(now)
-		e.limits.tick(now)
+		e.limits.allocator.Tick(now)
 		e.quotas.allocator.Tick(now)
 		for pool, f := range e.fairness {
 			if f.tick(now); len(f.accounts) == 0 {
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -430,17 +430,55 @@
 type PermitsGranted struct {
 	event
 	ratelimit.Grant
+	// Node is the node that responded.
+	Node string
+	// Late is set if a PermitsDelayed came before, Recheck if it was set in the RequestPermits.
+	Late, Recheck bool
 }
 
-// PermitsFailed reports that a node did not respond to a RequestPermits.
-type PermitsFailed struct {
+// PermitsDelayed reports that a node has not responded to a RequestPermits in the time that
+// requests of callers can wait. PermitsGranted or PermitsFailed follows.
+type PermitsDelayed struct {
 	event
 	Node    string
 	Replica api.ReplicaName
+}
+
+// PermitFailure says why a node did not respond to a RequestPermits with a grant.
+type PermitFailure uint8
+
+const (
+	// PermitsUnanswered means that there was no response.
+	PermitsUnanswered PermitFailure = iota
+	// PermitsRefused means that no process listens at the address of the node.
+	PermitsRefused
+	// PermitsDeclined means that the node responded with an error.
+	PermitsDeclined
+)
+
+func (f PermitFailure) String() string {
+	return [...]string{"unanswered", "refused", "declined"}[f]
+}
+
+// PermitsFailed reports that a node granted nothing in response to a RequestPermits. Late and
+// Recheck are those of PermitsGranted.
+type PermitsFailed struct {
+	event
+	Node          string
+	Replica       api.ReplicaName
+	Failure       PermitFailure
+	Late, Recheck bool
 	// Error describes the cause for the log.
 	Error string
 }
 
+// NodeConnReplaced reports that the connection to a node got no responses and was replaced by a
+// new one.
+type NodeConnReplaced struct {
+	event
+	Address string
+}
+
 // Stopping reports that this process stops: other nodes can no longer call it.
 type Stopping struct {
 	event
--- /dev/null
+++ b/core/forward/permits.go
@@ -0,0 +1,282 @@
+package forward
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/baobabsail/baobabsail/core/api"
+	"github.com/baobabsail/baobabsail/core/count"
+	"github.com/baobabsail/baobabsail/core/ratelimit"
+)
+
+// This file chooses the nodes that grant permits. The nodes that accept calls are ordered by a
+// hash for each replica, so that they need not agree on an order. The first one is the allocator,
+// the second one its standby. They may be taken for different nodes while connections are silent,
+// so each node grants only the share of the place that it has itself (ratelimit.Place).
+
+const (
+	// maxAskedNodes is how many nodes of the order this node waits for, one after the other,
+	// before it grants itself its part of the limit.
+	maxAskedNodes = 2
+	// aloneAfter is the time without a response of another node after which this one may be cut
+	// off from all others.
+	aloneAfter = 2 * time.Second
+)
+
+// requestPermits sends a request to the node that this one takes for the allocator of a replica, or
+// to its standby, or handles it itself.
+func (e *Engine) requestPermits(now time.Time, r ratelimit.Request) {
+	node, found := e.chooseAllocator(now, r)
+	switch {
+	case !found:
+		e.counts.Inc(count.RateLimit, "permits_isolated")
+		e.applyGrant(now, e.allocate(now, r, e.isolatedShare()))
+	case node == e.settings.Node:
+		e.applyGrant(now, e.allocate(now, r, e.grantShare(now, r.Replica)))
+	default:
+		e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node]})
+	}
+}
+
+// chooseAllocator returns the first node in the order of a replica that is not gone and responds in
+// time. found is unset if there is none among the first maxAskedNodes. The nodes that are passed
+// over are asked as well: their response shows that they can be waited for again, and what they
+// grant late counts.
+func (e *Engine) chooseAllocator(now time.Time, r ratelimit.Request) (node string, found bool) {
+	asked := 0
+	for at := e.firstInOrder(r.Replica); at.node != "" && asked < maxAskedNodes; at = e.nextInOrder(r.Replica, at) {
+		if at.node == e.settings.Node {
+			if e.limits.stopping {
+				continue // the other nodes are about to have another allocator
+			}
+			return at.node, true
+		}
+		gone, _ := e.limits.health.Gone(at.node)
+		if !gone {
+			asked++
+			if e.limits.health.Responsive(now, at.node) {
+				return at.node, true
+			}
+		}
+		e.recheckAllocator(now, at.node, r)
+	}
+	return "", false
+}
+
+// recheckAllocator asks a node for permits without waiting for it.
+func (e *Engine) recheckAllocator(now time.Time, node string, r ratelimit.Request) {
+	if e.limits.health.RecheckDue(now, node) {
+		e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node], Recheck: true})
+	}
+}
+
+// orderedNode is a node in the order for a replica. The node is empty after the last one.
+type orderedNode struct {
+	node string
+	hash uint64
+}
+
+// firstInOrder returns the first node in the order for a replica.
+func (e *Engine) firstInOrder(replica api.ReplicaName) orderedNode {
+	return e.nextInOrder(replica, orderedNode{})
+}
+
+// nextInOrder returns the node after a given one.
+func (e *Engine) nextInOrder(replica api.ReplicaName, after orderedNode) orderedNode {
+	next := orderedNode{hash: math.MaxUint64}
+	for _, peers := range e.groups.nodes {
+		for _, p := range peers {
+			h := ratelimit.AllocatorHash(p.Node, replica)
+			if h < next.hash && (after.node == "" || h > after.hash) {
+				next = orderedNode{node: p.Node, hash: h}
+			}
+		}
+	}
+	return next
+}
+
+// grantShare returns the part of a replica's limit that this node may grant.
+func (e *Engine) grantShare(now time.Time, replica api.ReplicaName) float64 {
+	p := e.place(now, replica)
+	if p.Before > 0 || p.Doubtful {
+		e.recheckNodesBefore(now, replica)
+	}
+	if p.Before == 0 && p.Doubtful {
+		e.recheckNodesAfter(now, replica)
+	}
+	return p.Share(e.nodeCount)
+}
+
+// place returns the place of this node in the order for a replica.
+func (e *Engine) place(now time.Time, replica api.ReplicaName) ratelimit.Place {
+	p := ratelimit.Place{Alone: now.Sub(e.limits.answeredAt) >= aloneAfter}
+	own := ratelimit.AllocatorHash(e.settings.Node, replica)
+	for at := e.firstInOrder(replica); at.node != "" && at.hash < own && p.Before < maxAskedNodes; at = e.nextInOrder(replica, at) {
+		gone, certain := e.limits.health.Gone(at.node)
+		if !gone {
+			p.Before++
+		}
+		p.Doubtful = p.Doubtful || gone && !certain
+	}
+	return p
+}
+
+// isolatedShare returns the part of a limit that this node grants to itself while no allocator
+// responds: an equal part of the whole limit if no node accepts calls, as no other one grants any
+// of it then.
+func (e *Engine) isolatedShare() float64 {
+	if e.groups.count == 0 {
+		return 1 / float64(e.nodeCount)
+	}
+	return ratelimit.IsolatedShare(e.nodeCount)
+}
+
+// allocate grants permits for a replica. Of a named limit, it grants at most the given share; of a
+// cold limit, what no other node can grant at the same time.
+func (e *Engine) allocate(now time.Time, r ratelimit.Request, share float64) ratelimit.Grant {
+	if entry := e.registry.entries[r.Replica]; entry != nil && (r.ColdPerSecond > 0 || e.limits.limiter.Cold(r.Replica)) {
+		if own := e.coldPerSecond(entry.Service); own > 0 {
+			r.ColdPerSecond = own
+		}
+	}
+	var cold ratelimit.ColdShare
+	if r.ColdPerSecond > 0 && !e.limits.stopping {
+		cold = e.settings.ColdBounds.Share(r.ColdPerSecond, e.limits.ranks.Of(now, r.Replica))
+	}
+	return e.limits.allocator.Allocate(now, r, share, cold)
+}
+
+// allocators returns the nodes that can be the allocator of a replica, sorted by name.
+func (e *Engine) allocators() []string {
+	var nodes []string
+	for _, peers := range e.groups.nodes {
+		for _, p := range peers {
+			nodes = append(nodes, p.Node)
+		}
+	}
+	if len(nodes) == 0 && e.nodeCount == 1 {
+		nodes = append(nodes, e.settings.Node) // the only node accepts no calls
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+// permitsRequested grants permits to another node.
+func (e *Engine) permitsRequested(now time.Time, ev PermitsRequested) {
+	share := e.grantShare(now, ev.Replica)
+	g := e.allocate(now, ev.Request, share)
+	e.counts.Add(count.RateLimit, "permits_granted", uint64(g.Permits))
+	if share < 1 {
+		e.counts.Inc(count.RateLimit, "standby_requests")
+		e.counts.Add(count.RateLimit, "standby_granted", uint64(g.Permits))
+	}
+	e.emit(GrantPermits{Grant: g, Call: ev.Call})
+}
+
+// recheckNodesBefore asks the nodes before this one in the order for a replica whether they
+// respond: another node that asks this one may be unable to reach them.
+func (e *Engine) recheckNodesBefore(now time.Time, replica api.ReplicaName) {
+	own := ratelimit.AllocatorHash(e.settings.Node, replica)
+	before := 0
+	for at := e.firstInOrder(replica); at.node != "" && at.hash < own && before < maxAskedNodes; at = e.nextInOrder(replica, at) {
+		if gone, _ := e.limits.health.Gone(at.node); !gone {
+			before++
+		}
+		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica))
+	}
+}
+
+// recheckNodesAfter asks the nodes after this one whether they respond: if they do, this node is not
+// the one that is cut off.
+func (e *Engine) recheckNodesAfter(now time.Time, replica api.ReplicaName) {
+	at := orderedNode{node: e.settings.Node, hash: ratelimit.AllocatorHash(e.settings.Node, replica)}
+	for range maxAskedNodes {
+		if at = e.nextInOrder(replica, at); at.node == "" {
+			return
+		}
+		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica))
+	}
+}
+
+// permitsGranted applies a response of an allocator and resumes the parts that wait for it.
+func (e *Engine) permitsGranted(now time.Time, ev PermitsGranted) {
+	if e.allocatorAnswered(now, ev.Node, ev.Late); ev.Late || ev.Recheck {
+		e.applyLateGrant(now, ev.Grant)
+	} else {
+		e.applyGrant(now, ev.Grant)
+	}
+	e.resumePartsOf(now, ev.Replica)
+}
+
+// allocatorAnswered records and logs that a node responds.
+func (e *Engine) allocatorAnswered(now time.Time, node string, late bool) {
+	e.limits.answeredAt = now
+	if gone, _ := e.limits.health.Gone(node); gone {
+		e.log("allocator_back", "node", node, "late", late)
+	}
+	e.limits.health.Answered(node, late)
+}
+
+// applyGrant adds granted permits to those of this node.
+func (e *Engine) applyGrant(now time.Time, g ratelimit.Grant) {
+	e.grantApplied(g.Replica, e.limits.limiter.Granted(now, g))
+}
+
+// applyLateGrant adds permits that were not waited for.
+func (e *Engine) applyLateGrant(now time.Time, g ratelimit.Grant) {
+	e.counts.Add(count.RateLimit, "permits_late", uint64(g.Permits))
+	e.grantApplied(g.Replica, e.limits.limiter.GrantedLate(now, g))
+}
+
+func (e *Engine) grantApplied(replica api.ReplicaName, limitEnded bool) {
+	if entry := e.registry.entries[replica]; entry != nil && limitEnded {
+		e.rateLimitEnded(replica, entry.Service)
+	}
+}
+
+// permitsDelayed handles an allocator that has not responded in time. Parts that wait for a permit
+// ask the next one.
+func (e *Engine) permitsDelayed(now time.Time, ev PermitsDelayed) {
+	e.counts.Inc(count.RateLimit, "permits_delayed")
+	e.log("permits_delayed", "node", ev.Node, "replica", ev.Replica)
+	e.limits.health.Delayed(now, ev.Node)
+	e.limits.limiter.Failed(ev.Replica)
+	e.resumePartsOf(now, ev.Replica)
+}
+
+// permitsFailed handles an allocator that grants nothing because it cannot be asked.
+func (e *Engine) permitsFailed(now time.Time, ev PermitsFailed) {
+	e.counts.Inc(count.RateLimit, "permits_failed")
+	e.log("permits_failed", "node", ev.Node, "replica", ev.Replica, "failure", ev.Failure, "recheck", ev.Recheck, "error", ev.Error)
+	e.recordAllocatorFailure(now, ev)
+	if ev.Late || ev.Recheck {
+		return // nothing waits for it
+	}
+	e.limits.limiter.Failed(ev.Replica)
+	e.resumePartsOf(now, ev.Replica)
+}
+
+// recordAllocatorFailure records what a failure shows of a node, and logs that it counts as gone.
+func (e *Engine) recordAllocatorFailure(now time.Time, ev PermitsFailed) {
+	before, _ := e.limits.health.Gone(ev.Node)
+	switch ev.Failure {
+	case PermitsRefused:
+		e.limits.health.Refused(now, ev.Node)
+	case PermitsDeclined:
+		e.allocatorAnswered(now, ev.Node, true)
+		e.limits.health.Delayed(now, ev.Node)
+	default:
+		e.limits.health.Unanswered(now, ev.Node)
+	}
+	if after, certain := e.limits.health.Gone(ev.Node); after && !before {
+		e.log("allocator_gone", "node", ev.Node, "process_ended", certain)
+	}
+}
+
+// resumePartsOf resumes the parts that wait for a permit for a replica.
+func (e *Engine) resumePartsOf(now time.Time, replica api.ReplicaName) {
+	if entry := e.registry.entries[replica]; entry != nil {
+		e.resume(now, entry.Service)
+	}
+}
--- a/core/forward/ratelimit_test.go
+++ b/core/forward/ratelimit_test.go
@@ -41,6 +41,8 @@
 	// arrivals holds the times at which requests of informed nodes reached each limited
 	// replica.
 	arrivals map[api.ReplicaName][]time.Time
+	// lost holds the nodes that lost power and get no requests of callers.
+	lost []string
 	// ids holds the requests of callers, sentAt their arrival.
 	ids    []string
 	sentAt map[string]time.Time
@@ -88,6 +90,9 @@
 func (l *limitedFleet) send(path string, d time.Duration) {
 	for end := l.now.Add(d); l.now.Before(end); l.run(loadStep) {
 		node := min(l.rng.IntN(l.size.nodes), l.rng.IntN(l.size.nodes))
+		if slices.Contains(l.lost, nodeName(node)) {
+			continue
+		}
 		id := l.requestWith(node, path, api.Fingerprint(l.next+1))
 		l.ids = append(l.ids, id)
 		l.sentAt[id] = l.now
--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -7,15 +7,18 @@
 )
 
 const (
-	// usableShare is the fraction of a limit that is granted. The rest covers the time in
-	// which the nodes disagree on which of them is the allocator.
+	// usableShare is the fraction of a limit that is granted. The rest covers the bursts of the
+	// buckets and the permits that are used late.
 	usableShare = 0.9
 	// burstTime is the time whose permits a bucket can hold; it holds at least one.
 	burstTime = 250 * time.Millisecond
-	// A new bucket grants startShare of its rate for startTime: some nodes may still get
-	// permits from the previous allocator, which they give up one after the other.
+	// An allocator grants startShare of its rate for startTime after it became one: some nodes
+	// may still get permits from the previous one, which they give up one after the other.
 	startShare = 0.4
 	startTime  = 2 * time.Second
+	// noShareRetryAfter is the RetryAfter of a node that may grant nothing for a replica. By then,
+	// it knows more of the nodes before it, or the asking node waits for another one.
+	noShareRetryAfter = 250 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound RetryAfter.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -36,8 +39,11 @@
 	limited   bool
 	perSecond float64
 	statedAt  time.Time
-	createdAt time.Time
-	tokens    float64
+	// share is the part of the limit that this node last could grant, and raisedAt when it
+	// became the whole of it.
+	share    float64
+	raisedAt time.Time
+	tokens   float64
 	// updatedAt is the time of the last request, up to which tokens has been computed.
 	updatedAt time.Time
 	// cold holds the grants for the replica while it is cold.
@@ -54,16 +60,13 @@
 func (a *Allocator) Allocate(now time.Time, r Request, share float64, cold ColdShare) Grant {
 	b := a.buckets[r.Replica]
 	if b == nil {
-		b = &bucket{createdAt: now, tokens: share, updatedAt: now, cold: coldBucket{updatedAt: now}}
+		b = &bucket{tokens: share, updatedAt: now, cold: coldBucket{updatedAt: now}}
 		a.buckets[r.Replica] = b
 	}
 	if statedAt := now.Add(-r.Statement.Age); statedAt.After(b.statedAt) {
 		b.limited, b.perSecond, b.statedAt = r.Statement.Limited, r.Statement.PerSecond, statedAt
 	}
-	rate := share * usableShare * b.perSecond
-	if now.Sub(b.createdAt) < startTime {
-		rate *= startShare
-	}
+	rate := b.rate(now, share)
 	b.refill(now, rate)
 	g := Grant{Replica: r.Replica, Statement: Statement{Limited: b.limited, PerSecond: b.perSecond, Age: now.Sub(b.statedAt)}}
 	if !b.limited && r.ColdPerSecond <= 0 {
@@ -74,6 +77,9 @@
 		if g.Permits = min(g.Permits, int(b.tokens)); g.Permits == 0 {
 			g.RetryAfter = b.timeToToken(rate)
 		}
+		if share < standbyShare {
+			g.RetryAfter = min(g.RetryAfter, noShareRetryAfter)
+		}
 	}
 	if g.Cold {
 		permits, retryAfter := b.cold.available(now, r.Wanted, cold)
@@ -86,6 +92,19 @@
 	return g
 }
 
+// rate returns the tokens per second of a bucket for a share of the limit.
+func (b *bucket) rate(now time.Time, share float64) float64 {
+	if share == fullShare && b.share != fullShare {
+		b.raisedAt = now
+	}
+	b.share = share
+	rate := share * usableShare * b.perSecond
+	if share == fullShare && now.Sub(b.raisedAt) < startTime {
+		rate *= startShare
+	}
+	return rate
+}
+
 // refill adds the tokens since the last update, at a rate in tokens per second.
 func (b *bucket) refill(now time.Time, rate float64) {
 	b.tokens = min(b.tokens+rate*now.Sub(b.updatedAt).Seconds(), max(rate*burstTime.Seconds(), 1))
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -165,6 +165,15 @@
 	return Request{Replica: name, Wanted: wanted, Statement: r.statement(now), ColdPerSecond: r.coldPerSecond}, true
 }
 
+// Query returns a request to another node that asks for no permits.
+func (l *Limiter) Query(now time.Time, name api.ReplicaName) Request {
+	r := l.replicas[name]
+	if r == nil {
+		return Request{Replica: name, Statement: Statement{Age: unstatedAge}}
+	}
+	return Request{Replica: name, Statement: r.statement(now)}
+}
+
 // statement returns what the replica last stated about its rate limit.
 func (r *limitedReplica) statement(now time.Time) Statement {
 	if r.statedAt.IsZero() {
@@ -188,16 +197,8 @@
 	}
 	awaited := r.requesting
 	r.requesting = false
-	if statedAt := now.Add(-g.Statement.Age); statedAt.After(r.statedAt) {
-		switch {
-		case g.Statement.Limited:
-			r.named, r.perSecond, r.statedAt = true, g.Statement.PerSecond, statedAt
-		case r.named:
-			l.endNamed(g.Replica, r)
-			if ended = true; r.coldPerSecond <= 0 {
-				return true
-			}
-		}
+	if ended = l.learn(now, r, g); ended && r.coldPerSecond <= 0 {
+		return true
 	}
 	expiresAt := now.Add(permitTTL)
 	if r.coldPerSecond > 0 {
@@ -208,16 +209,52 @@
 			g.Permits, g.RetryAfter = 0, max(g.RetryAfter, minRetryAfter)
 		}
 	}
-	r.dropExpired(now)
-	for range g.Permits {
-		r.permits = append(r.permits, expiresAt)
-	}
+	r.add(now, g.Permits, expiresAt)
 	if g.Permits == 0 {
 		r.retryAt = now.Add(g.RetryAfter)
 	}
 	return ended
 }
 
+// GrantedLate handles a response that is not waited for: another node may have been asked in the
+// meantime. Permits for a cold replica are dropped, as they are valid only for a short time after
+// their request.
+func (l *Limiter) GrantedLate(now time.Time, g Grant) (ended bool) {
+	r := l.replicas[g.Replica]
+	if r == nil {
+		return false
+	}
+	if ended = l.learn(now, r, g); !ended && r.coldPerSecond <= 0 {
+		r.add(now, g.Permits, now.Add(permitTTL))
+	}
+	return ended
+}
+
+// learn adopts the statement of a replica in a response if it is newer than the known one. It
+// reports whether it ended the limit.
+func (l *Limiter) learn(now time.Time, r *limitedReplica, g Grant) (ended bool) {
+	statedAt := now.Add(-g.Statement.Age)
+	if !statedAt.After(r.statedAt) {
+		return false
+	}
+	switch {
+	case g.Statement.Limited:
+		r.named, r.perSecond, r.statedAt = true, g.Statement.PerSecond, statedAt
+	case r.named:
+		l.endNamed(g.Replica, r)
+		return true
+	}
+	return false
+}
+
+// add adds permits that expire at the given time, which is not before that of the others.
+func (r *limitedReplica) add(now time.Time, permits int, expiresAt time.Time) {
+	r.dropExpired(now)
+	for range permits {
+		r.permits = append(r.permits, expiresAt)
+	}
+}
+
 // Failed handles a request for permits that got no response.
 func (l *Limiter) Failed(name api.ReplicaName) {
 	if r := l.replicas[name]; r != nil {
--- a/entry/internal/nodeconn/nodeconn.go
+++ b/entry/internal/nodeconn/nodeconn.go
@@ -2,6 +2,8 @@
 package nodeconn
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -19,18 +21,25 @@
 	Backoff backoff.Config
 	// Timeout limits the duration of one attempt.
 	Timeout time.Duration
+	// Dial opens the TCP connection; nil means as usual.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // New returns a connection to the node at an address (IP:port). The connection is opened
 // on first use. Name resolution, service configuration, retries and proxies of gRPC are
 // disabled.
 func New(address string, p ConnectParams, callOptions ...grpc.CallOption) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: p.Backoff, MinConnectTimeout: p.Timeout}),
-		grpc.WithDefaultCallOptions(callOptions...))
+		grpc.WithDefaultCallOptions(callOptions...),
+	}
+	if p.Dial != nil {
+		options = append(options, grpc.WithContextDialer(p.Dial))
+	}
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 // Close closes a connection without waiting: gRPC waits up to some seconds for a node that reads
--- a/entry/relay/admissions.go
+++ b/entry/relay/admissions.go
@@ -32,15 +32,17 @@
 
 // requestAdmissions sends the request for admissions to a node and returns its response.
 func (n *Nodes) requestAdmissions(a forward.AdmitRequests) (quota.Grant, error) {
-	conn, err := n.conn(a.Address)
+	conn, err := n.conns.get(a.Address)
 	if err != nil {
 		return quota.Grant{}, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), admissionTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := nodepb.NewNodeClient(conn).AdmitRequests(ctx, &nodepb.AdmissionRequest{
 		Account: a.Account, Wanted: uint32(a.Wanted), Quota: quotaToProto(a.Quota),
 	})
+	n.noteResponse(conn, sentAt, err)
 	if err != nil {
 		return quota.Grant{}, err
 	}
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -8,15 +8,12 @@
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/routing"
-	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
@@ -24,18 +21,15 @@
 	// nodeBufferSize is the size of the read and the write buffer of a connection
 	// between nodes, in bytes; a call and its replies are smaller.
 	nodeBufferSize = 4 << 10
-	// nodeConnectTimeout bounds the opening of a connection to a node.
-	nodeConnectTimeout = 500 * time.Millisecond
-	// nodeBackoffMin and nodeBackoffMax bound the time between two attempts to open a
-	// connection.
-	nodeBackoffMin = 100 * time.Millisecond
-	nodeBackoffMax = time.Second
 	// connectInterval is the pause between two connections that are opened before they are
 	// needed.
 	connectInterval = 20 * time.Millisecond
 	// callGrace is added to the remaining time of the caller to set the timeout of a call, so
 	// that a reply sent at the last moment can still arrive.
 	callGrace = 50 * time.Millisecond
+	// slowResponseTime is the time without a response after which the connection of a call counts
+	// as unresponsive. Responses usually take milliseconds.
+	slowResponseTime = 100 * time.Millisecond
 )
 
 // Nodes is the pool of connections to other nodes, with the calls in progress on them.
@@ -45,9 +39,9 @@
 	// requests bounds the copies of requests in calls, which exist until the other node has read
 	// them.
 	requests memoryBudget
+	conns    *nodeConns
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
 	calls map[forward.CallID]*nodeCall
 	// toConnect holds the addresses that still need a connection. connecting is set while a
 	// goroutine opens them.
@@ -61,7 +55,17 @@
 // nodeCall is a call in progress.
 type nodeCall struct {
 	cancel context.CancelFunc
-	stream nodepb.Node_RunShardsClient // nil until the call is sent
+	// conn, stream and sentAt are unset until the call is sent.
+	conn   *nodeConn
+	stream nodepb.Node_RunShardsClient
+	sentAt time.Time
+	// answered is set once the other node has replied.
+	answered bool
+}
+
+// unanswered reports whether the call has waited too long for its first reply.
+func (c *nodeCall) unanswered() bool {
+	return c.conn != nil && !c.answered && time.Since(c.sentAt) >= slowResponseTime
 }
 
 // NewNodes returns an empty pool of connections. The requests in calls in progress take at most
@@ -69,25 +73,15 @@
 func NewNodes(sink EventSink, headers Headers, callBytes int64) *Nodes {
 	return &Nodes{
 		requests: memoryBudget{limit: callBytes},
-		sink:     sink, headers: headers, conns: make(map[string]*grpc.ClientConn), calls: make(map[forward.CallID]*nodeCall),
+		sink:     sink, headers: headers, calls: make(map[forward.CallID]*nodeCall),
+		conns:          newNodeConns(func(address string) { sink.Post(forward.NodeConnReplaced{Address: address}) }),
 		pendingNotices: make(map[string]forward.SendNotices),
 	}
 }
 
 // Close closes all connections. It does not wait for that.
 func (n *Nodes) Close() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for address := range n.conns {
-		n.closeConn(address)
-	}
-}
-
-// closeConn closes a connection, whose calls end and are reported as lost. The caller must hold
-// n.mu.
-func (n *Nodes) closeConn(address string) {
-	nodeconn.Close(n.conns[address])
-	delete(n.conns, address)
+	n.conns.retain(func(string) bool { return false })
 }
 
 // call starts a call that asks a node to run a range of shards.
@@ -140,7 +134,7 @@
 // runCall carries out one call. It returns how the call was lost, or nil after the last
 // reply.
 func (n *Nodes) runCall(ctx context.Context, c *nodeCall, a forward.CallPeer) *forward.CallLost {
-	conn, err := n.conn(a.Address)
+	conn, err := n.conns.get(a.Address)
 	if err != nil {
 		return &forward.CallLost{Call: a.Call, Unsent: true, Error: err.Error()}
 	}
@@ -148,7 +142,7 @@
 	if err != nil {
 		return &forward.CallLost{Call: a.Call, Unsent: true, Error: err.Error()}
 	}
-	if !n.markSent(a.Call, c, stream) {
+	if !n.markSent(a.Call, c, conn, stream) {
 		return nil
 	}
 	if err := stream.Send(n.shardsRequest(a)); err != nil && !errors.Is(err, io.EOF) { // Recv returns the reason for io.EOF
@@ -156,6 +150,7 @@
 	}
 	for first := true; ; first = false {
 		reply, err := stream.Recv()
+		n.noteReply(c, err)
 		switch {
 		case first && status.Code(err) == codes.ResourceExhausted:
 			n.endFull(a.Call)
@@ -177,16 +172,36 @@
 
 // markSent records the stream on which a call is about to be sent. It returns false if the
 // call was given up before.
-func (n *Nodes) markSent(id forward.CallID, c *nodeCall, stream nodepb.Node_RunShardsClient) bool {
+func (n *Nodes) markSent(id forward.CallID, c *nodeCall, conn *nodeConn, stream nodepb.Node_RunShardsClient) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.calls[id] != c {
 		return false
 	}
-	c.stream = stream
+	c.conn, c.stream, c.sentAt = conn, stream, time.Now()
 	return true
 }
 
+// noteReply records the result of waiting for a reply to a call. A node accepts a call before it
+// runs it, so the first reply shows whether the connection responds.
+func (n *Nodes) noteReply(c *nodeCall, err error) {
+	n.mu.Lock()
+	first := !c.answered
+	c.answered = c.answered || err == nil
+	n.mu.Unlock()
+	if first {
+		n.noteResponse(c.conn, c.sentAt, err)
+	}
+}
+
+// noteResponse reports the connection of a call as unresponsive if the call timed out or its
+// response took too long.
+func (n *Nodes) noteResponse(conn *nodeConn, sentAt time.Time, err error) {
+	if status.Code(err) == codes.DeadlineExceeded || err == nil && time.Since(sentAt) >= slowResponseTime {
+		n.conns.unresponsive(conn)
+	}
+}
+
 // withdraw gives up a call that has not been sent yet. If it has been sent, withdraw
 // reports that and leaves the call running.
 func (n *Nodes) withdraw(id forward.CallID) {
@@ -210,13 +225,9 @@
 // prepare opens connections to the given addresses, one after the other, and closes all
 // others.
 func (n *Nodes) prepare(addresses []string) {
+	n.conns.retain(func(address string) bool { return slices.Contains(addresses, address) })
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for address := range n.conns {
-		if !slices.Contains(addresses, address) {
-			n.closeConn(address)
-		}
-	}
 	n.toConnect = addresses
 	if !n.connecting {
 		n.connecting = true
@@ -236,12 +247,11 @@
 		}
 		address := n.toConnect[0]
 		n.toConnect = n.toConnect[1:]
-		exists := n.conns[address] != nil
 		n.mu.Unlock()
-		if exists {
+		if n.conns.exists(address) {
 			continue
 		}
-		if c, err := n.conn(address); err == nil { // otherwise the next call reports the error
+		if c, err := n.conns.get(address); err == nil { // otherwise the next call reports the error
 			c.Connect()
 		}
 		time.Sleep(connectInterval)
@@ -253,7 +263,11 @@
 	n.mu.Lock()
 	c := n.calls[id]
 	delete(n.calls, id)
+	unanswered := c != nil && c.unanswered()
 	n.mu.Unlock()
+	if unanswered {
+		n.conns.unresponsive(c.conn)
+	}
 	if c != nil {
 		c.cancel()
 	}
@@ -271,24 +285,6 @@
 	}
 }
 
-// conn returns the connection to an address, and creates it if there is none.
-func (n *Nodes) conn(address string) (*grpc.ClientConn, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if c := n.conns[address]; c != nil {
-		return c, nil
-	}
-	c, err := nodeconn.New(address, nodeconn.ConnectParams{
-		Backoff: backoff.Config{BaseDelay: nodeBackoffMin, Multiplier: 2, Jitter: 0.2, MaxDelay: nodeBackoffMax},
-		Timeout: nodeConnectTimeout,
-	})
-	if err != nil {
-		return nil, err
-	}
-	n.conns[address] = c
-	return c, nil
-}
-
 // shardsRequest converts a call to its wire form. The header names the account, so that a node
 // which does not know accounts passes it on.
 func (n *Nodes) shardsRequest(a forward.CallPeer) *nodepb.ShardsRequest {
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -285,7 +285,7 @@
 	}
 	events := &eventRecorder{}
 	n := NewNodes(events, testHeaders, testCallBytes)
-	n.conns[address] = conn
+	n.conns.conns[address] = &nodeConn{ClientConn: conn, address: address}
 	n.call(testCall(1, address))
 	if ev, ok := events.wait(t, 0).(forward.CallReplied); !ok {
 		t.Fatalf("%+v", ev)
--- a/entry/relay/notify.go
+++ b/entry/relay/notify.go
@@ -54,12 +54,14 @@
 }
 
 func (n *Nodes) notify(address string, a forward.SendNotices) error {
-	conn, err := n.conn(address)
+	conn, err := n.conns.get(address)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	_, err = nodepb.NewNodeClient(conn).Notify(ctx, &nodepb.Notices{Notices: convert.NoticesToProto(a.Notices), PassOn: a.PassOn})
+	n.noteResponse(conn, sentAt, err)
 	return err
 }
--- a/entry/relay/permits.go
+++ b/entry/relay/permits.go
@@ -14,29 +14,89 @@
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
-// permitTimeout bounds a request for permits, including the opening of a connection: requests
-// of callers wait for the response.
-const permitTimeout = 100 * time.Millisecond
+const (
+	// permitTimeout is how long requests of callers wait for the response to a request for
+	// permits, including the opening of a connection.
+	permitTimeout = slowResponseTime
+	// permitCallTimeout bounds the request itself: what a slow node grants late still counts, and
+	// shows that the node is not gone.
+	permitCallTimeout = time.Second
+)
+
+// permitResponse is the response to a request for permits, or why there is none.
+type permitResponse struct {
+	grant   ratelimit.Grant
+	failure forward.PermitFailure
+	err     error
+}
 
 // requestPermits asks a node for permits and reports its response.
 func (n *Nodes) requestPermits(a forward.RequestPermits) {
-	go func() {
-		grant, err := n.askForPermits(a)
-		if err != nil {
-			n.sink.Post(forward.PermitsFailed{Node: a.Node, Replica: a.Replica, Error: err.Error()})
-			return
+	conn, err := n.conns.get(a.Address)
+	if err != nil {
+		n.sink.Post(forward.PermitsFailed{Node: a.Node, Replica: a.Replica, Recheck: a.Recheck, Error: err.Error()})
+		return
+	}
+	responses := make(chan permitResponse, 1)
+	go func() { responses <- askForPermits(conn, a) }()
+	go n.awaitPermits(conn, a, responses)
+}
+
+// awaitPermits reports the response to a request for permits, or that it is delayed and then the
+// response.
+func (n *Nodes) awaitPermits(conn *nodeConn, a forward.RequestPermits, responses <-chan permitResponse) {
+	timer := time.NewTimer(permitTimeout)
+	defer timer.Stop()
+	select {
+	case r := <-responses:
+		n.reportPermits(a, r, false)
+	case <-timer.C:
+		n.conns.unresponsive(conn)
+		if !a.Recheck {
+			n.sink.Post(forward.PermitsDelayed{Node: a.Node, Replica: a.Replica})
 		}
-		n.sink.Post(forward.PermitsGranted{Grant: grant})
-	}()
+		n.reportPermits(a, <-responses, true)
+	}
 }
 
-func (n *Nodes) askForPermits(a forward.RequestPermits) (ratelimit.Grant, error) {
-	conn, err := n.conn(a.Address)
-	if err != nil {
-		return ratelimit.Grant{}, err
+// reportPermits reports the response to a request for permits. late is set if it came after
+// permitTimeout.
+func (n *Nodes) reportPermits(a forward.RequestPermits, r permitResponse, late bool) {
+	if r.err != nil {
+		n.sink.Post(forward.PermitsFailed{
+			Node: a.Node, Replica: a.Replica, Failure: r.failure, Late: late, Recheck: a.Recheck, Error: r.err.Error(),
+		})
+		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	n.sink.Post(forward.PermitsGranted{Grant: r.grant, Node: a.Node, Late: late, Recheck: a.Recheck})
+}
+
+// askForPermits sends a request for permits and returns the response.
+func askForPermits(conn *nodeConn, a forward.RequestPermits) permitResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), permitCallTimeout)
 	defer cancel()
+	grant, err := callRequestPermits(ctx, conn, a)
+	if err == nil {
+		return permitResponse{grant: grant}
+	}
+	return permitResponse{failure: permitFailure(conn, err), err: err}
+}
+
+// permitFailure classifies the error of a request for permits.
+func permitFailure(conn *nodeConn, err error) forward.PermitFailure {
+	switch status.Code(err) {
+	case codes.Unavailable:
+		if conn.refused.Load() {
+			return forward.PermitsRefused
+		}
+		return forward.PermitsUnanswered
+	case codes.DeadlineExceeded:
+		return forward.PermitsUnanswered
+	}
+	return forward.PermitsDeclined
+}
+
+func callRequestPermits(ctx context.Context, conn *nodeConn, a forward.RequestPermits) (ratelimit.Grant, error) {
 	reply, err := nodepb.NewNodeClient(conn).RequestPermits(ctx, &nodepb.PermitRequest{
 		Replica: string(a.Replica), RateLimit: rateLimitToProto(a.Statement), Wanted: uint32(a.Wanted),
 		ColdRate: a.ColdPerSecond,
