changes, peer: a slow source is left, and work orders leave a silent connection

The stream over which a node follows another one was left after a silence only. On a connection that gets slower message by message, none is missing, and each states the age that its data had when it was sent, so that the follower believes its copy to be newer than it is. The follower now calls its source on the same connection, every second silence timeout, with an empty Notify, which every version answers; it leaves a source that takes longer than the timeout, and adds the time of the last call to the stated age. At 570 nodes this is one call of about 100 bytes each 1.5 s and follower.

baobabd run replaced the connection to a peer only after gossip that timed out, which is sent to a given peer rarely in a large group. A forwarded work order or query part that times out now replaces it too.

TestFollowerLeavesASlowSource and TestWorkIsForwardedOnANewConnectionAfterASilentOne fail without the change.

--- a/entry/changes/changes_test.go
+++ b/entry/changes/changes_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/baobabsail/baobabsail/core/changefeed"
+	"github.com/baobabsail/baobabsail/entry/internal/faultproxy"
 )
 
 // serveFeed serves a feed at a loopback address until the test ends and returns the
@@ -171,3 +172,31 @@
 		}
 	})
 }
+
+// Guards against a follower whose data is older than it believes: on a slow connection, messages
+// come at the usual interval, and each states the age that the data had when it was sent.
+func TestFollowerLeavesASlowSource(t *testing.T) {
+	f := NewFeed()
+	f.Replace(nil, position(1))
+	proxy, err := faultproxy.New(serveFeed(t, f, "127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	const timeout = 600 * time.Millisecond
+	s := source(proxy.Address(), position(1))
+	s.SilenceTimeout = timeout
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var delay time.Duration
+	err = Follow(ctx, s, func(changefeed.Batch, changefeed.Health) bool {
+		// Shorter than the timeout in one direction, longer in both. It grows slowly, so that no
+		// two messages are further apart than the timeout.
+		delay = min(delay+timeout/20, 2*timeout/3)
+		proxy.Inject(faultproxy.Fault{Delay: delay})
+		return true
+	})
+	if !errorx.IsOfType(err, ErrSilent) {
+		t.Errorf("error %v, want a source that is left because it is slow", err)
+	}
+}
--- a/entry/changes/follow.go
+++ b/entry/changes/follow.go
@@ -49,7 +49,7 @@
 }
 
 // Follow calls handle with each message of a source until handle returns false, ctx is done,
-// the source ends the stream (ErrEnded) or sends nothing within a timeout (ErrSilent).
+// the source ends the stream (ErrEnded), sends nothing within a timeout or is slow (ErrSilent).
 // The error is nil in the first two cases.
 func Follow(ctx context.Context, s Source, handle func(changefeed.Batch, changefeed.Health) bool) error {
 	params := nodeconn.ConnectParams{
@@ -64,8 +64,11 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(s.FirstMessageTimeout, func() { cancel(ErrSilent.New("node %s", s.Address)) })
 	defer watchdog.Stop()
+	latency := &latencyCheck{client: nodepb.NewNodeClient(conn), timeout: s.SilenceTimeout}
+	go latency.run(streamCtx, func() { cancel(ErrSilent.New("node %s is slow", s.Address)) })
 	err = receiveMessages(streamCtx, conn, s, func(b changefeed.Batch, h changefeed.Health) bool {
 		watchdog.Reset(s.SilenceTimeout)
+		h.Age += latency.last()
 		return handle(b, h)
 	})
 	switch {
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -200,6 +200,13 @@
 	return true
 }
 
+// replaceIfTimedOut replaces the connection of a message or call that timed out.
+func (c *Client) replaceIfTimedOut(cn *conn, err error) {
+	if status.Code(err) == codes.DeadlineExceeded {
+		c.replaceConn(cn)
+	}
+}
+
 // replaceConn opens a new connection in place of one on which a message timed
 // out: an established connection can stay unresponsive while new ones to the same
 // address work. The old connection is closed once it is idle and its calls in
@@ -247,9 +254,7 @@
 	defer cancel()
 	if _, err := cn.client.Exchange(ctx, convert.MessageToProto(q.message)); err != nil {
 		c.config.Counts.Inc(count.Peer, detailUndelivered)
-		if status.Code(err) == codes.DeadlineExceeded {
-			c.replaceConn(cn)
-		}
+		c.replaceIfTimedOut(cn, err)
 		c.config.Report(event.PeerFailed{Peer: q.peer})
 	}
 }
@@ -299,6 +304,7 @@
 		return api.SearchAnswer{}, err
 	}
 	reply, err := cn.client.RunPart(ctx, request)
+	c.replaceIfTimedOut(cn, err)
 	if err != nil {
 		return api.SearchAnswer{}, err
 	}
@@ -330,6 +336,7 @@
 	defer cancel()
 	work := convert.ForwardedWork{Caller: a.Caller, Work: a.Work, Deadline: a.Deadline}
 	reply, err := cn.client.RunWork(ctx, convert.ForwardedWorkToProto(work, time.Now()))
+	c.replaceIfTimedOut(cn, err)
 	if err == nil {
 		result.Answer, err = convert.WorkAnswerFromProto(reply)
 	}
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/event"
 	"github.com/baobabsail/baobabsail/core/gossip"
+	"github.com/baobabsail/baobabsail/entry/internal/faultproxy"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
 )
 
@@ -205,3 +206,30 @@
 		t.Fatalf("got %+v", got)
 	}
 }
+
+// Guards against work orders that get lost one after the other: the connection to a peer is silent,
+// and no gossip is due that would show it.
+func TestWorkIsForwardedOnANewConnectionAfterASilentOne(t *testing.T) {
+	proxy, err := faultproxy.New(serve(t, &fakeReceiver{}, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	c, events := newClient(t, Config{Counts: telemetry.NewCounts()})
+	forward := func(timeout time.Duration) event.ForwardResult {
+		c.ForwardWork(event.ForwardWork{
+			Peer: "p", Address: proxy.Address(), Caller: "desk", Work: api.Work{Service: "crews"}, Deadline: time.Now().Add(timeout),
+		})
+		return (<-events).(event.WorkForwarded).Result
+	}
+	if r := forward(time.Minute); r != event.ForwardAnswered {
+		t.Fatalf("result %v before the fault", r)
+	}
+	proxy.Inject(faultproxy.Fault{DropTowards: true, DropFrom: true})
+	if r := forward(100 * time.Millisecond); r != event.ForwardLost {
+		t.Fatalf("result %v on a silent connection", r)
+	}
+	if r := forward(10 * time.Second); r != event.ForwardAnswered {
+		t.Errorf("result %v after a call that timed out", r)
+	}
+}
