relay, records, forward: responses of targets share one bound until they are passed on

What operators of similar systems reported: a faulty replica sent bytes without end, and the machine that had called it ran out of memory. One response was bounded here (TestEndlessResponsesAreCutOff), and the bodies being read together; the sum over all responses in progress was not.

Cause: heads counted nowhere, although parsed fields of a few bytes take 20 times their length; a body counted until it was read, and not while it waited for the other parts or for its caller; parts waited with all their records and header fields; and the receive buffer of a connection to a target grew to megabytes.

Change: a part keeps its proof, of 1 KiB at most, and the records that the merge keeps, which are selected while it is read (core/records). All other responses take their memory from one budget until they have been written to their caller; what the engine drops returns with the garbage collection, which is started if the budget is exhausted. Heads take 20 times their length from it while they are read. The first 2 KiB of a head and 16 KiB of a reply are free, so that small responses are not stopped by large ones, and a response that is alone may exceed the budget. Connections to targets have buffers of 32 KiB in the kernel, in both directions.

--- a/core/forward/action.go
+++ b/core/forward/action.go
@@ -32,6 +32,10 @@
 	NewConnection bool
 	// Remaining is how long the caller still waits.
 	Remaining time.Duration
+	// Part is set if the response is merged with others by the rule Merge: only the records that it
+	// keeps, the proof and the status are needed of it.
+	Part  bool
+	Merge routing.Merge
 }
 
 // Cancel abandons an attempt. Closing the connection tells the replica. The driver
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -102,6 +102,7 @@
 	e.emit(Send{
 		Attempt: a.id, Message: r.message, Replica: name, Address: entry.Address,
 		ShortLived: !e.prefers(entry, e.preferredRank(p.service)), NewConnection: r.onProbation, Remaining: r.deadline.Sub(now),
+		Part: r.route.Sharded(), Merge: r.mergeRule(),
 	})
 }
 
--- a/core/forward/merge.go
+++ b/core/forward/merge.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
-	"slices"
-
+	"github.com/baobabsail/baobabsail/core/records"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -13,18 +11,9 @@
 	if m.RecordBytes <= 0 || m.Records <= 0 {
 		return nil
 	}
-	var records [][]byte
+	var all [][]byte
 	for _, body := range bodies {
-		for len(body) >= m.RecordBytes {
-			records = append(records, body[:m.RecordBytes])
-			body = body[m.RecordBytes:]
-		}
-	}
-	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	records = records[:min(len(records), m.Records)]
-	out := make([]byte, 0, len(records)*m.RecordBytes)
-	for _, r := range records {
-		out = append(out, r...)
+		all = records.AppendSplit(all, m.RecordBytes, body)
 	}
-	return out
+	return records.Greatest(m, all)
 }
--- a/entry/connguard/listen.go
+++ b/entry/connguard/listen.go
@@ -39,19 +39,25 @@
 
 // listen listens on a TCP address and sets the sizes of some buffers of its connections.
 func listen(address string, buffers ...int) (net.Listener, error) {
-	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	c := net.ListenConfig{Control: LimitBuffers(buffers...)}
+	l, err := c.Listen(context.Background(), "tcp", address)
+	if err == nil {
+		limitBacklog(l)
+	}
+	return l, err
+}
+
+// LimitBuffers returns a Control function for a listener or dialer that sets the sizes of some
+// buffers, which are socket options, to connlimit.SocketBufferBytes.
+func LimitBuffers(options ...int) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
 		// A kernel without the options holds more; connections are served all the same.
 		return raw.Control(func(fd uintptr) {
-			for _, option := range buffers {
+			for _, option := range options {
 				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, connlimit.SocketBufferBytes)
 			}
 		})
-	}}
-	l, err := c.Listen(context.Background(), "tcp", address)
-	if err == nil {
-		limitBacklog(l)
 	}
-	return l, err
 }
 
 // limitBacklog bounds the connections that wait to be accepted. The kernel receives on these too,
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -37,6 +37,7 @@
 // writeReply forwards the response of a replica unchanged, except for hop-by-hop fields.
 func writeReply(w http.ResponseWriter, r *http.Request, reply *forward.Reply) {
 	wire := reply.Wire.(*wireReply)
+	defer wire.done()
 	skipped := hopByHopHeaders(wire.header)
 	h := w.Header()
 	for name, values := range wire.header {
--- a/entry/relay/conn_test.go
+++ b/entry/relay/conn_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 var testHeaders = Headers{
@@ -97,6 +98,8 @@
 	next    forward.AttemptID
 	// newConnection is the value of Send.NewConnection for the next requests.
 	newConnection bool
+	// merge is how replies are merged, if they are parts of a search.
+	merge routing.Merge
 }
 
 func newFixture(t *testing.T, script func(conn, request int, r *http.Request) string) *fixture {
@@ -110,6 +113,7 @@
 	head := fmt.Appendf(nil, "GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n", id, len(body))
 	f.targets.send(forward.Send{
 		Attempt: f.next, Replica: "r", Address: f.replica.address, Remaining: time.Second, NewConnection: f.newConnection,
+		Part: f.merge.Known(), Merge: f.merge,
 		Message: &forward.Message{CallerRequest: id, Wire: &wireRequest{method: "GET", head: head, body: []byte(body), id: id}},
 	})
 	return f.next
--- a/entry/relay/endless_test.go
+++ b/entry/relay/endless_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/routing"
 )
 
 // endlessEnd is the number of bytes after which an endless response ends all the same, so that a
@@ -168,7 +169,7 @@
 			oversized++
 		}
 	}
-	if used := f.targets.bodies.used.Load(); used > memory {
+	if used := f.targets.replies.used.Load(); used > memory {
 		t.Errorf("%d bytes are in use, limit %d", used, memory)
 	}
 	close(complete)
@@ -180,7 +181,7 @@
 			ended++
 		}
 	}
-	if used := f.targets.bodies.used.Load(); used != 0 {
+	if used := f.targets.replies.used.Load(); used != 0 {
 		t.Errorf("%d bytes are in use after the responses", used)
 	}
 	if kind, got, _ := f.result(f.send("")); kind != forward.ReplyOK || len(got) != size {
@@ -205,3 +206,81 @@
 		t.Errorf("%d bytes are read", read)
 	}
 }
+
+// TestLongestResponseIsServedAlone guards against a bound for all responses together that a single
+// one exceeds, which a small VM could then never pass on.
+func TestLongestResponseIsServedAlone(t *testing.T) {
+	const size, memory = 15 << 20, 1 << 20
+	body := strings.Repeat("a", size)
+	f := newFixture(t, func(_, _ int, r *http.Request) string { return responseTo(r, body) })
+	f.events = make(events, 64)
+	f.targets = NewTargets(f.events, testHeaders, memory)
+	if kind, got, _ := f.result(f.send("")); kind != forward.ReplyOK || len(got) != size {
+		t.Errorf("kind %d, %d bytes", kind, len(got))
+	}
+}
+
+// TestWaitingRepliesShareTheirMemory guards against whole responses that are counted only while they
+// are read: they wait for the other parts of a search, or to be written to a caller.
+func TestWaitingRepliesShareTheirMemory(t *testing.T) {
+	const size, memory = 300 << 10, 1 << 20
+	f := newFixture(t, func(_, _ int, r *http.Request) string { return responseTo(r, strings.Repeat("a", size)) })
+	f.events = make(events, 64)
+	f.targets = NewTargets(f.events, testHeaders, memory)
+	var waiting []*wireReply
+	for range 2 {
+		f.send("")
+		waiting = append(waiting, f.reply().Wire.(*wireReply))
+	}
+	if used, least := f.targets.replies.used.Load(), int64(2*(size-freeReplyBytes)); used < least {
+		t.Errorf("%d bytes are in use for two replies that wait, want %d", used, least)
+	}
+	if kind, _, loss := f.result(f.send("")); kind == forward.ReplyOK || loss != forward.LostOversized {
+		t.Errorf("a third reply: kind %d, loss %d", kind, loss)
+	}
+	for _, w := range waiting {
+		w.done()
+		w.done() // done twice must not release twice
+	}
+	if used := f.targets.replies.used.Load(); used != 0 {
+		t.Errorf("%d bytes are in use after all replies were passed on", used)
+	}
+	if kind, _, _ := f.result(f.send("")); kind != forward.ReplyOK {
+		t.Errorf("a reply after that: kind %d", kind)
+	}
+}
+
+// TestPartsKeepOnlyTheirRecords guards against parts of a search that wait with all their records and
+// header fields, which the merge does not need.
+func TestPartsKeepOnlyTheirRecords(t *testing.T) {
+	const records = 100_000
+	var body strings.Builder
+	for i := range records {
+		fmt.Fprintf(&body, "%016d", i)
+	}
+	f := newFixture(t, func(_, _ int, r *http.Request) string {
+		return strings.Replace(responseTo(r, body.String()), "\r\n\r\n", "\r\nX-Long: "+strings.Repeat("a", 20<<10)+"\r\n\r\n", 1)
+	})
+	f.merge = routing.Merge{RecordBytes: 16, Records: 50}
+	f.send("")
+	r := f.reply()
+	if r.Kind != forward.ReplyOK || len(r.Body) > 4<<10 || !strings.Contains(string(r.Body), fmt.Sprintf("%016d", records-1)) {
+		t.Errorf("kind %d, %d bytes", r.Kind, len(r.Body))
+	}
+	if h := r.Wire.(*wireReply).header; h != nil {
+		t.Errorf("%d header fields are kept", len(h))
+	}
+}
+
+// reply returns the next reply and fails the test if an attempt is lost before.
+func (f *fixture) reply() forward.Reply {
+	f.t.Helper()
+	for {
+		switch ev := f.events.next(f.t).(type) {
+		case forward.Lost:
+			f.t.Fatalf("loss %d", ev.Loss)
+		case forward.Replied:
+			return ev.Reply
+		}
+	}
+}
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -4,16 +4,21 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/records"
 )
 
 const (
 	// maxHeadBytes bounds the heads of all responses to one request, interim ones included.
 	maxHeadBytes = 64 << 10
+	// maxProofBytes bounds the proof of a part of a search, which is kept until the others are
+	// there. Proofs have some dozens of bytes.
+	maxProofBytes = 1 << 10
 	// maxReplyBytes bounds the bodies of all responses to one request.
 	maxReplyBytes = 16 << 20
 	// maxFramedBytes bounds those bodies with their framing, which for small chunks takes more
@@ -55,7 +60,26 @@
 // wireReply is a replica's response as it was received.
 type wireReply struct {
 	status int
-	header http.Header
+	header http.Header // nil in a part of a search
+	// memory is what the response takes from the budget; nil if it is small.
+	memory *reservation
+}
+
+// newWireReply returns a response that holds the given memory until done is called or it is garbage.
+func newWireReply(status int, header http.Header, memory *reservation) *wireReply {
+	w := &wireReply{status: status, header: header}
+	if memory != nil && memory.bytes.Load() > 0 {
+		w.memory = memory
+		runtime.AddCleanup(w, (*reservation).release, memory)
+	}
+	return w
+}
+
+// done releases the memory of a response that is no longer needed.
+func (w *wireReply) done() {
+	if w.memory != nil {
+		w.memory.release()
+	}
 }
 
 // readLoop reads responses until the connection ends.
@@ -97,7 +121,9 @@
 	if x == nil {
 		return errUnsolicited
 	}
+	c.source.beginHead()
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: x.wire.method})
+	c.source.endHead()
 	if err != nil {
 		return err
 	}
@@ -108,7 +134,7 @@
 		return nil // the final response follows
 	case finalStatus:
 	}
-	body, err := c.readBody(response)
+	body, memory, err := c.readBody(x, response)
 	if err != nil {
 		c.reportStatus(response)
 		return err
@@ -116,22 +142,42 @@
 	if echoed := response.Header.Get(c.targets.headers.RequestID); echoed != "" && echoed != x.wire.id {
 		c.reportStatus(response)
 		c.markOutOfSync()
+		memory.release()
 		return nil // the response to an earlier request
 	}
-	return c.completeExchange(x, response, body)
+	return c.completeExchange(x, response, body, memory)
 }
 
-// readBody reads the body of a response.
-func (c *conn) readBody(response *http.Response) ([]byte, error) {
+// readBody reads the body of a response. Of a part of a search, it keeps only the records that are
+// merged. The memory of a long response stays reserved.
+func (c *conn) readBody(x *exchange, response *http.Response) ([]byte, *reservation, error) {
 	headBytesLeft := c.source.left
 	c.source.left = c.framedBytesLeft
-	body, err := c.targets.bodies.readAll(response.Body, c.bodyBytesLeft)
-	c.bodyBytesLeft -= int64(len(body))
+	body, length, memory, err := c.readBodyBytes(x, response)
+	c.bodyBytesLeft -= length
 	c.framedBytesLeft = c.source.left
 	if err == nil {
 		c.source.left = headBytesLeft
 	}
-	return body, err
+	return body, memory, err
+}
+
+// readBodyBytes reads the bytes of a body and returns how many there were, and the reservation for
+// those that are kept.
+func (c *conn) readBodyBytes(x *exchange, response *http.Response) (body []byte, length int64, memory *reservation, err error) {
+	if records.Selectable(x.merge) {
+		body, length, err = readRecords(response.Body, x.merge, c.bodyBytesLeft)
+		return body, length, &reservation{budget: &c.targets.replies}, err
+	}
+	body, memory, err = c.targets.replies.readAll(response.Body, c.bodyBytesLeft)
+	length = int64(len(body))
+	if header := headerMemory(response.Header); err == nil && !x.part && header > freeReplyBytes {
+		if !memory.resize(memory.bytes.Load() + header) {
+			memory.release()
+			err = errResponseTooLarge
+		}
+	}
+	return body, length, memory, err
 }
 
 // resetBounds allows the connection to read the responses to the next request.
@@ -157,8 +203,8 @@
 
 // completeExchange reports a response and makes the connection idle. It returns io.EOF if
 // the connection cannot be reused.
-func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte) error {
-	reply := c.classify(response, body)
+func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte, memory *reservation) error {
+	reply := c.classify(x, response, body, memory)
 	c.resetBounds()
 	// A replica may answer before it has read a long body. The next request would wait behind
 	// the rest of it.
@@ -178,6 +224,7 @@
 		status := replicaStatus(c.targets.headers, response)
 		c.targets.sink.Post(forward.Replied{Attempt: x.attempt, Reply: reply, Status: status})
 	} else {
+		memory.release()
 		c.reportStatus(response)
 	}
 	if !reusable {
@@ -202,12 +249,16 @@
 }
 
 // classify converts a response to a reply of the kind that its status and header imply.
-func (c *conn) classify(response *http.Response, body []byte) forward.Reply {
+func (c *conn) classify(x *exchange, response *http.Response, body []byte, memory *reservation) forward.Reply {
 	h := response.Header
+	kept := h
+	if x.part {
+		kept = nil
+	}
 	reply := forward.Reply{
 		Proof: h.Get(c.targets.headers.Proof), Body: body,
 		PromisesNotRun: promisesNotRun(response.StatusCode),
-		Wire:           &wireReply{status: response.StatusCode, header: h},
+		Wire:           newWireReply(response.StatusCode, kept, memory),
 	}
 	ok := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
@@ -217,11 +268,17 @@
 		reply.Kind = forward.ReplyRefused
 	case ok && (reply.Proof == "" || h.Get("Content-Encoding") != ""):
 		reply.Kind = forward.ReplyInvalid
+	case x.part && len(reply.Proof) > maxProofBytes:
+		reply.Kind, reply.Proof = forward.ReplyInvalid, ""
 	case ok:
 		reply.Kind = forward.ReplyOK
 	default:
 		reply.Kind = forward.ReplyError
 	}
+	if x.part && reply.Kind != forward.ReplyOK {
+		reply.Body = nil // it is not merged
+		memory.release()
+	}
 	return reply
 }
 
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -11,6 +11,8 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/core/routing"
+	"github.com/baobabsail/baobabsail/entry/connguard"
 	"github.com/baobabsail/baobabsail/entry/internal/periodic"
 )
 
@@ -50,19 +52,19 @@
 	headers Headers
 	// acceptWait is how long a new connection is observed before a request is sent on it.
 	acceptWait time.Duration
-	// bodies bounds the memory of the response bodies that are being read.
-	bodies memoryBudget
+	// replies bounds the memory of the responses that are being read or wait to be sent on.
+	replies memoryBudget
 
 	mu       sync.Mutex
 	idle     map[api.ReplicaName][]*conn
 	attempts map[forward.AttemptID]*conn
 }
 
-// NewTargets returns an empty pool of connections. The bodies of responses that are being read
-// take at most bodyMemory bytes together.
-func NewTargets(poster EventSink, headers Headers, bodyMemory int64) *Targets {
+// NewTargets returns an empty pool of connections. The responses that are being read or wait to be
+// sent on take at most replyMemory bytes together, without what each one has free.
+func NewTargets(poster EventSink, headers Headers, replyMemory int64) *Targets {
 	return &Targets{
-		sink: poster, headers: headers, acceptWait: defaultAcceptWait, bodies: memoryBudget{limit: bodyMemory},
+		sink: poster, headers: headers, acceptWait: defaultAcceptWait, replies: memoryBudget{limit: replyMemory},
 		idle:     make(map[api.ReplicaName][]*conn),
 		attempts: make(map[forward.AttemptID]*conn),
 	}
@@ -73,12 +75,15 @@
 	attempt forward.AttemptID
 	wire    *wireRequest
 	head    []byte
+	// part is set if the response is merged with others, by the rule merge.
+	part  bool
+	merge routing.Merge
 }
 
 // send writes a request to an idle connection or opens a new one for it.
 func (t *Targets) send(a forward.Send) {
 	wire := a.Message.Wire.(*wireRequest)
-	x := &exchange{attempt: a.Attempt, wire: wire, head: t.head(wire, a)}
+	x := &exchange{attempt: a.Attempt, wire: wire, head: t.head(wire, a), part: a.Part, merge: a.Merge}
 	t.mu.Lock()
 	c := t.takeIdle(a.Replica, a.Address)
 	if c != nil && a.NewConnection {
@@ -203,6 +208,6 @@
 }
 
 func dial(address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: connguard.LimitBuffers(syscall.SO_RCVBUF, syscall.SO_SNDBUF)}
 	return d.Dial("tcp", address)
 }
