targetclient, membudget: replies to searches of baobabd run share one bound

Related path of the report on responses without end: the gRPC client of baobabd run bounded each message (4 MiB), but neither their sum nor the headers (16 MiB for each connection, the default of gRPC). 8 targets with replies of 1 MiB held 8 MiB of a bound of 4 MiB.

What a connection has received of messages that are not complete counts now beyond 32 KiB, and ends it if the budget has no room; rows and results count beyond 16 KiB until they are garbage. Headers are bounded by 64 KiB, the windows of flow control are fixed, and the buffers of the kernel are those of other connections.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,7 +140,7 @@
 		Log:        e.log,
 		Counts:     e.counts,
 	})
-	e.targetClient = targetclient.New(targetclient.Config{Report: e.driver.Report})
+	e.targetClient = targetclient.New(targetclient.Config{Report: e.driver.Report, ReplyBytes: e.guards.limits.ResponseBytes})
 	e.peerClient = peer.NewClient(peer.Config{Report: e.driver.Report, Counts: e.counts})
 	e.driver.SetExecutors(e.targetClient, e.peerClient)
 	e.metrics = telemetry.NewMetrics(string(s.Name))
--- a/entry/relay/conn.go
+++ b/entry/relay/conn.go
@@ -69,7 +69,7 @@
 // serve sends the first request, if there is one, and reads responses until the connection
 // ends.
 func (c *conn) serve(socket net.Conn) {
-	c.source = &boundedReader{source: socket, head: reservation{budget: &c.targets.replies}}
+	c.source = &boundedReader{source: socket, head: c.targets.replies.Reservation()}
 	c.resetBounds()
 	c.reader = bufio.NewReaderSize(c.source, readBufferSize)
 	c.targets.mu.Lock()
--- a/entry/relay/endless_test.go
+++ b/entry/relay/endless_test.go
@@ -169,7 +169,7 @@
 			oversized++
 		}
 	}
-	if used := f.targets.replies.used.Load(); used > memory {
+	if used := f.targets.replies.Used(); used > memory {
 		t.Errorf("%d bytes are in use, limit %d", used, memory)
 	}
 	close(complete)
@@ -181,7 +181,7 @@
 			ended++
 		}
 	}
-	if used := f.targets.replies.used.Load(); used != 0 {
+	if used := f.targets.replies.Used(); used != 0 {
 		t.Errorf("%d bytes are in use after the responses", used)
 	}
 	if kind, got, _ := f.result(f.send("")); kind != forward.ReplyOK || len(got) != size {
@@ -232,7 +232,7 @@
 		f.send("")
 		waiting = append(waiting, f.reply().Wire.(*wireReply))
 	}
-	if used, least := f.targets.replies.used.Load(), int64(2*(size-freeReplyBytes)); used < least {
+	if used, least := f.targets.replies.Used(), int64(2*(size-freeReplyBytes)); used < least {
 		t.Errorf("%d bytes are in use for two replies that wait, want %d", used, least)
 	}
 	if kind, _, loss := f.result(f.send("")); kind == forward.ReplyOK || loss != forward.LostOversized {
@@ -242,7 +242,7 @@
 		w.done()
 		w.done() // done twice must not release twice
 	}
-	if used := f.targets.replies.used.Load(); used != 0 {
+	if used := f.targets.replies.Used(); used != 0 {
 		t.Errorf("%d bytes are in use after all replies were passed on", used)
 	}
 	if kind, _, _ := f.result(f.send("")); kind != forward.ReplyOK {
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -14,6 +14,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/routing"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 	"github.com/baobabsail/baobabsail/wire/nodepb"
 )
 
@@ -38,7 +39,7 @@
 	headers Headers
 	// requests bounds the copies of requests in calls, which exist until the other node has read
 	// them.
-	requests memoryBudget
+	requests *membudget.Budget
 	conns    *nodeConns
 
 	mu    sync.Mutex
@@ -72,7 +73,7 @@
 // callBytes together.
 func NewNodes(sink EventSink, headers Headers, callBytes int64) *Nodes {
 	return &Nodes{
-		requests: memoryBudget{limit: callBytes},
+		requests: membudget.New(callBytes),
 		sink:     sink, headers: headers, calls: make(map[forward.CallID]*nodeCall),
 		conns:          newNodeConns(func(address string) { sink.Post(forward.NodeConnReplaced{Address: address}) }),
 		pendingNotices: make(map[string]forward.SendNotices),
@@ -92,14 +93,14 @@
 	n.calls[a.Call] = c
 	n.mu.Unlock()
 	size := callBytes(a.Message)
-	if !n.requests.reserve(size) {
+	if !n.requests.Reserve(size) {
 		cancel()
 		n.endFull(a.Call)
 		return
 	}
 	go func() {
 		defer cancel()
-		defer n.requests.release(size)
+		defer n.requests.Release(size)
 		lost := n.runCall(ctx, c, a)
 		n.mu.Lock()
 		_, active := n.calls[a.Call]
--- a/entry/relay/nodes_test.go
+++ b/entry/relay/nodes_test.go
@@ -234,9 +234,9 @@
 		if !ok || !reply.Last || reply.Reason != api.ReasonPeerFull {
 			t.Errorf("%s: %+v", k.what, events.events[0])
 		}
-		for end := time.Now().Add(10 * time.Second); n.requests.used.Load() != 0; time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(10 * time.Second); n.requests.Used() != 0; time.Sleep(time.Millisecond) {
 			if time.Now().After(end) {
-				t.Fatalf("%s: %d bytes are still in use", k.what, n.requests.used.Load())
+				t.Fatalf("%s: %d bytes are still in use", k.what, n.requests.Used())
 			}
 		}
 		n.Close()
--- a/entry/relay/nodeserver.go
+++ b/entry/relay/nodeserver.go
@@ -11,6 +11,7 @@
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/count"
 	"github.com/baobabsail/baobabsail/core/forward"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 	"github.com/baobabsail/baobabsail/entry/internal/nodeconn"
 	"github.com/baobabsail/baobabsail/entry/telemetry"
 	"github.com/baobabsail/baobabsail/wire/convert"
@@ -25,7 +26,7 @@
 	headers Headers
 	counts  *telemetry.Counts
 	// requests bounds the memory of the requests whose ranges of shards are being run.
-	requests memoryBudget
+	requests *membudget.Budget
 }
 
 // maxNodeStreams bounds the calls on one connection at the same time.
@@ -53,7 +54,7 @@
 		grpc.ReadBufferSize(nodeBufferSize), grpc.WriteBufferSize(nodeBufferSize))
 	server := grpc.NewServer(options...)
 	nodepb.RegisterNodeServer(server, &NodeServer{
-		loop: loop, headers: headers, counts: counts, requests: memoryBudget{limit: limits.RequestBytes},
+		loop: loop, headers: headers, counts: counts, requests: membudget.New(limits.RequestBytes),
 	})
 	return server
 }
@@ -65,12 +66,12 @@
 		return err
 	}
 	size := int64(len(q.GetHead()) + len(q.GetBody()))
-	if !s.requests.reserve(size) {
+	if !s.requests.Reserve(size) {
 		// The other node asks another one, whatever its version.
 		s.counts.Inc(count.PeerCall, detailNoMemory)
 		return status.Error(codes.ResourceExhausted, "no memory for the request")
 	}
-	defer s.requests.release(size)
+	defer s.requests.Release(size)
 	if err := stream.Send(&nodepb.ShardsReply{}); err != nil {
 		return err
 	}
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -4,13 +4,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"runtime"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/records"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 )
 
 const (
@@ -62,15 +62,15 @@
 	status int
 	header http.Header // nil in a part of a search
 	// memory is what the response takes from the budget; nil if it is small.
-	memory *reservation
+	memory *membudget.Reservation
 }
 
 // newWireReply returns a response that holds the given memory until done is called or it is garbage.
-func newWireReply(status int, header http.Header, memory *reservation) *wireReply {
+func newWireReply(status int, header http.Header, memory *membudget.Reservation) *wireReply {
 	w := &wireReply{status: status, header: header}
-	if memory != nil && memory.bytes.Load() > 0 {
+	if memory.Bytes() > 0 {
 		w.memory = memory
-		runtime.AddCleanup(w, (*reservation).release, memory)
+		membudget.ReleaseWith(w, memory)
 	}
 	return w
 }
@@ -78,7 +78,7 @@
 // done releases the memory of a response that is no longer needed.
 func (w *wireReply) done() {
 	if w.memory != nil {
-		w.memory.release()
+		w.memory.Release()
 	}
 }
 
@@ -142,7 +142,7 @@
 	if echoed := response.Header.Get(c.targets.headers.RequestID); echoed != "" && echoed != x.wire.id {
 		c.reportStatus(response)
 		c.markOutOfSync()
-		memory.release()
+		memory.Release()
 		return nil // the response to an earlier request
 	}
 	return c.completeExchange(x, response, body, memory)
@@ -150,7 +150,7 @@
 
 // readBody reads the body of a response. Of a part of a search, it keeps only the records that are
 // merged. The memory of a long response stays reserved.
-func (c *conn) readBody(x *exchange, response *http.Response) ([]byte, *reservation, error) {
+func (c *conn) readBody(x *exchange, response *http.Response) ([]byte, *membudget.Reservation, error) {
 	headBytesLeft := c.source.left
 	c.source.left = c.framedBytesLeft
 	body, length, memory, err := c.readBodyBytes(x, response)
@@ -164,16 +164,16 @@
 
 // readBodyBytes reads the bytes of a body and returns how many there were, and the reservation for
 // those that are kept.
-func (c *conn) readBodyBytes(x *exchange, response *http.Response) (body []byte, length int64, memory *reservation, err error) {
+func (c *conn) readBodyBytes(x *exchange, response *http.Response) (body []byte, length int64, memory *membudget.Reservation, err error) {
 	if records.Selectable(x.merge) {
 		body, length, err = readRecords(response.Body, x.merge, c.bodyBytesLeft)
-		return body, length, &reservation{budget: &c.targets.replies}, err
+		return body, length, c.targets.replies.Reservation(), err
 	}
-	body, memory, err = c.targets.replies.readAll(response.Body, c.bodyBytesLeft)
+	body, memory, err = readAll(c.targets.replies, response.Body, c.bodyBytesLeft)
 	length = int64(len(body))
 	if header := headerMemory(response.Header); err == nil && !x.part && header > freeReplyBytes {
-		if !memory.resize(memory.bytes.Load() + header) {
-			memory.release()
+		if !memory.Resize(memory.Bytes() + header) {
+			memory.Release()
 			err = errResponseTooLarge
 		}
 	}
@@ -203,7 +203,7 @@
 
 // completeExchange reports a response and makes the connection idle. It returns io.EOF if
 // the connection cannot be reused.
-func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte, memory *reservation) error {
+func (c *conn) completeExchange(x *exchange, response *http.Response, body []byte, memory *membudget.Reservation) error {
 	reply := c.classify(x, response, body, memory)
 	c.resetBounds()
 	// A replica may answer before it has read a long body. The next request would wait behind
@@ -224,7 +224,7 @@
 		status := replicaStatus(c.targets.headers, response)
 		c.targets.sink.Post(forward.Replied{Attempt: x.attempt, Reply: reply, Status: status})
 	} else {
-		memory.release()
+		memory.Release()
 		c.reportStatus(response)
 	}
 	if !reusable {
@@ -249,7 +249,7 @@
 }
 
 // classify converts a response to a reply of the kind that its status and header imply.
-func (c *conn) classify(x *exchange, response *http.Response, body []byte, memory *reservation) forward.Reply {
+func (c *conn) classify(x *exchange, response *http.Response, body []byte, memory *membudget.Reservation) forward.Reply {
 	h := response.Header
 	kept := h
 	if x.part {
@@ -277,7 +277,7 @@
 	}
 	if x.part && reply.Kind != forward.ReplyOK {
 		reply.Body = nil // it is not merged
-		memory.release()
+		memory.Release()
 	}
 	return reply
 }
--- a/entry/relay/targets.go
+++ b/entry/relay/targets.go
@@ -13,6 +13,7 @@
 	"github.com/baobabsail/baobabsail/core/forward"
 	"github.com/baobabsail/baobabsail/core/routing"
 	"github.com/baobabsail/baobabsail/entry/connguard"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 	"github.com/baobabsail/baobabsail/entry/internal/periodic"
 )
 
@@ -53,7 +54,7 @@
 	// acceptWait is how long a new connection is observed before a request is sent on it.
 	acceptWait time.Duration
 	// replies bounds the memory of the responses that are being read or wait to be sent on.
-	replies memoryBudget
+	replies *membudget.Budget
 
 	mu       sync.Mutex
 	idle     map[api.ReplicaName][]*conn
@@ -64,7 +65,7 @@
 // sent on take at most replyMemory bytes together, without what each one has free.
 func NewTargets(poster EventSink, headers Headers, replyMemory int64) *Targets {
 	return &Targets{
-		sink: poster, headers: headers, acceptWait: defaultAcceptWait, replies: memoryBudget{limit: replyMemory},
+		sink: poster, headers: headers, acceptWait: defaultAcceptWait, replies: membudget.New(replyMemory),
 		idle:     make(map[api.ReplicaName][]*conn),
 		attempts: make(map[forward.AttemptID]*conn),
 	}
--- a/entry/targetclient/client.go
+++ b/entry/targetclient/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 	"github.com/baobabsail/baobabsail/wire/convert"
 	"github.com/baobabsail/baobabsail/wire/targetpb"
 	"google.golang.org/grpc/codes"
@@ -43,6 +44,9 @@
 	Report          func(event.Event)
 	OpenTimeout     time.Duration
 	MaxMessageBytes int
+	// ReplyBytes bounds the memory of the replies that are being received or wait for the rest of
+	// their search, without what each one has free.
+	ReplyBytes int64
 	// Now is the clock used to compute the time left until a deadline; time.Now
 	// if nil.
 	Now func() time.Time
@@ -50,7 +54,8 @@
 
 // Client executes the connection and attempt actions of one node.
 type Client struct {
-	config Config
+	config  Config
+	replies *membudget.Budget
 
 	mu       sync.Mutex
 	conns    map[api.ConnID]*conn
@@ -74,11 +79,15 @@
 	if config.MaxMessageBytes == 0 {
 		config.MaxMessageBytes = DefaultMaxMessageBytes
 	}
+	if config.ReplyBytes == 0 {
+		config.ReplyBytes = defaultReplyBytes
+	}
 	if config.Now == nil {
 		config.Now = time.Now
 	}
 	return &Client{
 		config:   config,
+		replies:  membudget.New(config.ReplyBytes),
 		conns:    make(map[api.ConnID]*conn),
 		attempts: make(map[api.AttemptID]*attempt),
 	}
@@ -87,7 +96,7 @@
 // Open opens a connection and reports ConnOpened or ConnEnded.
 func (c *Client) Open(a event.OpenConn) {
 	c.goUnlessShutDown(func() { c.runConn(a.Conn) }, func() {
-		c.conns[a.Conn] = newConn(a.Address, c.config.MaxMessageBytes)
+		c.conns[a.Conn] = newConn(a.Address, c.config.MaxMessageBytes, c.replies)
 	})
 }
 
@@ -176,6 +185,9 @@
 			return nil, err
 		}
 		decoded, err := convert.SearchReplyFromProto(reply)
+		if err == nil && !holdRows(c.replies, decoded.Rows) {
+			return nil, errTooMuchReceived
+		}
 		return event.SearchReplied{Conn: a.Conn, Attempt: a.Request.Attempt, Reply: decoded}, err
 	})
 }
@@ -194,6 +206,9 @@
 			return nil, err
 		}
 		decoded, err := convert.WorkReplyFromProto(reply)
+		if err == nil && !holdResult(c.replies, decoded.Result) {
+			return nil, errTooMuchReceived
+		}
 		return event.WorkReplied{Conn: a.Conn, Attempt: a.Request.Attempt, Reply: decoded}, err
 	})
 }
--- a/entry/targetclient/client_test.go
+++ b/entry/targetclient/client_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 	"github.com/baobabsail/baobabsail/wire/targetpb"
 	"golang.org/x/net/http2"
 	"google.golang.org/grpc"
@@ -87,11 +88,15 @@
 
 func serve(t *testing.T, f *fakeTarget) (*resettableListener, *grpc.Server) {
 	l := listen(t)
+	return l, serveOn(t, f, l)
+}
+
+func serveOn(t *testing.T, f *fakeTarget, l net.Listener) *grpc.Server {
 	s := grpc.NewServer()
 	targetpb.RegisterTargetServer(s, f)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
-	return l, s
+	return s
 }
 
 func newClient(t *testing.T, config Config) (*Client, <-chan event.Event) {
@@ -345,7 +350,7 @@
 	l := listen(t)
 	var streams atomic.Int32
 	go refuseStreams(l, &streams)
-	cn := newConn(l.Addr().String(), 1000)
+	cn := newConn(l.Addr().String(), 1000, membudget.New(defaultReplyBytes))
 	defer cn.cc.Close()
 	once := &sendOnce{}
 	_, err := cn.client.Execute(context.Background(), &targetpb.ExecuteRequest{}, once.callOption())
--- a/entry/targetclient/conn.go
+++ b/entry/targetclient/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/baobabsail/baobabsail/core/api"
 	"github.com/baobabsail/baobabsail/core/event"
+	"github.com/baobabsail/baobabsail/entry/connguard"
+	"github.com/baobabsail/baobabsail/entry/internal/membudget"
 	"github.com/baobabsail/baobabsail/wire/convert"
 	"github.com/baobabsail/baobabsail/wire/targetpb"
 	"google.golang.org/grpc"
@@ -32,6 +34,8 @@
 	// ctx is cancelled when this side closes the connection.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// received counts what was received of incomplete messages.
+	received received
 
 	mu          sync.Mutex
 	dialled     bool
@@ -46,8 +50,8 @@
 }
 
 // newConn prepares a connection; open dials it.
-func newConn(address string, maxMessageBytes int) *conn {
-	c := &conn{drained: make(chan struct{})}
+func newConn(address string, maxMessageBytes int, replies *membudget.Budget) *conn {
+	c := &conn{drained: make(chan struct{}), received: received{memory: replies.Reservation()}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	cc, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -56,6 +60,10 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
+		grpc.WithStatsHandler(&c.received),
+		grpc.WithMaxHeaderListSize(maxHeaderListBytes),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(maxMessageBytes),
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
@@ -80,7 +88,7 @@
 	if again {
 		return nil, errDialledOnce
 	}
-	var dialer net.Dialer
+	dialer := net.Dialer{Control: connguard.LimitBuffers(syscall.SO_RCVBUF, syscall.SO_SNDBUF)}
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -100,6 +108,9 @@
 
 func (o *observedConn) Read(b []byte) (int, error) {
 	n, err := o.Conn.Read(b)
+	if !o.owner.received.add(int64(n)) {
+		n, err = 0, errTooMuchReceived
+	}
 	if err != nil {
 		o.owner.recordReadError(err)
 	}
@@ -213,6 +224,7 @@
 		c.cc.Close()
 	}
 	<-c.drained
+	c.received.release()
 	return end
 }
 
