--- a/core/forward/divide_test.go
+++ b/core/forward/divide_test.go
@@ -19,10 +19,6 @@
 	fleetNodes    = 18
 	fleetShards   = 16
 	fleetReplicas = 2
-	// permitTimeout is how long requests wait for the response of an allocator, and
-	// permitCallTimeout how long a node does.
-	permitTimeout     = 100 * time.Millisecond
-	permitCallTimeout = time.Second
 )
 
 // fleet simulates several engines that are connected by a network and send requests to
@@ -99,15 +95,6 @@
 	id   api.RequestID
 }
 
-// fleetPermitRequest is a request for permits of one node to another, whose response takes the time
-// back.
-type fleetPermitRequest struct {
-	from          int
-	to            string
-	back          time.Duration
-	late, recheck bool
-}
-
 func nodeName(i int) string { return fmt.Sprintf("n%02d", i) }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -248,44 +235,6 @@
 	}
 }
 
-// requestPermits delivers a request for permits to the allocator of a replica.
-func (f *fleet) requestPermits(node int, a RequestPermits) {
-	if f.onPermitRequest != nil {
-		f.onPermitRequest()
-	}
-	if f.onPermitRequestTo != nil {
-		f.onPermitRequestTo(a.Node)
-	}
-	toDelay, backDelay := f.permitDelay(nodeName(node), a.Node), f.permitDelay(a.Node, nodeName(node))
-	lost := toDelay < 0 || backDelay < 0 || f.unreachable[a.Node] || f.unresponsive[a.Node]
-	late := lost || toDelay+backDelay >= permitTimeout
-	if late && !a.Recheck {
-		f.later(permitTimeout, node, PermitsDelayed{Node: a.Node, Replica: a.Replica})
-	}
-	if lost {
-		f.later(permitCallTimeout, node, PermitsFailed{Node: a.Node, Replica: a.Replica, Late: !a.Recheck, Recheck: a.Recheck})
-	}
-	if toDelay < 0 || f.unreachable[a.Node] || f.unresponsive[a.Node] {
-		return
-	}
-	var to int
-	if _, err := fmt.Sscanf(a.Node, "n%d", &to); err != nil || to == node {
-		f.t.Fatalf("%s asks %q for permits", nodeName(node), a.Node)
-	}
-	f.next++
-	f.permitRequests[CallID(f.next)] = fleetPermitRequest{from: node, to: a.Node, back: backDelay, late: late, recheck: a.Recheck}
-	f.later(toDelay, to, PermitsRequested{Request: a.Request, Call: CallID(f.next)})
-}
-
-// grantPermits delivers the response of an allocator to the node that asked it.
-func (f *fleet) grantPermits(a GrantPermits) {
-	r := f.permitRequests[a.Call]
-	delete(f.permitRequests, a.Call)
-	if r.back >= 0 {
-		f.later(r.back, r.from, PermitsGranted{Grant: a.Grant, Node: r.to, Late: r.late, Recheck: r.recheck})
-	}
-}
-
 // cancelCall cancels a call on the node that runs it.
 func (f *fleet) cancelCall(node int, id CallID) {
 	if c, ok := f.deliveredCalls[callKey(node, id)]; ok {
--- a/core/forward/event.go
+++ b/core/forward/event.go
@@ -12,9 +12,7 @@
 	"time"
 
 	"github.com/baobabsail/baobabsail/core/api"
-	"github.com/baobabsail/baobabsail/core/gossip"
 	"github.com/baobabsail/baobabsail/core/quota"
-	"github.com/baobabsail/baobabsail/core/ratelimit"
 	"github.com/baobabsail/baobabsail/core/routing"
 )
 
@@ -77,105 +75,12 @@
 // ping reports whether another node only asks whether this one can run a range.
 func (ev *Arrived) ping() bool { return ev.Subset != nil && ev.Message.Path == "" }
 
-// Subset is the range of a route's shards that one node runs for another. The other node
-// may have a different configuration.
-type Subset struct {
-	Shards []api.ServiceName
-	// MaxAttempts limits the attempts for each shard, according to the configuration of
-	// the node that asks.
-	MaxAttempts int
-	// PriorAttempts is the number of attempts that another node may already have sent for each
-	// shard of the range. If it is not 0, every attempt is an extra one and is charged
-	// to the budget.
-	PriorAttempts int
-	// HomeRegions are the only regions that the request may reach, according to the node that
-	// asks; empty for all regions.
-	HomeRegions []api.Region
-	// Merge is how the records are merged, according to the node that asks. It is zero if that
-	// node is of a version that does not say so.
-	Merge routing.Merge
-}
-
-// ExtraAttemptsAllowed reports that no other node will be asked for a range, so that each shard may
-// now get more than one attempt.
-type ExtraAttemptsAllowed struct {
-	event
-	Request api.RequestID
-}
-
-// CallID identifies a call that asks another node to run a range of shards.
-type CallID uint64
-
-// CallAccepted reports that a node has started to work on a range.
-type CallAccepted struct {
-	event
-	Call CallID
-}
-
-// CallReplied holds the parts of a range that were answered since the previous reply.
-type CallReplied struct {
-	event
-	Merged
-	Call CallID
-	// Last is set on the last reply.
-	Last bool
-	// Reason is why parts are missing from the last reply.
-	Reason api.Reason
-}
-
-// CallLost reports that a call ended without its last reply.
-type CallLost struct {
-	event
-	Call CallID
-	// Unsent is set if the call never left this node.
-	Unsent bool
-	// Error describes the cause for the log.
-	Error string
-}
-
-// CallUnanswered reports that a call was sent to its node, which has not responded yet.
-type CallUnanswered struct {
-	event
-	Call CallID
-}
-
 // CallerGone reports that the caller of a request no longer waits for the answer.
 type CallerGone struct {
 	event
 	Request api.RequestID
 }
 
-// ReplyKind classifies the reply of a replica.
-type ReplyKind uint8
-
-const (
-	// ReplyOK is a success with proof that the replica ran the request.
-	ReplyOK ReplyKind = iota + 1
-	// ReplyError means that the replica ran the request and the request failed.
-	ReplyError
-	// ReplyRefused means that the replica states that it did not run the request.
-	ReplyRefused
-	// ReplyMisdirected means that a different replica now listens at the address and did
-	// not run the request.
-	ReplyMisdirected
-	// ReplyInvalid is a reply without valid proof: the request may have run.
-	ReplyInvalid
-)
-
-// Reply is a replica's answer to one attempt.
-type Reply struct {
-	Kind ReplyKind
-	// Proof is the replica's evidence that it ran the request.
-	Proof string
-	Body  []byte
-	// PromisesNotRun is set if callers read the status as a promise that the request has
-	// not run. For a ReplyError the promise is false, so the reply must not reach
-	// callers.
-	PromisesNotRun bool
-	// Wire is the driver's representation of the reply.
-	Wire any
-}
-
 // AnswerSent reports how long after its target time an answer that was due then was
 // handed to the caller's connection.
 type AnswerSent struct {
@@ -183,89 +88,6 @@
 	Late time.Duration
 }
 
-// Replied reports a replica's reply to a Send.
-type Replied struct {
-	event
-	Attempt AttemptID
-	Reply   Reply
-	// Status is what the replica states about itself.
-	Status ReplicaStatus
-}
-
-// StatusReported holds what a replica states about itself in a response that no Replied event
-// is reported for, since no attempt waits for it or its body is invalid.
-type StatusReported struct {
-	event
-	Replica api.ReplicaName
-	Status  ReplicaStatus
-}
-
-// CheckResult is the result of a CheckReplica.
-type CheckResult uint8
-
-const (
-	// CheckAccepted means that a process at the address accepted a connection.
-	CheckAccepted CheckResult = iota + 1
-	// CheckRefused means that no process listens at the address.
-	CheckRefused
-	// CheckUnanswered means that there was no response.
-	CheckUnanswered
-)
-
-// ReplicaChecked reports the result of a CheckReplica.
-type ReplicaChecked struct {
-	event
-	Replica api.ReplicaName
-	Result  CheckResult
-}
-
-// Loss classifies how an attempt ended without an answer.
-type Loss uint8
-
-const (
-	// LostRefused means that no process listens at the address; nothing was sent.
-	LostRefused Loss = iota + 1
-	// LostUnsent means that the connection could not be opened, or ended before any byte
-	// of the request was written to it.
-	LostUnsent
-	// LostBroken means that the connection ended after the request was sent.
-	LostBroken
-	// LostLimited means that the replica closed a new connection before anything was
-	// sent because it has reached its connection limit.
-	LostLimited
-	// LostStale is LostBroken on a reused connection without any byte of an answer: the
-	// replica had probably closed the idle connection.
-	LostStale
-	// LostOversized means that the replica sent more bytes than a response may have. The
-	// request may have run.
-	LostOversized
-)
-
-// Lost reports that an attempt ended without an answer.
-type Lost struct {
-	event
-	Attempt AttemptID
-	Loss    Loss
-}
-
-// ConnOpened reports that a connection to a replica is open. Attempt is the attempt that
-// it was opened for, or 0.
-type ConnOpened struct {
-	event
-	Replica api.ReplicaName
-	Attempt AttemptID
-}
-
-// ConnEnded reports that an open connection to a replica has ended. It precedes the Lost
-// event of a request on that connection.
-type ConnEnded struct {
-	event
-	Replica api.ReplicaName
-	// ByReplica is set if this node did not close the connection: the process of the replica
-	// may have ended.
-	ByReplica bool
-}
-
 // TableRead reports a configuration that was read from the store.
 type TableRead struct {
 	event
@@ -339,25 +161,6 @@
 // StoreBack reports that the store responds again.
 type StoreBack struct{ event }
 
-// NoticesRead holds notices that another node published.
-type NoticesRead struct {
-	event
-	Notices []gossip.Notice
-	// PassOn is set if this node has to forward the notices to the other nodes of its
-	// data centre.
-	PassOn bool
-}
-
-// NoticesUndelivered reports that a node could not be reached by a SendNotices.
-type NoticesUndelivered struct {
-	event
-	Address string
-	// Notices is the number of undelivered notices.
-	Notices int
-	// Error describes the cause for the log.
-	Error string
-}
-
 // BudgetChanged replaces BudgetShare and BudgetConstant of the settings.
 type BudgetChanged struct {
 	event
@@ -365,17 +168,6 @@
 	Constant float64
 }
 
-// Members reports the registered nodes, this one included.
-type Members struct {
-	event
-	Nodes int
-	// Peers are the nodes that accept calls from other nodes.
-	Peers []Peer
-	// ListedBefore is set if this node was listed for a while before this process started. It
-	// counts in the first list only.
-	ListedBefore bool
-}
-
 // StoreConfirmed reports how long ago a response of the store last confirmed what this node
 // knows of its contents.
 type StoreConfirmed struct {
@@ -391,94 +183,6 @@
 	RevokeAfter time.Duration
 }
 
-// AdmissionRequested reports that another node asks this one to admit requests of an account.
-// The engine responds with GrantAdmissions.
-type AdmissionRequested struct {
-	event
-	quota.Request
-	// Call identifies the request of the other node.
-	Call CallID
-}
-
-// AdmissionAnswered holds the response to an AdmitRequests.
-type AdmissionAnswered struct {
-	event
-	Ask   quota.Ask
-	Grant quota.Grant
-}
-
-// AdmissionFailed reports that a node did not respond to an AdmitRequests.
-type AdmissionFailed struct {
-	event
-	Ask quota.Ask
-	// Supported is unset if the node responded that it does not know such calls.
-	Supported bool
-	// Error describes the cause for the log.
-	Error string
-}
-
-// PermitsRequested reports that another node asks this one, the allocator of a replica, for
-// permits. The engine responds with GrantPermits.
-type PermitsRequested struct {
-	event
-	ratelimit.Request
-	// Call identifies the request of the other node.
-	Call CallID
-}
-
-// PermitsGranted holds the response to a RequestPermits.
-type PermitsGranted struct {
-	event
-	ratelimit.Grant
-	// Node is the node that responded.
-	Node string
-	// Late is set if a PermitsDelayed came before, Recheck if it was set in the RequestPermits.
-	Late, Recheck bool
-}
-
-// PermitsDelayed reports that a node has not responded to a RequestPermits in the time that
-// requests of callers can wait. PermitsGranted or PermitsFailed follows.
-type PermitsDelayed struct {
-	event
-	Node    string
-	Replica api.ReplicaName
-}
-
-// PermitFailure says why a node did not respond to a RequestPermits with a grant.
-type PermitFailure uint8
-
-const (
-	// PermitsUnanswered means that there was no response.
-	PermitsUnanswered PermitFailure = iota
-	// PermitsRefused means that no process listens at the address of the node.
-	PermitsRefused
-	// PermitsDeclined means that the node responded with an error.
-	PermitsDeclined
-)
-
-func (f PermitFailure) String() string {
-	return [...]string{"unanswered", "refused", "declined"}[f]
-}
-
-// PermitsFailed reports that a node granted nothing in response to a RequestPermits. Late and
-// Recheck are those of PermitsGranted.
-type PermitsFailed struct {
-	event
-	Node          string
-	Replica       api.ReplicaName
-	Failure       PermitFailure
-	Late, Recheck bool
-	// Error describes the cause for the log.
-	Error string
-}
-
-// NodeConnReplaced reports that the connection to a node got no responses and was replaced by a
-// new one.
-type NodeConnReplaced struct {
-	event
-	Address string
-}
-
 // Stopping reports that this process stops: other nodes can no longer call it.
 type Stopping struct {
 	event
--- a/core/forward/permits.go
+++ b/core/forward/permits.go
@@ -19,6 +19,9 @@
 	// maxAskedNodes is how many nodes of the order this node waits for, one after the other,
 	// before it grants itself its part of the limit.
 	maxAskedNodes = 2
+	// recheckTimePerNode times the number of nodes is the time between two requests of a node that
+	// needs permits to one that it does not wait for. It bounds those of all nodes to a slow one.
+	recheckTimePerNode = 10 * time.Millisecond
 	// aloneAfter is the time without a response of another node after which this one may be cut
 	// off from all others.
 	aloneAfter = 2 * time.Second
@@ -59,14 +62,15 @@
 				return at.node, true
 			}
 		}
-		e.recheckAllocator(now, at.node, r)
+		e.recheckAllocator(now, at.node, r, max(ratelimit.RecheckInterval, time.Duration(e.nodeCount)*recheckTimePerNode))
 	}
 	return "", false
 }
 
-// recheckAllocator asks a node for permits without waiting for it.
-func (e *Engine) recheckAllocator(now time.Time, node string, r ratelimit.Request) {
-	if e.limits.health.RecheckDue(now, node) {
+// recheckAllocator asks a node for permits without waiting for it, unless it did so within the
+// interval.
+func (e *Engine) recheckAllocator(now time.Time, node string, r ratelimit.Request, interval time.Duration) {
+	if e.limits.health.RecheckDue(now, node, interval) {
 		e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node], Recheck: true})
 	}
 }
@@ -183,7 +187,7 @@
 		if gone, _ := e.limits.health.Gone(at.node); !gone {
 			before++
 		}
-		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica))
+		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica), ratelimit.RecheckInterval)
 	}
 }
 
@@ -195,7 +199,7 @@
 		if at = e.nextInOrder(replica, at); at.node == "" {
 			return
 		}
-		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica))
+		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica), ratelimit.RecheckInterval)
 	}
 }
 
--- a/core/ratelimit/health.go
+++ b/core/ratelimit/health.go
@@ -5,8 +5,8 @@
 const (
 	// delayedTime is how long a node is not waited for that did not respond in time.
 	delayedTime = 2 * time.Second
-	// recheckInterval is the time between two requests to a node that is not waited for.
-	recheckInterval = 500 * time.Millisecond
+	// RecheckInterval is the least time between two requests to a node that is not waited for.
+	RecheckInterval = 500 * time.Millisecond
 	// goneAfter is the number of requests in a row without any response after which a node counts
 	// as gone. The first of them makes this node open a new connection, so that a connection that
 	// has gone silent does not look like a node that is gone.
@@ -47,10 +47,13 @@
 // Delayed records that a node has not responded in time. It may still respond.
 func (h *Health) Delayed(now time.Time, node string) { h.of(node).delayedUntil = now.Add(delayedTime) }
 
-// Unanswered records that a request got no response at all.
+// Unanswered records that a request got no response at all. The address may refuse connections no
+// more: a new process may be there that this node cannot reach.
 func (h *Health) Unanswered(now time.Time, node string) {
 	h.Delayed(now, node)
-	h.of(node).unanswered++
+	n := h.of(node)
+	n.unanswered++
+	n.refused = false
 }
 
 // Refused records that no process listens at the address of a node.
@@ -88,11 +91,11 @@
 	return n.refused || n.unanswered >= goneAfter, n.refused
 }
 
-// RecheckDue reports whether a node is to be asked again without waiting for it, and records that
-// it is.
-func (h *Health) RecheckDue(now time.Time, node string) bool {
+// RecheckDue reports whether a node was not asked for an interval without waiting for it, and records
+// that it is asked now.
+func (h *Health) RecheckDue(now time.Time, node string, interval time.Duration) bool {
 	n := h.of(node)
-	if now.Sub(n.recheckedAt) < recheckInterval {
+	if now.Sub(n.recheckedAt) < interval {
 		return false
 	}
 	n.recheckedAt = now
--- a/entry/relay/bounds.go
+++ b/entry/relay/bounds.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/baobabsail/baobabsail/core/records"
 	"github.com/baobabsail/baobabsail/core/routing"
@@ -24,8 +25,12 @@
 	// name and value.
 	headMemoryFactor = 20
 	fieldMemoryBytes = 100
-	// bodyMemoryFactor is the memory that a byte of a body takes while the buffer grows.
+	// bodyMemoryFactor is the memory that a byte of a body takes while it is read and copied.
 	bodyMemoryFactor = 2
+	// firstBlockBytes is the size of the first block that a body is read into, and blockBytes that
+	// of the later ones of a long body.
+	firstBlockBytes = 512
+	blockBytes      = 64 << 10
 	// pieceBytes is the size of the pieces in which the records of a part are read.
 	pieceBytes = 2 << 10
 )
@@ -87,8 +92,8 @@
 // readAll reads a body of at most limit bytes. Its memory stays reserved until the reservation is
 // released.
 func readAll(budget *membudget.Budget, body io.Reader, limit int64) ([]byte, *membudget.Reservation, error) {
-	r := &budgetedReader{source: body, left: limit, memory: budget.Reservation()}
-	data, err := io.ReadAll(r)
+	r := &budgetedReader{source: body, left: limit, factor: bodyMemoryFactor, memory: budget.Reservation()}
+	data, err := readBlocks(r)
 	if err != nil {
 		r.memory.Release()
 		return nil, r.memory, err
@@ -97,11 +102,37 @@
 	return data, r.memory, nil
 }
 
+// readBlocks reads everything. Unlike io.ReadAll, it copies long data only once, so that it takes twice
+// its length and leaves less garbage.
+func readBlocks(r io.Reader) ([]byte, error) {
+	var full [][]byte
+	block := make([]byte, 0, firstBlockBytes)
+	for {
+		n, err := r.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
+		switch {
+		case errors.Is(err, io.EOF) && len(full) == 0:
+			return block, nil
+		case errors.Is(err, io.EOF):
+			return slices.Concat(append(full, block)...), nil
+		case err != nil:
+			return nil, err
+		case len(block) < cap(block):
+		case cap(block) < blockBytes:
+			block = append(make([]byte, 0, 2*cap(block)), block...)
+		default:
+			full = append(full, block)
+			block = make([]byte, 0, blockBytes)
+		}
+	}
+}
+
 // budgetedReader reserves the memory of what it reads.
 type budgetedReader struct {
 	source io.Reader
 	left   int64 // bytes that may still be read
 	read   int64
+	factor int64 // reserved bytes for each byte that is read
 	memory *membudget.Reservation
 }
 
@@ -109,28 +140,29 @@
 	n, err := r.source.Read(p)
 	r.left -= int64(n)
 	r.read += int64(n)
-	if r.left < 0 || r.read > freeReplyBytes && !r.memory.Resize(bodyMemoryFactor*(r.read-freeReplyBytes)) {
+	if r.left < 0 || r.read > freeReplyBytes && !r.memory.Resize(r.factor*(r.read-freeReplyBytes)) {
 		return 0, errResponseTooLarge
 	}
 	return n, err
 }
 
 // readRecords reads a body of at most limit bytes and keeps the records that the rule, which must be
-// selectable, keeps of it. It returns the length of the body, too.
-func readRecords(body io.Reader, rule routing.Merge, limit int64) (kept []byte, length int64, err error) {
+// selectable, keeps of it. It returns the length of the body, too. What is read counts until the end
+// of the body, although it is not kept: reading many long bodies at once would take the processor
+// from the requests of others.
+func readRecords(budget *membudget.Budget, body io.Reader, rule routing.Merge, limit int64) (kept []byte, length int64, err error) {
+	r := &budgetedReader{source: body, left: limit, factor: 1, memory: budget.Reservation()}
+	defer r.memory.Release()
 	selector := records.NewSelector(rule)
 	piece := make([]byte, pieceBytes)
 	for {
-		n, err := body.Read(piece)
-		if length += int64(n); length > limit {
-			return nil, length, errResponseTooLarge
-		}
+		n, err := r.Read(piece)
 		_, _ = selector.Write(piece[:n]) // never fails
 		switch {
 		case errors.Is(err, io.EOF):
-			return selector.Bytes(), length, nil
+			return selector.Bytes(), r.read, nil
 		case err != nil:
-			return nil, length, err
+			return nil, r.read, err
 		}
 	}
 }
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -166,7 +166,7 @@
 // those that are kept.
 func (c *conn) readBodyBytes(x *exchange, response *http.Response) (body []byte, length int64, memory *membudget.Reservation, err error) {
 	if records.Selectable(x.merge) {
-		body, length, err = readRecords(response.Body, x.merge, c.bodyBytesLeft)
+		body, length, err = readRecords(c.targets.replies, response.Body, x.merge, c.bodyBytesLeft)
 		return body, length, c.targets.replies.Reservation(), err
 	}
 	body, memory, err = readAll(c.targets.replies, response.Body, c.bodyBytesLeft)
