relay: a replaced connection stays open while ranges run on it

A range may run for longer than the 5 s after which a replaced connection was closed, and its responses may still arrive if the connection is only slow. Found by reading; no test shows it.

--- a/entry/relay/nodeconn.go
+++ b/entry/relay/nodeconn.go
@@ -38,8 +38,8 @@
 	// replaceResetAfter is the time without a replacement after which the interval is the
 	// shortest one again.
 	replaceResetAfter = 2 * time.Minute
-	// replacedConnTime is how long a connection stays open after its replacement, for the calls
-	// on it: the response to one that the other node has accepted may be on its way.
+	// replacedConnTime is how long a connection stays open after its replacement, and then until the
+	// ranges on it have ended: their responses may be on their way.
 	replacedConnTime = 5 * time.Second
 )
 
@@ -49,6 +49,8 @@
 	address string
 	// refused is set while no process listens at the address.
 	refused atomic.Bool
+	// ranges is the number of calls in progress that run ranges of shards.
+	ranges atomic.Int64
 }
 
 // newNodeConn returns a connection that is opened on first use.
@@ -80,6 +82,18 @@
 	return true
 }
 
+// closeLater closes a connection that was replaced, once the calls on it have ended. All of them have
+// time-outs.
+func (c *nodeConn) closeLater() {
+	time.AfterFunc(replacedConnTime, func() {
+		if c.ranges.Load() > 0 {
+			c.closeLater()
+			return
+		}
+		nodeconn.Close(c.ClientConn)
+	})
+}
+
 // nodeConns is the pool of connections to other nodes.
 type nodeConns struct {
 	// onReplaced is called for each connection that was replaced.
@@ -180,7 +194,7 @@
 	replaced := p.endReplacement(old, next, opened)
 	if replaced {
 		p.onReplaced(old.address)
-		time.AfterFunc(replacedConnTime, func() { nodeconn.Close(old.ClientConn) })
+		old.closeLater()
 	} else if err == nil {
 		nodeconn.Close(next.ClientConn)
 	}
--- a/entry/relay/nodes.go
+++ b/entry/relay/nodes.go
@@ -139,6 +139,8 @@
 	if err != nil {
 		return &forward.CallLost{Call: a.Call, Unsent: true, Error: err.Error()}
 	}
+	conn.ranges.Add(1)
+	defer conn.ranges.Add(-1)
 	stream, err := nodepb.NewNodeClient(conn).RunShards(ctx)
 	if err != nil {
 		return &forward.CallLost{Call: a.Call, Unsent: true, Error: err.Error()}
