ratelimit, forward, wire: the shares of all places fit the bound together

TestRateLimitHoldsUnderRandomFaults makes connections between nodes silent or slow at random, in one direction or both.

The share of a place now halves with its position, whatever the node believes of those before it, and a successor grants 0.4 only if half of the other nodes ask it, 0.2 if a third do.

--- a/core/forward/permits.go
+++ b/core/forward/permits.go
@@ -22,9 +22,6 @@
 	// recheckTimePerNode times the number of nodes is the time between two requests of a node that
 	// needs permits to one that it does not wait for. It bounds those of all nodes to a slow one.
 	recheckTimePerNode = 10 * time.Millisecond
-	// aloneAfter is the time without a response of another node after which this one may be cut
-	// off from all others.
-	aloneAfter = 2 * time.Second
 )
 
 // requestPermits sends a request to the node that this one takes for the allocator of a replica, or
@@ -38,10 +35,16 @@
 	case node == e.settings.Node:
 		e.applyGrant(now, e.allocate(now, r, e.grantShare(now, r.Replica)))
 	default:
-		e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node]})
+		e.emitRequest(r, node, false)
 	}
 }
 
+// emitRequest sends a request for permits to a node.
+func (e *Engine) emitRequest(r ratelimit.Request, node string, recheck bool) {
+	r.Node = e.settings.Node
+	e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node], Recheck: recheck})
+}
+
 // chooseAllocator returns the first node in the order of a replica that is not gone and responds in
 // time. found is unset if there is none among the first maxAskedNodes. The nodes that are passed
 // over are asked as well: their response shows that they can be waited for again, and what they
@@ -71,7 +74,7 @@
 // interval.
 func (e *Engine) recheckAllocator(now time.Time, node string, r ratelimit.Request, interval time.Duration) {
 	if e.limits.health.RecheckDue(now, node, interval) {
-		e.emit(RequestPermits{Request: r, Node: node, Address: e.groups.addresses[node], Recheck: true})
+		e.emitRequest(r, node, true)
 	}
 }
 
@@ -103,29 +106,46 @@
 // grantShare returns the part of a replica's limit that this node may grant.
 func (e *Engine) grantShare(now time.Time, replica api.ReplicaName) float64 {
 	p := e.place(now, replica)
-	if p.Before > 0 || p.Doubtful {
+	if p.Position > 0 {
 		e.recheckNodesBefore(now, replica)
 	}
-	if p.Before == 0 && p.Doubtful {
-		e.recheckNodesAfter(now, replica)
-	}
-	return p.Share(e.nodeCount)
+	return p.Share()
 }
 
 // place returns the place of this node in the order for a replica.
 func (e *Engine) place(now time.Time, replica api.ReplicaName) ratelimit.Place {
-	p := ratelimit.Place{Alone: now.Sub(e.limits.answeredAt) >= aloneAfter}
-	own := ratelimit.AllocatorHash(e.settings.Node, replica)
-	for at := e.firstInOrder(replica); at.node != "" && at.hash < own && p.Before < maxAskedNodes; at = e.nextInOrder(replica, at) {
-		gone, certain := e.limits.health.Gone(at.node)
-		if !gone {
-			p.Before++
+	var p ratelimit.Place
+	ended := 0
+	for _, peers := range e.groups.nodes {
+		for _, other := range peers {
+			if other.Node == e.settings.Node {
+				continue
+			}
+			gone, certain := e.limits.health.Gone(other.Node)
+			if certain {
+				ended++
+			}
+			if certain || ratelimit.AllocatorHash(other.Node, replica) > ratelimit.AllocatorHash(e.settings.Node, replica) {
+				continue
+			}
+			p.Position++
+			if !gone {
+				p.Live++
+			}
 		}
-		p.Doubtful = p.Doubtful || gone && !certain
 	}
+	p.Askers = e.askers(now, e.groups.count-1-ended)
 	return p
 }
 
+// askers returns the fraction of the other nodes that ask this one for permits.
+func (e *Engine) askers(now time.Time, others int) float64 {
+	if others <= 1 {
+		return 1 // if the only other node does not respond, none is left that could ask
+	}
+	return float64(e.limits.askers.Count(now)) / float64(others)
+}
+
 // isolatedShare returns the part of a limit that this node grants to itself while no allocator
 // responds: an equal part of the whole limit if no node accepts calls, as no other one grants any
 // of it then.
@@ -168,6 +188,7 @@
 
 // permitsRequested grants permits to another node.
 func (e *Engine) permitsRequested(now time.Time, ev PermitsRequested) {
+	e.limits.askers.Asked(now, ev.Request.Node)
 	share := e.grantShare(now, ev.Replica)
 	g := e.allocate(now, ev.Request, share)
 	e.counts.Add(count.RateLimit, "permits_granted", uint64(g.Permits))
@@ -191,21 +212,9 @@
 	}
 }
 
-// recheckNodesAfter asks the nodes after this one whether they respond: if they do, this node is not
-// the one that is cut off.
-func (e *Engine) recheckNodesAfter(now time.Time, replica api.ReplicaName) {
-	at := orderedNode{node: e.settings.Node, hash: ratelimit.AllocatorHash(e.settings.Node, replica)}
-	for range maxAskedNodes {
-		if at = e.nextInOrder(replica, at); at.node == "" {
-			return
-		}
-		e.recheckAllocator(now, at.node, e.limits.limiter.Query(now, replica), ratelimit.RecheckInterval)
-	}
-}
-
 // permitsGranted applies a response of an allocator and resumes the parts that wait for it.
 func (e *Engine) permitsGranted(now time.Time, ev PermitsGranted) {
-	if e.allocatorAnswered(now, ev.Node, ev.Late); ev.Late || ev.Recheck {
+	if e.allocatorAnswered(ev.Node, ev.Late); ev.Late || ev.Recheck {
 		e.applyLateGrant(now, ev.Grant)
 	} else {
 		e.applyGrant(now, ev.Grant)
@@ -214,8 +223,7 @@
 }
 
 // allocatorAnswered records and logs that a node responds.
-func (e *Engine) allocatorAnswered(now time.Time, node string, late bool) {
-	e.limits.answeredAt = now
+func (e *Engine) allocatorAnswered(node string, late bool) {
 	if gone, _ := e.limits.health.Gone(node); gone {
 		e.log("allocator_back", "node", node, "late", late)
 	}
@@ -268,7 +276,7 @@
 	case PermitsRefused:
 		e.limits.health.Refused(now, ev.Node)
 	case PermitsDeclined:
-		e.allocatorAnswered(now, ev.Node, true)
+		e.allocatorAnswered(ev.Node, true)
 		e.limits.health.Delayed(now, ev.Node)
 	default:
 		e.limits.health.Unanswered(now, ev.Node)
--- a/core/forward/ratelimit.go
+++ b/core/forward/ratelimit.go
@@ -19,10 +19,10 @@
 	allocator *ratelimit.Allocator
 	// ranks says what this node may grant for cold replicas.
 	ranks *ratelimit.Ranks
-	// health holds which nodes do not respond to requests for permits.
-	// answeredAt is when another node last responded to one.
-	health     *ratelimit.Health
-	answeredAt time.Time
+	// health holds which nodes do not respond to requests for permits, askers which of them send
+	// such requests to this one.
+	health *ratelimit.Health
+	askers *ratelimit.Askers
 	// stopping is set once this process stops, so that other nodes have another allocator.
 	stopping bool
 }
@@ -30,7 +30,8 @@
 func newRateLimits(node string, listAge time.Duration) rateLimits {
 	return rateLimits{
 		limiter: ratelimit.NewLimiter(), allocator: ratelimit.NewAllocator(), health: ratelimit.NewHealth(),
-		ranks: ratelimit.NewRanks(node, listAge),
+		askers: ratelimit.NewAskers(),
+		ranks:  ratelimit.NewRanks(node, listAge),
 	}
 }
 
--- a/entry/relay/permits.go
+++ b/entry/relay/permits.go
@@ -99,7 +99,7 @@
 func callRequestPermits(ctx context.Context, conn *nodeConn, a forward.RequestPermits) (ratelimit.Grant, error) {
 	reply, err := nodepb.NewNodeClient(conn).RequestPermits(ctx, &nodepb.PermitRequest{
 		Replica: string(a.Replica), RateLimit: rateLimitToProto(a.Statement), Wanted: uint32(a.Wanted),
-		ColdRate: a.ColdPerSecond,
+		ColdRate: a.ColdPerSecond, Node: a.Request.Node,
 	})
 	if err != nil {
 		return ratelimit.Grant{}, err
@@ -128,7 +128,8 @@
 	s.loop.Post(forward.PermitsRequested{
 		Call: forward.CallID(id),
 		Request: ratelimit.Request{
-			Replica: api.ReplicaName(m.GetReplica()), Statement: statement, Wanted: int(m.GetWanted()), ColdPerSecond: cold,
+			Node: m.GetNode(), Replica: api.ReplicaName(m.GetReplica()), Statement: statement, Wanted: int(m.GetWanted()),
+			ColdPerSecond: cold,
 		},
 	})
 	select {
